--- /dev/null
+++ b/src/process/adaptive_limit.h
@@ -0,0 +1,88 @@
+#pragma once
+
+/** @file Adaptive concurrency limit of one backend server. */
+
+#include "connection/wire/generated/frame_generated.h"
+#include "eelgrassnotch/config.h"
+#include "eelgrassnotch/types.h"
+
+namespace eelgrassnotch::process
+{
+
+/** @brief Latency targets of a service; a backend server that misses them is overloaded. */
+struct LatencyTarget
+{
+    Duration firstToken = config::firstTokenTarget;
+    Duration perToken = config::perTokenTarget;
+
+    bool operator==(const LatencyTarget &) const = default;
+};
+
+/** @brief What one finished attempt tells of its backend server. */
+struct AttemptSample
+{
+    connection::wire::AttemptResult result = connection::wire::AttemptResult::Completed;
+    Duration firstToken {0};
+    Duration perToken {0};
+    std::uint32_t generation = 0; ///< Start counter that the backend server reports; zero when unknown.
+};
+
+/**
+ * @brief Estimates how many concurrent requests a backend server bears.
+ *
+ * Starts at config::coldLimit and grows by a factor each full round until the
+ * first overload, by one request each round afterwards. Growth needs a full
+ * use of the limit. Refusals, timeouts and missed latency targets shrink it;
+ * a lost connection or a new generation makes the backend server cold.
+ */
+class AdaptiveLimit
+{
+public:
+    /** @param ceiling Declared upper bound in requests; zero for none. */
+    explicit AdaptiveLimit(double ceiling = 0.0);
+
+    /**
+     * @brief Takes the outcome of one attempt into account.
+     * @param inFlight Requests in flight while the attempt ran, itself included.
+     * @returns whether the backend server has just turned cold.
+     */
+    bool record(const AttemptSample &sample, std::size_t inFlight, const LatencyTarget &target, Time now);
+    /** @brief Starts again from the cold limit. */
+    void turnCold(Time now);
+    /** @brief Takes over a limit learned by the former dispatcher. */
+    void adopt(double learned, std::uint32_t knownGeneration);
+    void setCeiling(double requests);
+
+    /** @returns the limit in concurrent requests. */
+    double value() const
+    {
+        return this->limit;
+    }
+    std::uint32_t generation() const
+    {
+        return this->knownGeneration;
+    }
+    /** @returns whether retries must stay away, since the backend server has just turned cold. */
+    bool isRecentlyCold(Time now) const;
+    /** @returns whether one more request may start, given how many are in flight. */
+    bool admits(std::size_t inFlight, Time now) const;
+    /** @brief Notes that a request starts; matters while probing. */
+    void started(Time now);
+
+private:
+    void grow(std::size_t inFlight);
+    void shrink(Time now);
+    double ceilingOrMaximum() const;
+
+    double limit = config::coldLimit;
+    double ceiling = 0.0;
+    bool startingUp = true;
+    double roundSuccesses = 0.0;
+    std::uint32_t knownGeneration = 0;
+    std::uint32_t failuresInRow = 0;
+    Time lastDecrease {Time::min() / 2};
+    Time coldSince {Time::min() / 2};
+    Time lastProbe {Time::min() / 2};
+};
+
+}
--- /dev/null
+++ b/src/process/node.cpp
@@ -0,0 +1,738 @@
+#include "process/node.h"
+
+#include "process/rendezvous.h"
+#include "version/vm_list.h"
+
+#include <algorithm>
+
+namespace eelgrassnotch::process
+{
+
+using connection::wire::FrameT;
+using connection::wire::HeartbeatT;
+
+namespace
+{
+
+constexpr Duration membershipPeriod = std::chrono::milliseconds(100);
+constexpr Duration watchCheckPeriod = std::chrono::milliseconds(500);
+constexpr std::size_t rememberedHeartbeats = 8;
+constexpr std::uint32_t sameRegionCost = 1;
+constexpr std::uint32_t otherRegionCost = 10;
+
+std::uint32_t toMilliseconds(Duration duration)
+{
+    return static_cast<std::uint32_t>(std::max<std::int64_t>(0, std::chrono::duration_cast<std::chrono::milliseconds>(duration).count()));
+}
+
+TimerService::Period every(Duration period)
+{
+    return [period] { return period; };
+}
+
+}
+
+Node::Node(const DaemonIdentity &self, const std::vector<DaemonIdentity> &seeds, NodeHooks nodeHooks, Time startTime)
+    : hooks(std::move(nodeHooks))
+    , members(self)
+    , ownRouter(self.dataCentre)
+    , claimKeeper(*this->hooks.store, self.name + "/" + std::to_string(self.incarnation))
+    , startedAt(startTime)
+    , now(startTime)
+{
+    for (const DaemonIdentity &seed : seeds) {
+        this->members.learn(seed, startTime);
+    }
+    this->subscribeTimers();
+}
+
+Node::~Node() = default;
+
+void Node::subscribeTimers()
+{
+    const auto heartbeat = [this](Time due) { this->sendHeartbeats(due); };
+    const auto membership = [this](Time due) { this->updateMembers(due); };
+    const auto digest = [this](Time due) { this->exchangeDigests(due); };
+    const auto watch = [this](Time due) { this->watchPlatform(due); };
+    this->subscriptions.push_back(this->timers.subscribe(every(membershipPeriod), membership));
+    this->subscriptions.push_back(this->timers.subscribe([this] { return this->members.heartbeatPeriod(); }, heartbeat));
+    this->subscriptions.push_back(this->timers.subscribe(every(config::digestPeriod), digest));
+    this->subscriptions.push_back(this->timers.subscribe(every(watchCheckPeriod), watch));
+}
+
+std::uint64_t Node::submit(request::RequestInfo info, Time submittedAt)
+{
+    this->now = submittedAt;
+    const request::RequestInfo copy = info;
+    const std::uint64_t id = this->ownRouter.submit(std::move(info), submittedAt);
+    if (this->stopping) {
+        this->ownRouter.refuse(id, {RefusalReason::Stopping, Verdict::NotRun, config::minRetryAfter, "this daemon stops"});
+        return id;
+    }
+    if (copy.claimName.empty()) {
+        this->ownRouter.proceed(id);
+        return id;
+    }
+    this->claimKeeper.claim(id, copy, submittedAt, [this, id](const ClaimDecision &decision) {
+        const bool ended = this->ownRouter.find(id) == nullptr;
+        if (decision.granted && ended) {
+            this->claimKeeper.settle(id, Verdict::NotRun, 0, "");
+        } else if (decision.granted) {
+            this->ownRouter.proceed(id);
+        } else if (decision.replay) {
+            this->replays.push_back({id, *decision.replay});
+            this->ownRouter.forget(id);
+        } else if (decision.refusal) {
+            this->ownRouter.refuse(id, *decision.refusal);
+        }
+    });
+    return id;
+}
+
+void Node::attemptEnded(std::uint64_t id, const request::AttemptOutcome &outcome, Time endedAt)
+{
+    this->now = endedAt;
+    const bool answered = outcome.result == request::AttemptResult::Completed || outcome.result == request::AttemptResult::BackendError;
+    this->ownRouter.attemptEnded(id, outcome, endedAt);
+    if (answered) {
+        this->claimKeeper.settle(id, Verdict::Ran, outcome.status, outcome.answer);
+    }
+}
+
+void Node::callerGone(std::uint64_t id, Time goneAt)
+{
+    this->now = goneAt;
+    this->ownRouter.callerGone(id);
+}
+
+void Node::receive(const DaemonIdentity &from, const FrameT &frame, Time receivedAt)
+{
+    this->now = receivedAt;
+    ++this->counters.framesReceived;
+    const DaemonHandle sender = from.handle();
+    if (this->members.heard(from, receivedAt)) {
+        this->peerGone(sender, true, receivedAt);
+    }
+    if (frame.leaving) {
+        this->members.left(sender);
+        this->peerGone(sender, false, receivedAt);
+        this->log("member_left", {{"member", from.name}});
+        return;
+    }
+    this->receiveKnowledge(sender, frame, receivedAt);
+    this->receiveDispatch(sender, frame, receivedAt);
+    this->receiveRouting(sender, frame, receivedAt);
+    if (frame.heartbeat) {
+        this->onHeartbeat(sender, *frame.heartbeat, receivedAt);
+    }
+}
+
+void Node::receiveKnowledge(DaemonHandle from, const FrameT &frame, Time receivedAt)
+{
+    for (const auto &member : frame.members) {
+        this->members.learn(*member, receivedAt);
+    }
+    if (frame.vm_list && frame.vm_list->version > this->vmListVersion) {
+        std::vector<DaemonIdentity> listed;
+        for (const auto &member : frame.vm_list->members) {
+            listed.push_back({member->name, member->address, member->port, DataCentreHandle {member->data_centre}, 0});
+        }
+        this->onVmList(frame.vm_list->version, listed, receivedAt);
+    }
+    if (frame.configuration) {
+        this->offerConfiguration(frame.configuration->version, frame.configuration->document, receivedAt);
+    }
+    if (frame.configuration_wanted) {
+        this->sendConfiguration(from);
+    }
+    for (const auto &digest : frame.digests) {
+        this->onDigest(*digest, receivedAt);
+    }
+}
+
+void Node::receiveDispatch(DaemonHandle from, const FrameT &frame, Time receivedAt)
+{
+    for (const auto &inventory : frame.inventories) {
+        this->poolFor(ServiceHandle {inventory->service}, receivedAt).adopt(from, *inventory, receivedAt);
+    }
+    for (const connection::wire::Release &message : frame.releases) {
+        this->poolFor(ServiceHandle {message.service()}, receivedAt).release(from, message, receivedAt);
+    }
+    for (const connection::wire::Enqueue &message : frame.enqueues) {
+        this->poolFor(ServiceHandle {message.service()}, receivedAt).enqueue(from, message, receivedAt);
+    }
+    for (const connection::wire::Cancel &message : frame.cancels) {
+        this->poolFor(ServiceHandle {message.service()}, receivedAt).cancel(from, message);
+    }
+}
+
+void Node::receiveRouting(DaemonHandle from, const FrameT &frame, Time receivedAt)
+{
+    for (const std::uint32_t service : frame.yields) {
+        this->ownRouter.onYield(from, ServiceHandle {service});
+    }
+    for (const std::uint32_t service : frame.inventories_wanted) {
+        this->ownRouter.onInventoryWanted(from, ServiceHandle {service});
+    }
+    for (const connection::wire::Grant &grant : frame.grants) {
+        this->ownRouter.onGrant(from, grant, receivedAt);
+    }
+    for (const connection::wire::Deny &denial : frame.denies) {
+        this->ownRouter.onDeny(from, denial);
+    }
+    for (const connection::wire::Redirect &redirect : frame.redirects) {
+        this->ownRouter.onRedirect(from, redirect, receivedAt);
+    }
+}
+
+void Node::onHeartbeat(DaemonHandle from, const HeartbeatT &heartbeat, Time receivedAt)
+{
+    this->members.recordHeartbeat(from, heartbeat);
+    this->peers[from].heartbeatSeen = heartbeat.sequence;
+    this->ownRouter.heartbeatReceived(from, std::chrono::milliseconds(heartbeat.lease_ms), receivedAt);
+    this->renewLeases(from, heartbeat, receivedAt);
+    this->answerDifferences(from, heartbeat, receivedAt);
+}
+
+void Node::renewLeases(DaemonHandle from, const HeartbeatT &heartbeat, Time receivedAt)
+{
+    const PeerState &peer = this->peers[from];
+    const auto sent = peer.heartbeatsSent.find(heartbeat.echo);
+    for (auto &[service, pool] : this->pools) {
+        const bool obeys = std::find(heartbeat.obeys.begin(), heartbeat.obeys.end(), service.id) != heartbeat.obeys.end();
+        if (obeys && sent != peer.heartbeatsSent.end()) {
+            pool->renewLease(from, sent->second + this->members.lease());
+        } else if (!obeys && pool->hasRouter(from)) {
+            pool->drop(from, false, receivedAt);
+        }
+    }
+}
+
+void Node::answerDifferences(DaemonHandle from, const HeartbeatT &heartbeat, Time receivedAt)
+{
+    if (heartbeat.configuration > this->configurationState.version()) {
+        this->frameFor(from).configuration_wanted = true;
+    }
+    const Member *member = this->members.find(from);
+    const bool isOwn = member != nullptr && member->identity.dataCentre == this->members.self().dataCentre;
+    if (!isOwn) {
+        return;
+    }
+    if (heartbeat.members_hash != this->members.hash()) {
+        this->frameFor(from).members = this->members.describe(receivedAt, true);
+    }
+    if (heartbeat.vm_list < this->vmListVersion) {
+        this->frameFor(from).vm_list = this->describeVmList();
+    } else if (heartbeat.vm_list == this->vmListVersion && this->vmListVersion != 0) {
+        const Time confirmedAt = receivedAt - std::chrono::milliseconds(heartbeat.vm_list_age_ms);
+        if (confirmedAt > this->vmListAt) {
+            this->vmListAt = confirmedAt;
+            this->members.vmListArrived(this->vmList, confirmedAt);
+        }
+    }
+}
+
+void Node::sendHeartbeats(Time sentAt)
+{
+    for (const DaemonHandle peer : this->heartbeatPeers(sentAt)) {
+        this->sendHeartbeat(peer, sentAt);
+    }
+    const DaemonHandle self = this->members.self().handle();
+    this->ownRouter.heartbeatReceived(self, this->members.lease(), sentAt);
+    const std::vector<std::uint32_t> services = this->ownRouter.promise(self);
+    for (const std::uint32_t service : services) {
+        if (const auto found = this->pools.find(ServiceHandle {service}); found != this->pools.end()) {
+            found->second->renewLease(self, sentAt + this->members.lease());
+        }
+    }
+}
+
+void Node::sendHeartbeat(DaemonHandle peer, Time sentAt)
+{
+    PeerState &state = this->peers[peer];
+    auto heartbeat = std::make_unique<HeartbeatT>();
+    heartbeat->sequence = ++this->heartbeatSequence;
+    heartbeat->echo = state.heartbeatSeen;
+    heartbeat->configuration = this->configurationState.version();
+    heartbeat->members_hash = this->members.hash();
+    heartbeat->lease_ms = toMilliseconds(this->members.lease());
+    heartbeat->vm_list = this->vmListVersion;
+    heartbeat->vm_list_age_ms = toMilliseconds(sentAt - this->vmListAt);
+    heartbeat->settled = this->members.isSelfSettled();
+    heartbeat->draining = this->stopping;
+    heartbeat->obeys = this->ownRouter.promise(peer);
+    state.heartbeatsSent[heartbeat->sequence] = sentAt;
+    while (state.heartbeatsSent.size() > rememberedHeartbeats) {
+        state.heartbeatsSent.erase(state.heartbeatsSent.begin());
+    }
+    this->frameFor(peer).heartbeat = std::move(heartbeat);
+}
+
+std::set<DaemonHandle> Node::heartbeatPeers(Time) const
+{
+    std::set<DaemonHandle> targets = this->ownRouter.remoteDispatchers();
+    for (const DaemonHandle peer : this->members.ownPeers()) {
+        targets.insert(peer);
+    }
+    for (const auto &[service, pool] : this->pools) {
+        for (const DaemonHandle router : pool->routerHandles()) {
+            targets.insert(router);
+        }
+    }
+    targets.erase(this->members.self().handle());
+    return targets;
+}
+
+void Node::linkUp(DaemonHandle peer, Time upAt)
+{
+    this->now = upAt;
+    this->ownRouter.linkReset(peer);
+    for (auto &[service, pool] : this->pools) {
+        if (pool->hasRouter(peer)) {
+            pool->suspend(peer);
+            this->frameFor(peer).inventories_wanted.push_back(service.id);
+        }
+    }
+    this->sendHeartbeat(peer, upAt);
+}
+
+void Node::linkRefused(DaemonHandle peer, Time refusedAt)
+{
+    this->now = refusedAt;
+    const Member *member = this->members.find(peer);
+    if (member == nullptr || member->refused) {
+        return;
+    }
+    this->members.connectionRefused(peer);
+    this->peerGone(peer, true, refusedAt);
+    this->log("member_refused", {{"member", member->identity.name}});
+}
+
+void Node::peerGone(DaemonHandle peer, bool hold, Time goneAt)
+{
+    this->ownRouter.dispatcherGone(peer);
+    this->peers.erase(peer);
+    for (auto &[service, pool] : this->pools) {
+        pool->drop(peer, hold, goneAt);
+    }
+}
+
+void Node::advance(Time advancedAt)
+{
+    this->now = advancedAt;
+    this->timers.advance(advancedAt);
+    this->ownRouter.advance(advancedAt, this->members.candidates(advancedAt));
+    this->claimKeeper.advance(advancedAt);
+}
+
+void Node::updateMembers(Time updatedAt)
+{
+    const bool settled = updatedAt - this->startedAt >= config::obedienceLease;
+    this->members.setSelfState(settled, this->stopping);
+    const MembershipChange change = this->members.advance(updatedAt);
+    for (const DaemonHandle lost : change.lost) {
+        this->peerGone(lost, true, updatedAt);
+        this->log("member_lost", {{"member", std::to_string(lost.id)}});
+    }
+    const std::vector<DaemonHandle> counted = this->members.counted(updatedAt);
+    const bool yield = this->members.mustYield(updatedAt);
+    for (auto &[service, pool] : this->pools) {
+        pool->setMembers(counted, yield);
+    }
+    this->yieldPools(updatedAt);
+}
+
+void Node::yieldPools(Time yieldedAt)
+{
+    const std::vector<DaemonHandle> candidates = this->members.candidates(yieldedAt);
+    const DaemonHandle self = this->members.self().handle();
+    for (auto &[service, pool] : this->pools) {
+        const DaemonHandle desired = chooseDaemon(service.id, candidates);
+        const bool undesired = desired.isValid() && desired != self && !pool->routerHandles().empty();
+        if (!undesired) {
+            this->undesiredSince.erase(service);
+            continue;
+        }
+        const auto [since, isNew] = this->undesiredSince.try_emplace(service, yieldedAt);
+        if (yieldedAt - since->second < this->members.heartbeatPeriod()) {
+            continue;
+        }
+        this->undesiredSince.erase(since);
+        for (const DaemonHandle router : pool->routerHandles()) {
+            this->frameFor(router).yields.push_back(service.id);
+            pool->drop(router, false, yieldedAt);
+        }
+        this->log("pool_yielded", {{"service", std::to_string(service.id)}});
+    }
+}
+
+Dispatcher &Node::poolFor(ServiceHandle service, Time at)
+{
+    std::unique_ptr<Dispatcher> &pool = this->pools[service];
+    const bool isTakeover = !pool || pool->routerHandles().empty();
+    if (isTakeover) {
+        pool = std::make_unique<Dispatcher>(service, this->members.self().dataCentre, at);
+        pool->setMembers(this->members.counted(at), this->members.mustYield(at));
+        ++this->counters.dispatcherTakeovers;
+        if (this->configurationState.get()) {
+            pool->configure(*this->configurationState.get());
+        }
+    }
+    return *pool;
+}
+
+void Node::offerConfiguration(std::uint64_t version, const std::string &document, Time offeredAt)
+{
+    try {
+        if (this->configurationState.offer(version, document)) {
+            this->applyConfiguration(offeredAt);
+        }
+    } catch (const version::ConfigurationError &error) {
+        ++this->counters.badConfigurations;
+        this->log("configuration_invalid", {{"version", std::to_string(version)}, {"error", error.what()}});
+    }
+}
+
+void Node::applyConfiguration(Time)
+{
+    const version::Configuration &configuration = *this->configurationState.get();
+    std::set<ServiceHandle> services;
+    for (const auto &[handle, service] : configuration.services) {
+        services.insert(handle);
+    }
+    this->ownRouter.setServices(services);
+    for (auto &[service, pool] : this->pools) {
+        pool->configure(configuration);
+    }
+    this->configurationChanged = true;
+    for (const DaemonHandle peer : this->members.ownPeers()) {
+        if (this->isRelay(this->now)) {
+            this->sendConfiguration(peer);
+        }
+    }
+    this->log("configuration_in_force", {{"version", std::to_string(configuration.version)}});
+}
+
+void Node::sendConfiguration(DaemonHandle peer)
+{
+    if (this->configurationState.version() == 0) {
+        return;
+    }
+    auto message = std::make_unique<connection::wire::ConfigurationT>();
+    message->version = this->configurationState.version();
+    message->document = this->configurationState.document();
+    this->frameFor(peer).configuration = std::move(message);
+}
+
+bool Node::isRelay(Time at) const
+{
+    const std::vector<DaemonHandle> candidates = this->members.candidates(at);
+    const std::vector<DaemonHandle> relays = chooseDaemons(relayRole, candidates, config::relaysPerDataCentre);
+    return std::find(relays.begin(), relays.end(), this->members.self().handle()) != relays.end();
+}
+
+void Node::watchPlatform(Time watchedAt)
+{
+    const bool startsEmpty = this->configurationState.version() == 0;
+    if (!startsEmpty && !this->isRelay(watchedAt)) {
+        return;
+    }
+    if (!this->watchingConfiguration) {
+        this->watchConfiguration();
+    }
+    if (!this->watchingVmList) {
+        this->watchVmList();
+    }
+}
+
+void Node::watchConfiguration()
+{
+    this->watchingConfiguration = true;
+    ++this->counters.platformCalls;
+    const auto answered = [this, watch = std::weak_ptr<bool>(this->alive)](const StoreAnswer &answer) {
+        if (watch.expired()) {
+            return;
+        }
+        this->watchingConfiguration = false;
+        if (answer.status != StoreStatus::Ok) {
+            return;
+        }
+        this->offerConfiguration(answer.version, answer.value, this->now);
+        if (this->isRelay(this->now)) {
+            this->watchConfiguration();
+        }
+    };
+    this->hooks.store->watch(configurationKey, this->configurationState.version(), answered);
+}
+
+void Node::watchVmList()
+{
+    this->watchingVmList = true;
+    ++this->counters.platformCalls;
+    const auto answered = [this, watch = std::weak_ptr<bool>(this->alive)](const StoreAnswer &answer) {
+        if (watch.expired()) {
+            return;
+        }
+        this->watchingVmList = false;
+        if (answer.status != StoreStatus::Ok) {
+            return;
+        }
+        try {
+            const bool unchanged = answer.version == this->vmListVersion;
+            this->onVmList(answer.version, unchanged ? this->vmList : version::parseVmList(answer.value), this->now);
+        } catch (const version::ConfigurationError &error) {
+            ++this->counters.badConfigurations;
+            this->log("vm_list_invalid", {{"error", error.what()}});
+            return;
+        }
+        if (this->isRelay(this->now)) {
+            this->watchVmList();
+        }
+    };
+    this->hooks.store->watch(vmListKey, this->vmListVersion, answered);
+}
+
+void Node::onVmList(std::uint64_t version, const std::vector<DaemonIdentity> &listed, Time listedAt)
+{
+    const bool isNew = version != this->vmListVersion;
+    this->vmListVersion = version;
+    if (isNew) {
+        this->vmList = listed;
+    }
+    this->vmListAt = listedAt;
+    this->members.vmListArrived(listed, listedAt);
+    if (!isNew || !this->isRelay(listedAt)) {
+        return;
+    }
+    for (const DaemonHandle peer : this->members.ownPeers()) {
+        this->frameFor(peer).vm_list = this->describeVmList();
+    }
+}
+
+std::unique_ptr<connection::wire::VmListT> Node::describeVmList() const
+{
+    auto list = std::make_unique<connection::wire::VmListT>();
+    list->version = this->vmListVersion;
+    for (const DaemonIdentity &identity : this->vmList) {
+        auto member = std::make_unique<connection::wire::MemberT>();
+        member->name = identity.name;
+        member->address = identity.address;
+        member->port = identity.port;
+        member->data_centre = identity.dataCentre.id;
+        list->members.push_back(std::move(member));
+    }
+    return list;
+}
+
+void Node::exchangeDigests(Time sentAt)
+{
+    if (!this->configurationState.get()) {
+        return;
+    }
+    for (auto &[service, pool] : this->pools) {
+        if (pool->routerHandles().empty()) {
+            continue;
+        }
+        const std::map<WorkspaceHandle, std::uint64_t> served = pool->takeServed();
+        for (const auto &[target, dataCentre] : this->configurationState.get()->dataCentres) {
+            if (target != this->members.self().dataCentre) {
+                this->sendDigest(*pool, target, served, sentAt);
+            }
+        }
+        this->updateRemoteRooms(*pool, sentAt);
+    }
+}
+
+void Node::sendDigest(Dispatcher &pool, DataCentreHandle target, const std::map<WorkspaceHandle, std::uint64_t> &served, Time sentAt)
+{
+    const PoolKey key {pool.service(), target};
+    const auto remote = this->remotePools.find(key);
+    const bool isKnown = remote != this->remotePools.end() && sentAt - remote->second.at <= config::digestFreshFor;
+    const std::vector<DaemonHandle> daemons = this->members.daemonsOf(target, sentAt);
+    const DaemonHandle receiver = isKnown ? remote->second.dispatcher : chooseDaemon(pool.service().id, daemons);
+    if (!receiver.isValid()) {
+        return;
+    }
+    const PoolView view = pool.view(sentAt);
+    auto digest = std::make_unique<connection::wire::DigestT>();
+    digest->service = pool.service().id;
+    digest->data_centre = this->members.self().dataCentre.id;
+    digest->dispatcher = this->members.self().handle().id;
+    digest->waiting = static_cast<std::uint32_t>(view.waiting);
+    const auto isHungry = [&key](const auto &entry) { return entry.first.service == key.service && entry.second.waiting > 0; };
+    const auto hungry = std::count_if(this->remotePools.begin(), this->remotePools.end(), isHungry);
+    digest->free_slots = static_cast<std::uint32_t>(view.freeSlots / static_cast<std::size_t>(std::max<std::ptrdiff_t>(1, hungry)));
+    for (const WorkspaceHandle workspace : pool.backlogged()) {
+        digest->backlogged.push_back(workspace.id);
+    }
+    for (const auto &[workspace, cost] : served) {
+        if (isKnown && remote->second.backlogged.contains(workspace.id)) {
+            digest->charges.emplace_back(workspace.id, static_cast<std::uint32_t>(std::min<std::uint64_t>(cost, 0xffffffff)));
+        }
+    }
+    this->frameFor(receiver).digests.push_back(std::move(digest));
+}
+
+void Node::onDigest(const connection::wire::DigestT &digest, Time receivedAt)
+{
+    const ServiceHandle service {digest.service};
+    const auto found = this->pools.find(service);
+    const bool dispatches = found != this->pools.end() && !found->second->routerHandles().empty();
+    if (!dispatches) {
+        this->forwardDigest(digest, receivedAt);
+        return;
+    }
+    RemotePool &remote = this->remotePools[{service, DataCentreHandle {digest.data_centre}}];
+    remote.at = receivedAt;
+    remote.dispatcher = DaemonHandle {digest.dispatcher};
+    remote.freeSlots = digest.free_slots;
+    remote.waiting = digest.waiting;
+    remote.backlogged = {digest.backlogged.begin(), digest.backlogged.end()};
+    for (const connection::wire::Charge &charge : digest.charges) {
+        found->second->chargeElsewhere(WorkspaceHandle {charge.workspace()}, charge.cost());
+    }
+    this->updateRemoteRooms(*found->second, receivedAt);
+}
+
+void Node::forwardDigest(const connection::wire::DigestT &digest, Time receivedAt)
+{
+    const DaemonHandle dispatcher = chooseDaemon(digest.service, this->members.candidates(receivedAt));
+    const bool canForward = !digest.forwarded && dispatcher.isValid() && dispatcher != this->members.self().handle();
+    if (!canForward) {
+        return;
+    }
+    auto copy = std::make_unique<connection::wire::DigestT>(digest);
+    copy->forwarded = true;
+    this->frameFor(dispatcher).digests.push_back(std::move(copy));
+}
+
+void Node::updateRemoteRooms(Dispatcher &pool, Time updatedAt)
+{
+    std::vector<RemoteRoom> rooms;
+    const version::Configuration &configuration = *this->configurationState.get();
+    for (auto &[key, remote] : this->remotePools) {
+        const auto dataCentre = configuration.dataCentres.find(key.dataCentre);
+        const bool open = dataCentre != configuration.dataCentres.end() && !dataCentre->second.takenOut;
+        const bool fresh = updatedAt - remote.at <= config::digestFreshFor;
+        if (key.service == pool.service() && open && fresh && remote.freeSlots > 0) {
+            rooms.push_back({key.dataCentre, remote.dispatcher, std::exchange(remote.freeSlots, 0), this->linkCostTo(key.dataCentre)});
+        }
+    }
+    pool.setRemoteRooms(std::move(rooms));
+}
+
+std::uint32_t Node::linkCostTo(DataCentreHandle target) const
+{
+    const auto &dataCentres = this->configurationState.get()->dataCentres;
+    const auto own = dataCentres.find(this->members.self().dataCentre);
+    const auto other = dataCentres.find(target);
+    const bool sameRegion = own != dataCentres.end() && other != dataCentres.end() && own->second.region == other->second.region;
+    return sameRegion ? sameRegionCost : otherRegionCost;
+}
+
+void Node::beginStop(Time stoppedAt)
+{
+    this->stopping = true;
+    this->updateMembers(stoppedAt);
+    this->sendHeartbeats(stoppedAt);
+    this->log("stop_begun", {{"requests", std::to_string(this->ownRouter.size())}});
+}
+
+bool Node::isDrained() const
+{
+    const auto isEmpty = [](const auto &entry) { return entry.second->routerHandles().empty(); };
+    const bool rolesAreGone = std::all_of(this->pools.begin(), this->pools.end(), isEmpty) || this->members.candidates(this->now).empty();
+    return this->stopping && this->ownRouter.size() == 0 && rolesAreGone;
+}
+
+void Node::sayGoodbye()
+{
+    this->left = true;
+    for (const DaemonHandle peer : this->heartbeatPeers(this->now)) {
+        this->frameFor(peer).leaving = true;
+    }
+}
+
+void Node::runPools(Time decidedAt)
+{
+    for (auto &[service, pool] : this->pools) {
+        DispatchDecisions decisions = pool->decide(decidedAt);
+        this->counters.grants += decisions.grants.size();
+        this->counters.denies += decisions.denies.size();
+        this->counters.redirects += decisions.redirects.size();
+        for (const auto &grant : decisions.grants) {
+            this->frameFor(grant.router).grants.push_back(grant.message);
+        }
+        for (const auto &denial : decisions.denies) {
+            this->frameFor(denial.router).denies.push_back(denial.message);
+        }
+        for (const auto &redirect : decisions.redirects) {
+            this->frameFor(redirect.router).redirects.push_back(redirect.message);
+        }
+    }
+}
+
+void Node::pumpRouter(Time pumpedAt)
+{
+    for (auto &[peer, frame] : this->ownRouter.takeFrames()) {
+        FrameT &target = this->frameFor(peer);
+        const bool adopts = !frame.inventories.empty();
+        std::move(frame.inventories.begin(), frame.inventories.end(), std::back_inserter(target.inventories));
+        target.enqueues.insert(target.enqueues.end(), frame.enqueues.begin(), frame.enqueues.end());
+        target.releases.insert(target.releases.end(), frame.releases.begin(), frame.releases.end());
+        target.cancels.insert(target.cancels.end(), frame.cancels.begin(), frame.cancels.end());
+        if (adopts && peer != this->members.self().handle()) {
+            this->sendHeartbeat(peer, pumpedAt);
+        }
+    }
+}
+
+Outbox Node::takeOutbox(Time takenAt)
+{
+    constexpr int maxLocalRounds = 4;
+    const DaemonHandle self = this->members.self().handle();
+    for (int round = 0; round < maxLocalRounds; ++round) {
+        this->pumpRouter(takenAt);
+        this->runPools(takenAt);
+        auto local = this->frames.extract(self);
+        if (local.empty()) {
+            break;
+        }
+        this->receiveDispatch(self, local.mapped(), takenAt);
+        this->receiveRouting(self, local.mapped(), takenAt);
+        if (!local.mapped().inventories.empty()) {
+            this->sendHeartbeats(takenAt);
+        }
+    }
+    Outbox outbox;
+    for (auto &[peer, frame] : this->frames) {
+        if (const Member *member = this->members.find(peer)) {
+            outbox.frames.push_back({member->identity, std::move(frame)});
+        }
+    }
+    this->frames.clear();
+    outbox.starts = this->ownRouter.takeStarts();
+    outbox.finished = this->ownRouter.takeFinished();
+    for (const FinishRequest &finish : outbox.finished) {
+        this->claimKeeper.settle(finish.request, finish.refusal.verdict, 0, "");
+    }
+    outbox.replays = std::exchange(this->replays, {});
+    if (std::exchange(this->configurationChanged, false)) {
+        outbox.newConfiguration = this->configurationState.get();
+    }
+    return outbox;
+}
+
+FrameT &Node::frameFor(DaemonHandle peer)
+{
+    return this->frames[peer];
+}
+
+void Node::log(const std::string &event, const std::vector<std::pair<std::string, std::string>> &fields) const
+{
+    if (this->hooks.log) {
+        this->hooks.log(event, fields);
+    }
+}
+
+}
--- /dev/null
+++ b/src/process/node.h
@@ -0,0 +1,219 @@
+#pragma once
+
+/** @file The decision core of one daemon: every role, without I/O, clock, threads or randomness. */
+
+#include "connection/wire/generated/frame_generated.h"
+#include "process/claim_keeper.h"
+#include "process/configuration_state.h"
+#include "process/dispatcher.h"
+#include "process/membership.h"
+#include "process/platform_store.h"
+#include "process/router.h"
+#include "process/timer_service.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace eelgrassnotch::process
+{
+
+/** @brief Key of the configuration object at the platform. */
+inline const std::string configurationKey = "configuration";
+/** @brief Key of the platform's list of live VMs. */
+inline const std::string vmListKey = "vms";
+
+/** @brief A frame and the daemon that it is for. */
+struct OutgoingFrame
+{
+    DaemonIdentity to;
+    connection::wire::FrameT frame;
+};
+
+/** @brief Answer of an earlier request under the same idempotency key. */
+struct ReplayRequest
+{
+    std::uint64_t request = 0;
+    ReplayedAnswer answer;
+};
+
+/** @brief All that one turn of the core decided, handed over whole. */
+struct Outbox
+{
+    std::vector<OutgoingFrame> frames;
+    std::vector<StartAttempt> starts;
+    std::vector<FinishRequest> finished;
+    std::vector<ReplayRequest> replays;
+    version::ConfigurationPointer newConfiguration; ///< Null when it did not change.
+};
+
+/** @brief One event for the log. */
+using EventHook = std::function<void(const std::string &event, const std::vector<std::pair<std::string, std::string>> &fields)>;
+
+/** @brief What the core needs from its surroundings. */
+struct NodeHooks
+{
+    PlatformStore *store = nullptr; ///< Must outlive the node.
+    EventHook log; ///< May be empty.
+};
+
+/** @brief Counters of one core. */
+struct NodeStats
+{
+    std::uint64_t platformCalls = 0;
+    std::uint64_t framesReceived = 0;
+    std::uint64_t badConfigurations = 0;
+    std::uint64_t dispatcherTakeovers = 0;
+    std::uint64_t redirects = 0;
+    std::uint64_t denies = 0;
+    std::uint64_t grants = 0;
+    std::uint64_t pauses = 0;
+};
+
+/**
+ * @brief One daemon's decisions. Inputs are typed values with the time of
+ * their arrival; the decisions of a turn come out of takeOutbox().
+ * @remarks Not synchronized; one thread owns it.
+ */
+class Node
+{
+public:
+    /**
+     * @param seeds Daemons known from the settings, for a start without the platform.
+     */
+    Node(const DaemonIdentity &self, const std::vector<DaemonIdentity> &seeds, NodeHooks hooks, Time now);
+    ~Node();
+    Node(const Node &) = delete;
+    Node &operator=(const Node &) = delete;
+
+    /** @returns id of the request, or a refusal when it can't be admitted at all. */
+    std::uint64_t submit(request::RequestInfo info, Time now);
+    void attemptEnded(std::uint64_t request, const request::AttemptOutcome &outcome, Time now);
+    void callerGone(std::uint64_t request, Time now);
+
+    void receive(const DaemonIdentity &from, const connection::wire::FrameT &frame, Time now);
+    /** @brief An outgoing link was set up anew. */
+    void linkUp(DaemonHandle peer, Time now);
+    /** @brief Nothing listens at the peer's address. */
+    void linkRefused(DaemonHandle peer, Time now);
+    void advance(Time now);
+    /** @brief Begins a planned stop: roles are handed over, new requests refused. */
+    void beginStop(Time now);
+    /** @returns whether a planned stop has nothing left to wait for. */
+    bool isDrained() const;
+    /** @brief Tells all peers that this daemon leaves; the last turn before its end. */
+    void sayGoodbye();
+
+    Outbox takeOutbox(Time now);
+
+    const Membership &membership() const
+    {
+        return this->members;
+    }
+    const Router &router() const
+    {
+        return this->ownRouter;
+    }
+    const std::map<ServiceHandle, std::unique_ptr<Dispatcher>> &dispatchers() const
+    {
+        return this->pools;
+    }
+    const ConfigurationState &configuration() const
+    {
+        return this->configurationState;
+    }
+    const ClaimKeeper &claims() const
+    {
+        return this->claimKeeper;
+    }
+    const NodeStats &stats() const
+    {
+        return this->counters;
+    }
+    bool isRelay(Time now) const;
+    bool isStopping() const
+    {
+        return this->stopping;
+    }
+
+private:
+    struct RemotePool
+    {
+        Time at {0};
+        DaemonHandle dispatcher;
+        std::uint32_t freeSlots = 0;
+        std::uint32_t waiting = 0;
+        std::set<std::uint32_t> backlogged;
+    };
+    struct PeerState
+    {
+        std::uint64_t heartbeatSeen = 0; ///< Last sequence number heard.
+        std::map<std::uint64_t, Time> heartbeatsSent;
+    };
+
+    void subscribeTimers();
+    void sendHeartbeats(Time now);
+    void sendHeartbeat(DaemonHandle peer, Time now);
+    void onHeartbeat(DaemonHandle from, const connection::wire::HeartbeatT &heartbeat, Time now);
+    void answerDifferences(DaemonHandle from, const connection::wire::HeartbeatT &heartbeat, Time now);
+    void renewLeases(DaemonHandle from, const connection::wire::HeartbeatT &heartbeat, Time now);
+    void receiveDispatch(DaemonHandle from, const connection::wire::FrameT &frame, Time now);
+    void receiveRouting(DaemonHandle from, const connection::wire::FrameT &frame, Time now);
+    void receiveKnowledge(DaemonHandle from, const connection::wire::FrameT &frame, Time now);
+    void onDigest(const connection::wire::DigestT &digest, Time now);
+    void forwardDigest(const connection::wire::DigestT &digest, Time now);
+    void exchangeDigests(Time now);
+    void sendDigest(Dispatcher &pool, DataCentreHandle target, const std::map<WorkspaceHandle, std::uint64_t> &served, Time now);
+    void updateRemoteRooms(Dispatcher &pool, Time now);
+    std::uint32_t linkCostTo(DataCentreHandle target) const;
+    void offerConfiguration(std::uint64_t version, const std::string &document, Time now);
+    void applyConfiguration(Time now);
+    void sendConfiguration(DaemonHandle peer);
+    void watchPlatform(Time now);
+    void watchConfiguration();
+    void watchVmList();
+    void onVmList(std::uint64_t version, const std::vector<DaemonIdentity> &listed, Time now);
+    std::unique_ptr<connection::wire::VmListT> describeVmList() const;
+    void peerGone(DaemonHandle peer, bool hold, Time now);
+    void updateMembers(Time now);
+    void yieldPools(Time now);
+    void runPools(Time now);
+    void pumpRouter(Time now);
+    Dispatcher &poolFor(ServiceHandle service, Time now);
+    connection::wire::FrameT &frameFor(DaemonHandle peer);
+    std::set<DaemonHandle> heartbeatPeers(Time now) const;
+    void log(const std::string &event, const std::vector<std::pair<std::string, std::string>> &fields) const;
+
+    NodeHooks hooks;
+    Membership members;
+    Router ownRouter;
+    ClaimKeeper claimKeeper;
+    ConfigurationState configurationState;
+    TimerService timers;
+    std::vector<TimerService::Subscription> subscriptions;
+    std::map<ServiceHandle, std::unique_ptr<Dispatcher>> pools;
+    std::map<DaemonHandle, PeerState> peers;
+    std::map<PoolKey, RemotePool> remotePools;
+    std::map<DaemonHandle, connection::wire::FrameT> frames;
+    std::vector<ReplayRequest> replays;
+    std::shared_ptr<bool> alive = std::make_shared<bool>(true);
+    Time startedAt;
+    Time now;
+    std::uint64_t heartbeatSequence = 0;
+    bool stopping = false;
+    bool left = false;
+    bool configurationChanged = false;
+    bool watchingConfiguration = false;
+    bool watchingVmList = false;
+    std::uint64_t vmListVersion = 0;
+    Time vmListAt {0};
+    std::vector<DaemonIdentity> vmList;
+    std::map<ServiceHandle, Time> undesiredSince;
+    NodeStats counters;
+};
+
+}
--- /dev/null
+++ b/src/process/rendezvous.cpp
@@ -0,0 +1,44 @@
+#include "process/rendezvous.h"
+
+#include <algorithm>
+
+namespace eelgrassnotch::process
+{
+
+namespace
+{
+
+/** Finalizer of the SplitMix64 generator: every input bit reaches every output bit. */
+std::uint64_t mix(std::uint64_t value)
+{
+    value ^= value >> 30;
+    value *= 0xbf58476d1ce4e5b9ull;
+    value ^= value >> 27;
+    value *= 0x94d049bb133111ebull;
+    return value ^ (value >> 31);
+}
+
+std::uint64_t weightOf(std::uint32_t role, DaemonHandle daemon)
+{
+    return mix((static_cast<std::uint64_t>(role) << 32) | daemon.id);
+}
+
+}
+
+std::vector<DaemonHandle> chooseDaemons(std::uint32_t role, std::span<const DaemonHandle> daemons, std::size_t count)
+{
+    std::vector<DaemonHandle> chosen(daemons.begin(), daemons.end());
+    const std::size_t kept = std::min(count, chosen.size());
+    const auto byWeight = [role](DaemonHandle left, DaemonHandle right) { return weightOf(role, left) > weightOf(role, right); };
+    std::partial_sort(chosen.begin(), chosen.begin() + static_cast<std::ptrdiff_t>(kept), chosen.end(), byWeight);
+    chosen.resize(kept);
+    return chosen;
+}
+
+DaemonHandle chooseDaemon(std::uint32_t role, std::span<const DaemonHandle> daemons)
+{
+    const std::vector<DaemonHandle> chosen = chooseDaemons(role, daemons, 1);
+    return chosen.empty() ? DaemonHandle {} : chosen.front();
+}
+
+}
--- /dev/null
+++ b/src/process/rendezvous.h
@@ -0,0 +1,27 @@
+#pragma once
+
+/** @file Rendezvous (highest random weight) hashing of roles onto daemons. */
+
+#include "eelgrassnotch/types.h"
+
+#include <span>
+#include <vector>
+
+namespace eelgrassnotch::process
+{
+
+/** Role of holding the platform watch for a data centre. */
+constexpr std::uint32_t relayRole = hashName("relay");
+
+/**
+ * @brief Picks the daemon that carries a role.
+ * @param role Id of a service handle, or a constant such as relayRole.
+ * @param daemons Candidates; their order does not matter.
+ * @returns the daemon of highest weight, or the invalid handle without candidates.
+ */
+DaemonHandle chooseDaemon(std::uint32_t role, std::span<const DaemonHandle> daemons);
+
+/** @returns up to @p count daemons for a role, the first choice first. */
+std::vector<DaemonHandle> chooseDaemons(std::uint32_t role, std::span<const DaemonHandle> daemons, std::size_t count);
+
+}
--- /dev/null
+++ b/src/process/router.cpp
@@ -0,0 +1,512 @@
+#include "process/router.h"
+
+#include "process/rendezvous.h"
+
+#include <algorithm>
+
+namespace eelgrassnotch::process
+{
+
+using connection::wire::AttemptResult;
+using connection::wire::DenyReason;
+using request::AttemptOutcome;
+
+namespace
+{
+
+/** A core that was not advanced for this long was paused; grants that it holds may be void. */
+constexpr Duration pauseTolerance = config::grantFreshFor;
+
+std::uint32_t toMilliseconds(Duration duration)
+{
+    const auto milliseconds = std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
+    return static_cast<std::uint32_t>(std::max<std::int64_t>(0, milliseconds));
+}
+
+std::uint32_t toMicroseconds(Duration duration)
+{
+    return static_cast<std::uint32_t>(std::clamp<std::int64_t>(duration.count(), 0, 0xffffffff));
+}
+
+RefusalReason refusalOf(DenyReason reason)
+{
+    switch (reason) {
+    case DenyReason::QueueFull:
+        return RefusalReason::QueueFull;
+    case DenyReason::DeadlineUnreachable:
+        return RefusalReason::DeadlineUnreachable;
+    case DenyReason::DeadlineExpired:
+        return RefusalReason::DeadlineExpired;
+    case DenyReason::NoBackend:
+    case DenyReason::NotDispatcher:
+    case DenyReason::None:
+        return RefusalReason::NoBackend;
+    }
+    return RefusalReason::NoBackend;
+}
+
+}
+
+Router::Router(DataCentreHandle home)
+    : home(home)
+{
+}
+
+void Router::setServices(const std::set<ServiceHandle> &services)
+{
+    for (const ServiceHandle service : services) {
+        this->obediences.try_emplace({service, this->home});
+    }
+}
+
+std::uint64_t Router::submit(request::RequestInfo info, Time submittedAt)
+{
+    this->now = std::max(this->now, submittedAt);
+    const std::uint64_t id = this->nextRequest++;
+    ++this->counters.submitted;
+    this->budget.earn();
+    const PoolKey pool {info.service, this->home};
+    this->deadlines.emplace(info.deadline, id);
+    this->requests[id] = {std::move(info), Phase::Held, pool, {}, 0, Verdict::NotRun};
+    if (this->requests.size() > config::maxRequestsPerDaemon) {
+        this->finish(id, {RefusalReason::DaemonFull, Verdict::NotRun, config::minRetryAfter, "too many requests in this daemon"});
+    }
+    return id;
+}
+
+void Router::proceed(std::uint64_t id)
+{
+    if (const auto found = this->requests.find(id); found != this->requests.end() && found->second.phase == Phase::Held) {
+        this->toWaiting(id, found->second, found->second.pool);
+    }
+}
+
+void Router::forget(std::uint64_t id)
+{
+    this->erase(id);
+}
+
+void Router::refuse(std::uint64_t id, Refusal refusal)
+{
+    this->finish(id, std::move(refusal));
+}
+
+void Router::toWaiting(std::uint64_t id, Request &request, const PoolKey &pool)
+{
+    request.phase = Phase::Waiting;
+    request.pool = pool;
+    this->enqueue(id, request);
+}
+
+void Router::enqueue(std::uint64_t id, const Request &request)
+{
+    const auto found = this->obediences.find(request.pool);
+    if (found == this->obediences.end() || !found->second.dispatcher.isValid()) {
+        return;
+    }
+    const std::uint32_t remaining = toMilliseconds(request.info.deadline - this->now);
+    const connection::wire::Enqueue message(id, request.info.service.id, request.info.workspace.id, request.info.costHint, remaining,
+                                            request.backend.id, request.attempt);
+    this->frameFor(found->second.dispatcher).enqueues.push_back(message);
+}
+
+void Router::attemptEnded(std::uint64_t id, const AttemptOutcome &outcome, Time endedAt)
+{
+    this->now = std::max(this->now, endedAt);
+    const auto found = this->requests.find(id);
+    if (found == this->requests.end()) {
+        return;
+    }
+    Request &request = found->second;
+    if (request.phase == Phase::Ending) {
+        this->release(id, request, outcome);
+        this->erase(id);
+        return;
+    }
+    if (request.phase != Phase::Running) {
+        return;
+    }
+    request.worst = std::max(request.worst, outcome.verdict);
+    this->observeOutcome(request, outcome);
+    this->release(id, request, outcome);
+    request.phase = Phase::Held;
+    const bool answered = outcome.result == AttemptResult::Completed || outcome.result == AttemptResult::BackendError;
+    if (answered) {
+        ++this->counters.answered;
+        this->erase(id);
+        return;
+    }
+    this->retryOrFinish(id, request, outcome);
+}
+
+void Router::retryOrFinish(std::uint64_t id, Request &request, const AttemptOutcome &outcome)
+{
+    const std::optional<RetryReason> reason = request::retryReasonOf(outcome.result);
+    const bool repeatable = reason && request::mayRepeat(request.info, outcome);
+    if (!repeatable) {
+        const bool invalid = outcome.result == AttemptResult::InvalidAnswer;
+        const RefusalReason why = invalid ? RefusalReason::AnswerInvalid : RefusalReason::BackendFailed;
+        const Duration retryAfter = request.worst == Verdict::NotRun || request.info.idempotent ? config::minRetryAfter : Duration {0};
+        this->finish(id, {why, request.worst, retryAfter, "the backend server failed"});
+        return;
+    }
+    const bool exhausted = request.attempt + 1 >= config::maxAttempts || !this->budget.spend();
+    if (exhausted) {
+        this->finish(id, {RefusalReason::RetriesExhausted, request.worst, config::minRetryAfter, "no retry left"});
+        return;
+    }
+    ++this->counters.retries.at(static_cast<std::size_t>(*reason));
+    ++request.attempt;
+    this->toWaiting(id, request, {request.info.service, this->home});
+}
+
+void Router::release(std::uint64_t id, const Request &request, const AttemptOutcome &outcome)
+{
+    const auto found = this->obediences.find(request.pool);
+    if (found == this->obediences.end() || !found->second.dispatcher.isValid()) {
+        return;
+    }
+    const connection::wire::Release message(id, request.info.service.id, request.backend.id, outcome.cost,
+                                            toMicroseconds(outcome.firstToken), toMicroseconds(outcome.perToken), outcome.generation,
+                                            outcome.result);
+    this->frameFor(found->second.dispatcher).releases.push_back(message);
+}
+
+void Router::observeOutcome(const Request &request, const AttemptOutcome &outcome)
+{
+    const bool lost = outcome.result == AttemptResult::ConnectFailed || outcome.result == AttemptResult::ConnectionLost;
+    const auto found = this->observed.find(request.backend);
+    if (found == this->observed.end()) {
+        return;
+    }
+    const bool restarted = outcome.generation != 0 && found->second.generation != 0 && outcome.generation != found->second.generation;
+    if (lost || restarted) {
+        this->observed.erase(found);
+    } else if (outcome.generation != 0) {
+        found->second.generation = outcome.generation;
+    }
+}
+
+void Router::callerGone(std::uint64_t id)
+{
+    const auto found = this->requests.find(id);
+    if (found == this->requests.end()) {
+        return;
+    }
+    const Verdict verdict = found->second.phase == Phase::Running ? Verdict::MayHaveRun : found->second.worst;
+    this->finish(id, {RefusalReason::CallerGone, verdict, Duration {0}, "the caller went away"});
+}
+
+void Router::finish(std::uint64_t id, Refusal refusal)
+{
+    const auto found = this->requests.find(id);
+    if (found == this->requests.end()) {
+        return;
+    }
+    Request &request = found->second;
+    if (request.phase == Phase::Ending) {
+        return;
+    }
+    const bool running = request.phase == Phase::Running;
+    refusal.verdict = std::max(refusal.verdict, request.worst);
+    if (request.phase == Phase::Waiting) {
+        const DaemonHandle dispatcher = this->obediences[request.pool].dispatcher;
+        if (dispatcher.isValid()) {
+            this->frameFor(dispatcher).cancels.emplace_back(id, request.info.service.id);
+        }
+    }
+    ++this->counters.refusals.at(static_cast<std::size_t>(refusal.reason));
+    this->finished.push_back({id, std::move(refusal)});
+    if (running) {
+        this->deadlines.erase({request.info.deadline, id});
+        request.phase = Phase::Ending;
+    } else {
+        this->erase(id);
+    }
+}
+
+void Router::erase(std::uint64_t id)
+{
+    if (const auto found = this->requests.find(id); found != this->requests.end()) {
+        this->deadlines.erase({found->second.info.deadline, id});
+        this->requests.erase(found);
+    }
+}
+
+void Router::onGrant(DaemonHandle dispatcher, const connection::wire::Grant &grant, Time grantedAt)
+{
+    this->now = std::max(this->now, grantedAt);
+    const ServiceHandle service {grant.service()};
+    const Obedience *obedience = this->obeyed(service, dispatcher);
+    if (obedience == nullptr || obedience->session != grant.session()) {
+        ++this->counters.staleGrants;
+        return;
+    }
+    const BackendServerHandle backend {grant.backend()};
+    Observed &seen = this->observed[backend];
+    seen.at = this->now;
+    seen.occupancy = grant.occupancy();
+    seen.limit = grant.limit();
+    const auto found = this->requests.find(grant.request());
+    if (found == this->requests.end() || found->second.phase != Phase::Waiting) {
+        const connection::wire::Release unused(grant.request(), service.id, backend.id, 0, 0, 0, 0, AttemptResult::NeverStarted);
+        this->frameFor(dispatcher).releases.push_back(unused);
+        return;
+    }
+    Request &request = found->second;
+    request.phase = Phase::Running;
+    request.backend = backend;
+    this->starts.push_back({grant.request(), service, backend, request.attempt});
+}
+
+void Router::onDeny(DaemonHandle dispatcher, const connection::wire::Deny &denial)
+{
+    const PoolKey *pool = this->poolServedBy(ServiceHandle {denial.service()}, dispatcher);
+    const auto found = this->requests.find(denial.request());
+    const bool concerned
+        = pool != nullptr && found != this->requests.end() && found->second.phase == Phase::Waiting && found->second.pool == *pool;
+    if (!concerned) {
+        return;
+    }
+    if (denial.reason() == DenyReason::NotDispatcher) {
+        this->sendInventory(*pool);
+        return;
+    }
+    const Duration retryAfter = std::chrono::milliseconds(denial.retry_after_ms());
+    this->finish(denial.request(), {refusalOf(denial.reason()), Verdict::NotRun, retryAfter, "refused by the dispatcher"});
+}
+
+void Router::onRedirect(DaemonHandle dispatcher, const connection::wire::Redirect &redirect, Time)
+{
+    const ServiceHandle service {redirect.service()};
+    const PoolKey *from = this->poolServedBy(service, dispatcher);
+    const auto found = this->requests.find(redirect.request());
+    const bool concerned
+        = from != nullptr && found != this->requests.end() && found->second.phase == Phase::Waiting && found->second.pool == *from;
+    if (!concerned) {
+        return;
+    }
+    const PoolKey target {service, DataCentreHandle {redirect.data_centre()}};
+    const DaemonHandle remote {redirect.dispatcher()};
+    if (this->obediences[target].dispatcher != remote) {
+        this->follow(target, remote);
+    }
+    this->toWaiting(redirect.request(), found->second, target);
+}
+
+void Router::onYield(DaemonHandle dispatcher, ServiceHandle service)
+{
+    if (Obedience *obedience = this->obeyed(service, dispatcher)) {
+        *obedience = Obedience {};
+    }
+}
+
+void Router::onInventoryWanted(DaemonHandle dispatcher, ServiceHandle service)
+{
+    if (const PoolKey *pool = this->poolServedBy(service, dispatcher)) {
+        this->sendInventory(*pool);
+    }
+}
+
+void Router::linkReset(DaemonHandle dispatcher)
+{
+    for (const auto &[pool, obedience] : this->obediences) {
+        if (obedience.dispatcher == dispatcher) {
+            this->sendInventory(pool);
+        }
+    }
+}
+
+void Router::dispatcherGone(DaemonHandle dispatcher)
+{
+    this->heartbeats.erase(dispatcher);
+    for (auto &[pool, obedience] : this->obediences) {
+        if (obedience.dispatcher == dispatcher) {
+            obedience = Obedience {};
+        }
+    }
+}
+
+void Router::heartbeatReceived(DaemonHandle dispatcher, Duration lease, Time receivedAt)
+{
+    this->heartbeats[dispatcher] = {receivedAt, lease};
+}
+
+std::vector<std::uint32_t> Router::promise(DaemonHandle dispatcher)
+{
+    std::vector<std::uint32_t> services;
+    const auto heard = this->heartbeats.find(dispatcher);
+    if (heard == this->heartbeats.end()) {
+        return services;
+    }
+    for (auto &[pool, obedience] : this->obediences) {
+        if (obedience.dispatcher != dispatcher) {
+            continue;
+        }
+        services.push_back(pool.service.id);
+        obedience.promisedUntil = std::max(obedience.promisedUntil, heard->second.at + heard->second.lease);
+    }
+    return services;
+}
+
+void Router::advance(Time advancedAt, const std::vector<DaemonHandle> &candidates)
+{
+    const bool paused = this->now.count() != 0 && advancedAt - this->now > pauseTolerance;
+    this->now = std::max(this->now, advancedAt);
+    this->expire();
+    for (auto &[pool, obedience] : this->obediences) {
+        const DaemonHandle current = obedience.dispatcher;
+        const bool isHome = pool.dataCentre == this->home;
+        if (!isHome) {
+            continue;
+        }
+        if (paused && current.isValid()) {
+            this->sendInventory(pool);
+        }
+        const bool kept = current.isValid() && std::find(candidates.begin(), candidates.end(), current) != candidates.end();
+        const bool bound = current.isValid() && obedience.promisedUntil > this->now;
+        if (kept || bound) {
+            continue;
+        }
+        const DaemonHandle desired = chooseDaemon(pool.service.id, candidates);
+        if (desired.isValid()) {
+            this->follow(pool, desired);
+        }
+    }
+    this->dropUnusedGuestPools();
+}
+
+void Router::dropUnusedGuestPools()
+{
+    const auto isGuest = [this](const auto &entry) { return entry.first.dataCentre != this->home; };
+    if (std::none_of(this->obediences.begin(), this->obediences.end(), isGuest)) {
+        return;
+    }
+    std::set<PoolKey> used;
+    for (const auto &[id, request] : this->requests) {
+        used.insert(request.pool);
+    }
+    std::vector<PoolKey> lapsed;
+    for (const auto &[pool, obedience] : this->obediences) {
+        if (pool.dataCentre == this->home) {
+            continue;
+        }
+        const auto heard = this->heartbeats.find(obedience.dispatcher);
+        const Time last = heard == this->heartbeats.end() ? obedience.promisedUntil : heard->second.at;
+        const bool silent = this->now - last > config::digestFreshFor;
+        if (!used.contains(pool) || silent) {
+            lapsed.push_back(pool);
+        }
+    }
+    for (const PoolKey &pool : lapsed) {
+        this->obediences.erase(pool);
+        for (auto &[id, request] : this->requests) {
+            if (request.pool == pool && request.phase == Phase::Waiting) {
+                this->toWaiting(id, request, {pool.service, this->home});
+            }
+        }
+    }
+}
+
+void Router::expire()
+{
+    while (!this->deadlines.empty() && this->deadlines.begin()->first <= this->now) {
+        const std::uint64_t id = this->deadlines.begin()->second;
+        const Phase phase = this->requests.at(id).phase;
+        const Verdict verdict = phase == Phase::Running ? Verdict::MayHaveRun : Verdict::NotRun;
+        this->finish(id, {RefusalReason::DeadlineExpired, verdict, config::minRetryAfter, "the deadline has passed"});
+    }
+}
+
+void Router::follow(const PoolKey &pool, DaemonHandle dispatcher)
+{
+    Obedience &obedience = this->obediences[pool];
+    obedience.dispatcher = dispatcher;
+    obedience.promisedUntil = this->now;
+    this->sendInventory(pool);
+}
+
+void Router::sendInventory(const PoolKey &pool)
+{
+    Obedience &obedience = this->obediences[pool];
+    obedience.session = this->nextSession++;
+    connection::wire::FrameT &frame = this->frameFor(obedience.dispatcher);
+    auto inventory = std::make_unique<connection::wire::InventoryT>();
+    inventory->service = pool.service.id;
+    inventory->session = obedience.session;
+    std::erase_if(frame.inventories, [&pool](const auto &earlier) { return earlier->service == pool.service.id; });
+    std::erase_if(frame.enqueues, [&pool](const auto &earlier) { return earlier.service() == pool.service.id; });
+    std::erase_if(frame.releases, [&pool](const auto &earlier) { return earlier.service() == pool.service.id; });
+    for (const auto &[id, request] : this->requests) {
+        if (request.pool != pool) {
+            continue;
+        }
+        if (request.phase == Phase::Running || request.phase == Phase::Ending) {
+            inventory->in_flight.emplace_back(id, request.backend.id, request.info.workspace.id, std::max(1u, request.info.costHint));
+        } else if (request.phase == Phase::Waiting) {
+            this->enqueue(id, request);
+        }
+    }
+    for (const auto &[backend, seen] : this->observed) {
+        inventory->observations.emplace_back(backend.id, toMilliseconds(this->now - seen.at), seen.generation, seen.occupancy, seen.limit);
+    }
+    frame.inventories.push_back(std::move(inventory));
+}
+
+Router::Obedience *Router::obeyed(ServiceHandle service, DaemonHandle dispatcher)
+{
+    const PoolKey *pool = this->poolServedBy(service, dispatcher);
+    return pool == nullptr ? nullptr : &this->obediences[*pool];
+}
+
+const PoolKey *Router::poolServedBy(ServiceHandle service, DaemonHandle dispatcher) const
+{
+    auto position = this->obediences.lower_bound({service, DataCentreHandle {}});
+    for (; position != this->obediences.end() && position->first.service == service; ++position) {
+        if (position->second.dispatcher == dispatcher) {
+            return &position->first;
+        }
+    }
+    return nullptr;
+}
+
+std::map<DaemonHandle, connection::wire::FrameT> Router::takeFrames()
+{
+    return std::exchange(this->frames, {});
+}
+
+std::set<DaemonHandle> Router::remoteDispatchers() const
+{
+    std::set<DaemonHandle> remote;
+    for (const auto &[pool, obedience] : this->obediences) {
+        if (pool.dataCentre != this->home && obedience.dispatcher.isValid()) {
+            remote.insert(obedience.dispatcher);
+        }
+    }
+    return remote;
+}
+
+DaemonHandle Router::dispatcherOf(ServiceHandle service) const
+{
+    const auto found = this->obediences.find({service, this->home});
+    return found == this->obediences.end() ? DaemonHandle {} : found->second.dispatcher;
+}
+
+const request::RequestInfo *Router::find(std::uint64_t id) const
+{
+    const auto found = this->requests.find(id);
+    return found == this->requests.end() ? nullptr : &found->second.info;
+}
+
+Verdict Router::verdictOf(std::uint64_t id) const
+{
+    const auto found = this->requests.find(id);
+    return found == this->requests.end() ? Verdict::MayHaveRun : found->second.worst;
+}
+
+connection::wire::FrameT &Router::frameFor(DaemonHandle daemon)
+{
+    return this->frames[daemon];
+}
+
+}
--- /dev/null
+++ b/src/process/settings.h
@@ -0,0 +1,48 @@
+#pragma once
+
+/** @file Settings of one daemon, read once from a JSON file. */
+
+#include "eelgrassnotch/types.h"
+#include "process/membership.h"
+
+#include <string>
+#include <vector>
+
+namespace eelgrassnotch::process
+{
+
+/** @brief Address that is listened on or connected to. */
+struct Endpoint
+{
+    std::string address; ///< IP number.
+    std::uint16_t port = 0;
+
+    bool operator==(const Endpoint &) const = default;
+};
+
+struct Settings
+{
+    std::string name;
+    std::string dataCentre;
+    Endpoint callers; ///< Requests, health and readiness.
+    Endpoint peers; ///< Frames of other daemons.
+    Endpoint operators; ///< Status and metrics.
+    Endpoint platform;
+    std::vector<DaemonIdentity> seeds; ///< Daemons to know at a start without the platform.
+    std::string linkKey; ///< From linkKeyFile; empty for none.
+    std::string operatorKey; ///< From operatorKeyFile; empty for none.
+    std::string logFile;
+    Duration stopTimeout = std::chrono::seconds(30); ///< Bound on a planned stop.
+    std::uint32_t threads = 16; ///< Threads for HTTP.
+
+    bool operator==(const Settings &) const = default;
+};
+
+/**
+ * @brief Reads and checks a settings file, and the key files that it names.
+ * @throws version::ConfigurationError naming the key, the value and what is allowed.
+ * @throws std::runtime_error when a file can't be read.
+ */
+Settings readSettings(const std::string &path);
+
+}
--- /dev/null
+++ b/src/request/answer_check.h
@@ -0,0 +1,71 @@
+#pragma once
+
+/** @file Whether a streamed answer is whole and belongs to its request. */
+
+#include <cstdint>
+#include <string>
+
+namespace eelgrassnotch::request
+{
+
+/** @brief What to do with one event of a streamed answer. */
+enum class EventVerdict
+{
+    Forward,
+    Skip, ///< A duplicate, or an event of another request.
+    Invalid, ///< A gap or garbage: the answer can't become whole.
+};
+
+/**
+ * @brief Checks the server-sent events of one streamed completion.
+ *
+ * Each event carries the request id in its data and a sequence number in its
+ * "id" field. The answer is whole when all numbers came once, in order, the
+ * last event gave a finish reason, and "[DONE]" followed.
+ */
+class AnswerCheck
+{
+public:
+    explicit AnswerCheck(std::string requestId);
+
+    /**
+     * @brief Takes one event.
+     * @param eventId Value of its "id" field; empty without one.
+     * @param data Value of its "data" field.
+     */
+    EventVerdict accept(const std::string &eventId, const std::string &data);
+
+    /** @returns whether the whole answer has been accepted. */
+    bool isWhole() const
+    {
+        return this->done;
+    }
+    /** @returns tokens that the backend server reported, in cost units; zero before the last event. */
+    std::uint32_t cost() const
+    {
+        return this->tokens;
+    }
+    /** @returns generated tokens so far. */
+    std::uint32_t generated() const
+    {
+        return this->generatedTokens;
+    }
+    /** @returns events that were skipped. */
+    std::uint32_t skipped() const
+    {
+        return this->skippedEvents;
+    }
+
+private:
+    EventVerdict skip();
+
+    std::string requestId;
+    std::uint64_t nextSequence = 0;
+    std::uint32_t tokens = 0;
+    std::uint32_t generatedTokens = 0;
+    std::uint32_t skippedEvents = 0;
+    bool finishSeen = false;
+    bool done = false;
+};
+
+}
