--- a/src/process/dispatcher.cpp
+++ b/src/process/dispatcher.cpp
@@ -15,6 +15,8 @@
 {
 
 constexpr double serviceTimeGain = 0.1;
+/** Limit of each backend server in experiments without the adaptive one. */
+constexpr double baselineLimit = 16.0;
 constexpr std::uint16_t maxWireCount = 0xffff;
 
 std::uint32_t toMilliseconds(Duration duration)
@@ -35,6 +37,11 @@
     return chooseDaemon(role, counted);
 }
 
+void moveMean(double &mean, double sample)
+{
+    mean += mean == 0.0 ? sample : serviceTimeGain * (sample - mean);
+}
+
 bool mayHaveCost(AttemptResult result)
 {
     return result != AttemptResult::NeverStarted && result != AttemptResult::ConnectFailed && result != AttemptResult::BackendRefused;
@@ -42,8 +49,9 @@
 
 }
 
-Dispatcher::Dispatcher(ServiceHandle service, DataCentreHandle dataCentre, Time now)
+Dispatcher::Dispatcher(ServiceHandle service, DataCentreHandle dataCentre, Time now, const Policy &policy)
     : pool(service)
+    , policy(policy)
     , home(dataCentre)
     , startedAt(now)
 {
@@ -69,6 +77,9 @@
         Backend &backend = this->backends[handle];
         backend.limit.setCeiling(declared.maxConcurrency);
         backend.usable = configuration.isUsable(declared);
+        if (!this->policy.adaptiveLimit) {
+            backend.limit.adopt(baselineLimit, 0);
+        }
     }
 }
 
@@ -151,7 +162,7 @@
 void Dispatcher::enqueue(DaemonHandle router, const connection::wire::Enqueue &message, Time now)
 {
     const RequestKey key {router, message.request()};
-    const WorkspaceHandle workspace {message.workspace()};
+    const WorkspaceHandle workspace = this->flowOf(WorkspaceHandle {message.workspace()});
     if (!this->routers.contains(router)) {
         this->deny(key, DenyReason::NotDispatcher, Duration {0});
         return;
@@ -168,7 +179,8 @@
     const Duration remaining = std::chrono::milliseconds(message.deadline_ms());
     const bool hasRoom = this->usableSlots() > 0 || !this->rooms.empty();
     const Duration wait = this->expectedWait(workspace);
-    if (hasRoom && wait > remaining) {
+    const Duration service = this->expectedService(workspace, message.cost());
+    if (hasRoom && wait + service > remaining) {
         this->deny(key, DenyReason::DeadlineUnreachable, wait);
         return;
     }
@@ -177,6 +189,12 @@
     this->queue.push({key, workspace, message.cost(), deadline, avoid, message.attempt()});
 }
 
+/** Without fair queueing all requests share one flow. */
+WorkspaceHandle Dispatcher::flowOf(WorkspaceHandle workspace) const
+{
+    return this->policy.fairQueueing ? workspace : WorkspaceHandle {1};
+}
+
 void Dispatcher::cancel(DaemonHandle router, const connection::wire::Cancel &message)
 {
     const RequestKey key {router, message.request()};
@@ -205,7 +223,9 @@
     sample.firstToken = std::chrono::microseconds(message.first_token_us());
     sample.perToken = std::chrono::microseconds(message.per_token_us());
     sample.generation = message.generation();
-    backend.limit.record(sample, backend.inFlight, this->target, now);
+    if (this->policy.adaptiveLimit) {
+        backend.limit.record(sample, backend.inFlight, this->target, now);
+    }
     this->releaseSlot(ended.backend);
     if (!mayHaveCost(message.result())) {
         this->queue.refund(ended.workspace, ended.charged);
@@ -215,7 +235,10 @@
     this->queue.settle(ended.workspace, ended.charged, cost);
     this->served[ended.workspace] += cost;
     const auto duration = static_cast<double>((now - ended.since).count());
-    this->meanServiceTime += this->meanServiceTime == 0.0 ? duration : serviceTimeGain * (duration - this->meanServiceTime);
+    moveMean(this->meanServiceTime, duration);
+    if (message.result() == AttemptResult::Completed) {
+        moveMean(this->meanTimePerCost, duration / std::max(1u, cost));
+    }
 }
 
 void Dispatcher::chargeElsewhere(WorkspaceHandle workspace, std::uint64_t cost)
@@ -233,7 +256,7 @@
 DispatchDecisions Dispatcher::decide(Time now)
 {
     DispatchDecisions decisions;
-    this->denyExpired(now, decisions);
+    this->denyExpired(now);
     std::erase_if(this->held, [now](const Held &slot) { return slot.until <= now; });
     const bool whole = this->isWhole(now);
     while (!this->yielding) {
@@ -246,19 +269,24 @@
         if (!taken) {
             break;
         }
+        if (now + this->expectedService(taken->request.workspace, taken->request.costHint) > taken->request.deadline) {
+            this->queue.refund(taken->request.workspace, taken->charged);
+            this->deny(taken->request.key, DenyReason::DeadlineUnreachable, this->expectedWait(taken->request.workspace));
+            continue;
+        }
         this->grant(*taken, chosen, now, decisions);
     }
     this->redirectWaiting(decisions);
+    std::move(this->pendingDenies.begin(), this->pendingDenies.end(), std::back_inserter(decisions.denies));
+    this->pendingDenies.clear();
     return decisions;
 }
 
-void Dispatcher::denyExpired(Time now, DispatchDecisions &decisions)
+void Dispatcher::denyExpired(Time now)
 {
     for (const WaitingRequest &expired : this->queue.expire(now)) {
         this->deny(expired.key, DenyReason::DeadlineExpired, this->expectedWait(expired.workspace));
     }
-    std::move(this->pendingDenies.begin(), this->pendingDenies.end(), std::back_inserter(decisions.denies));
-    this->pendingDenies.clear();
 }
 
 void Dispatcher::redirectWaiting(DispatchDecisions &decisions)
@@ -288,8 +316,6 @@
         this->queue.refund(taken->request.workspace, taken->charged);
         this->deny(taken->request.key, DenyReason::NoBackend, config::digestPeriod);
     }
-    std::move(this->pendingDenies.begin(), this->pendingDenies.end(), std::back_inserter(decisions.denies));
-    this->pendingDenies.clear();
 }
 
 void Dispatcher::grant(const ChargedRequest &taken, BackendServerHandle handle, Time now, DispatchDecisions &decisions)
@@ -321,6 +347,9 @@
 
 bool Dispatcher::isWhole(Time now) const
 {
+    if (!this->policy.splitShares) {
+        return true;
+    }
     return std::all_of(this->counted.begin(), this->counted.end(),
                        [this, now](DaemonHandle member) { return this->isServed(member, now); });
 }
@@ -390,6 +419,12 @@
     return Duration(static_cast<std::int64_t>(ahead * perRequest));
 }
 
+Duration Dispatcher::expectedService(WorkspaceHandle workspace, std::uint32_t costHint) const
+{
+    const double cost = this->queue.estimateCost(workspace, costHint);
+    return Duration(static_cast<std::int64_t>(cost * this->meanTimePerCost));
+}
+
 std::size_t Dispatcher::usableSlots() const
 {
     double slots = 0.0;
--- a/src/process/dispatcher.h
+++ b/src/process/dispatcher.h
@@ -3,6 +3,7 @@
 /** @file Admission to the backend servers of one service in one data centre. */
 
 #include "connection/wire/generated/frame_generated.h"
+#include "eelgrassnotch/policy.h"
 #include "eelgrassnotch/types.h"
 #include "process/adaptive_limit.h"
 #include "process/fair_queue.h"
@@ -68,7 +69,7 @@
 class Dispatcher
 {
 public:
-    Dispatcher(ServiceHandle service, DataCentreHandle dataCentre, Time now);
+    Dispatcher(ServiceHandle service, DataCentreHandle dataCentre, Time now, const Policy &policy);
 
     /** @brief Applies a version of the configuration. */
     void configure(const version::Configuration &configuration);
@@ -158,15 +159,19 @@
     BackendServerHandle chooseBackend(const WaitingRequest &request, bool whole, Time now);
     bool mayRetryAnywhere(Time now) const;
     void grant(const ChargedRequest &taken, BackendServerHandle backend, Time now, DispatchDecisions &decisions);
-    void denyExpired(Time now, DispatchDecisions &decisions);
+    void denyExpired(Time now);
     void redirectWaiting(DispatchDecisions &decisions);
     void deny(RequestKey key, connection::wire::DenyReason reason, Duration retryAfter);
     Duration expectedWait(WorkspaceHandle workspace) const;
+    Duration expectedService(WorkspaceHandle workspace, std::uint32_t costHint) const;
     std::size_t usableSlots() const;
     void observe(const connection::wire::Observation &observation, Time now);
     void releaseSlot(BackendServerHandle backend);
 
+    WorkspaceHandle flowOf(WorkspaceHandle workspace) const;
+
     ServiceHandle pool;
+    Policy policy;
     DataCentreHandle home;
     Time startedAt;
     LatencyTarget target;
@@ -180,6 +185,7 @@
     std::vector<Addressed<connection::wire::Deny>> pendingDenies;
     std::map<WorkspaceHandle, std::uint64_t> served;
     double meanServiceTime = 0.0; ///< Microseconds; zero without history.
+    double meanTimePerCost = 0.0; ///< Microseconds per cost unit; zero without history.
 };
 
 }
--- a/src/process/node.cpp
+++ b/src/process/node.cpp
@@ -35,7 +35,7 @@
 Node::Node(const DaemonIdentity &self, const std::vector<DaemonIdentity> &seeds, NodeHooks nodeHooks, Time startTime)
     : hooks(std::move(nodeHooks))
     , members(self)
-    , ownRouter(self.dataCentre)
+    , ownRouter(self.dataCentre, this->hooks.policy)
     , claimKeeper(*this->hooks.store, self.name + "/" + std::to_string(self.incarnation))
     , startedAt(startTime)
     , now(startTime)
@@ -69,7 +69,7 @@
         this->ownRouter.refuse(id, {RefusalReason::Stopping, Verdict::NotRun, config::minRetryAfter, "this daemon stops"});
         return id;
     }
-    if (copy.claimName.empty()) {
+    if (copy.claimName.empty() || !this->hooks.policy.claims) {
         this->ownRouter.proceed(id);
         return id;
     }
@@ -371,7 +371,7 @@
     std::unique_ptr<Dispatcher> &pool = this->pools[service];
     const bool isTakeover = !pool || pool->routerHandles().empty();
     if (isTakeover) {
-        pool = std::make_unique<Dispatcher>(service, this->members.self().dataCentre, at);
+        pool = std::make_unique<Dispatcher>(service, this->members.self().dataCentre, at, this->hooks.policy);
         pool->setMembers(this->members.counted(at), this->members.mustYield(at));
         ++this->counters.dispatcherTakeovers;
         if (this->configurationState.get()) {
@@ -589,6 +589,9 @@
     remote.waiting = digest.waiting;
     remote.backlogged = {digest.backlogged.begin(), digest.backlogged.end()};
     for (const connection::wire::Charge &charge : digest.charges) {
+        if (!this->hooks.policy.digestCharges) {
+            break;
+        }
         found->second->chargeElsewhere(WorkspaceHandle {charge.workspace()}, charge.cost());
     }
     this->updateRemoteRooms(*found->second, receivedAt);
@@ -609,6 +612,9 @@
 void Node::updateRemoteRooms(Dispatcher &pool, Time updatedAt)
 {
     std::vector<RemoteRoom> rooms;
+    if (!this->hooks.policy.redirects) {
+        return;
+    }
     const version::Configuration &configuration = *this->configurationState.get();
     for (auto &[key, remote] : this->remotePools) {
         const auto dataCentre = configuration.dataCentres.find(key.dataCentre);
--- a/src/process/node.h
+++ b/src/process/node.h
@@ -3,6 +3,7 @@
 /** @file The decision core of one daemon: every role, without I/O, clock, threads or randomness. */
 
 #include "connection/wire/generated/frame_generated.h"
+#include "eelgrassnotch/policy.h"
 #include "process/claim_keeper.h"
 #include "process/configuration_state.h"
 #include "process/dispatcher.h"
@@ -59,6 +60,7 @@
 {
     PlatformStore *store = nullptr; ///< Must outlive the node.
     EventHook log; ///< May be empty.
+    Policy policy; ///< All mechanisms, but in experiments.
 };
 
 /** @brief Counters of one core. */
--- a/src/process/router.cpp
+++ b/src/process/router.cpp
@@ -47,8 +47,9 @@
 
 }
 
-Router::Router(DataCentreHandle home)
+Router::Router(DataCentreHandle home, const Policy &policy)
     : home(home)
+    , policy(policy)
 {
 }
 
@@ -142,7 +143,7 @@
 void Router::retryOrFinish(std::uint64_t id, Request &request, const AttemptOutcome &outcome)
 {
     const std::optional<RetryReason> reason = request::retryReasonOf(outcome.result);
-    const bool repeatable = reason && request::mayRepeat(request.info, outcome);
+    const bool repeatable = reason && (request::mayRepeat(request.info, outcome) || !this->policy.retryRules);
     if (!repeatable) {
         const bool invalid = outcome.result == AttemptResult::InvalidAnswer;
         const RefusalReason why = invalid ? RefusalReason::AnswerInvalid : RefusalReason::BackendFailed;
@@ -363,13 +364,13 @@
         if (paused && current.isValid()) {
             this->sendInventory(pool);
         }
+        const DaemonHandle desired = chooseDaemon(pool.service.id, candidates);
         const bool kept = current.isValid() && std::find(candidates.begin(), candidates.end(), current) != candidates.end();
         const bool bound = current.isValid() && obedience.promisedUntil > this->now;
-        if (kept || bound) {
+        if (this->policy.promises && (kept || bound)) {
             continue;
         }
-        const DaemonHandle desired = chooseDaemon(pool.service.id, candidates);
-        if (desired.isValid()) {
+        if (desired.isValid() && desired != current) {
             this->follow(pool, desired);
         }
     }
@@ -441,13 +442,17 @@
         if (request.pool != pool) {
             continue;
         }
-        if (request.phase == Phase::Running || request.phase == Phase::Ending) {
+        const bool holdsSlot = request.phase == Phase::Running || request.phase == Phase::Ending;
+        if (holdsSlot && this->policy.takeoverInventory) {
             inventory->in_flight.emplace_back(id, request.backend.id, request.info.workspace.id, std::max(1u, request.info.costHint));
         } else if (request.phase == Phase::Waiting) {
             this->enqueue(id, request);
         }
     }
     for (const auto &[backend, seen] : this->observed) {
+        if (!this->policy.takeoverInventory) {
+            break;
+        }
         inventory->observations.emplace_back(backend.id, toMilliseconds(this->now - seen.at), seen.generation, seen.occupancy, seen.limit);
     }
     frame.inventories.push_back(std::move(inventory));
--- a/src/process/router.h
+++ b/src/process/router.h
@@ -3,6 +3,7 @@
 /** @file Requests inside one daemon: from the caller's submit to the final answer. */
 
 #include "connection/wire/generated/frame_generated.h"
+#include "eelgrassnotch/policy.h"
 #include "eelgrassnotch/types.h"
 #include "eelgrassnotch/verdict.h"
 #include "process/dispatcher.h"
@@ -66,7 +67,8 @@
 class Router
 {
 public:
-    explicit Router(DataCentreHandle home);
+    /** @param home Data centre of this daemon. */
+    Router(DataCentreHandle home, const Policy &policy);
 
     /** @brief Services that have a pool; others are refused before submit(). */
     void setServices(const std::set<ServiceHandle> &services);
@@ -180,6 +182,7 @@
     connection::wire::FrameT &frameFor(DaemonHandle daemon);
 
     DataCentreHandle home;
+    Policy policy;
     std::uint64_t nextRequest = 1;
     std::uint32_t nextSession = 1;
     Time now {0};
