Adaptive limit settles instead of swinging; wasted starts avoided

Cause: after an overload the limit shrank by 0.7 twice: requests that had begun under the overload reported its latency again after the first decrease (13 -> 9.1 -> 6.4 in the trace, then 10 s of climbing). Of the starts, 23 in 60 s ended at their deadline, their work lost: the expected cost is a mean, and half of the requests cost more.

Ruled out: idle time between release and grant (2 ms of 1.5 s a request), and restarts of the backend servers (none in the trace).

Change: a decrease ignores attempts granted before the last one and follows the measure of the miss; growth stops where one more request would miss the target; a request starts only if its cost with two mean deviations fits into its deadline.

--- a/src/process/adaptive_limit.cpp
+++ b/src/process/adaptive_limit.cpp
@@ -7,6 +7,24 @@
 
 using connection::wire::AttemptResult;
 
+namespace
+{
+
+/** Bounds on the factor of one decrease for missed latency. */
+constexpr double strongestDecrease = 0.5;
+constexpr double weakestDecrease = 0.95;
+/** Part of the limit that must be in use before it may grow. */
+constexpr double saturation = 0.9;
+/** Latency up to this multiple of the smallest one shows that the capacity is not exceeded. */
+constexpr double flatLatency = 1.1;
+
+double ratio(Duration value, Duration reference)
+{
+    return reference.count() <= 0 ? 0.0 : static_cast<double>(value.count()) / static_cast<double>(reference.count());
+}
+
+}
+
 AdaptiveLimit::AdaptiveLimit(double ceiling)
     : ceiling(ceiling)
 {
@@ -27,17 +45,12 @@
             this->turnCold(now);
             return true;
         }
-        const bool late = sample.firstToken > target.firstToken || sample.perToken > target.perToken;
-        if (late) {
-            this->shrink(now);
-        } else {
-            this->grow(inFlight);
-        }
+        this->judgeLatency(sample, inFlight, target, now);
         return false;
     }
     case AttemptResult::BackendRefused:
     case AttemptResult::TimedOut:
-        this->shrink(now);
+        this->shrink(sample, config::overloadFactor, now);
         return false;
     case AttemptResult::ConnectFailed:
     case AttemptResult::ConnectionLost:
@@ -58,6 +71,7 @@
     this->limit = std::min(config::coldLimit, this->ceilingOrMaximum());
     this->startingUp = true;
     this->roundSuccesses = 0.0;
+    this->fastestToken = Duration {0};
     this->coldSince = now;
 }
 
@@ -92,12 +106,34 @@
     this->lastProbe = now;
 }
 
-void AdaptiveLimit::grow(std::size_t inFlight)
+void AdaptiveLimit::judgeLatency(const AttemptSample &sample, std::size_t inFlight, const LatencyTarget &target, Time now)
 {
-    const bool saturated = static_cast<double>(inFlight) + 1.0 > this->limit * 0.9;
-    if (!saturated) {
+    const bool isFastest = this->fastestToken.count() == 0 || sample.perToken < this->fastestToken;
+    if (sample.perToken.count() > 0 && isFastest) {
+        this->fastestToken = sample.perToken;
+    }
+    const double tokenRatio = ratio(sample.perToken, target.perToken);
+    const double firstRatio = ratio(sample.firstToken, target.firstToken);
+    const double worstRatio = std::max(tokenRatio, firstRatio);
+    if (worstRatio > 1.0) {
+        this->shrink(sample, std::clamp(1.0 / worstRatio, strongestDecrease, weakestDecrease), now);
         return;
     }
+    const bool saturated = static_cast<double>(inFlight) + 1.0 > this->limit * saturation;
+    if (saturated && this->hasHeadroom(sample, target)) {
+        this->grow();
+    }
+}
+
+bool AdaptiveLimit::hasHeadroom(const AttemptSample &sample, const LatencyTarget &target) const
+{
+    const bool isFlat = ratio(sample.perToken, this->fastestToken) <= flatLatency;
+    const double predicted = ratio(sample.perToken, target.perToken) * (this->limit + 1.0) / this->limit;
+    return isFlat || predicted <= 1.0;
+}
+
+void AdaptiveLimit::grow()
+{
     this->roundSuccesses += 1.0;
     if (this->roundSuccesses < this->limit) {
         return;
@@ -107,15 +143,16 @@
     this->limit = std::min(grown, this->ceilingOrMaximum());
 }
 
-void AdaptiveLimit::shrink(Time now)
+void AdaptiveLimit::shrink(const AttemptSample &sample, double factor, Time now)
 {
-    if (now - this->lastDecrease < config::decreasePeriod) {
+    const bool isOldNews = sample.startedAt <= this->lastDecrease;
+    if (isOldNews || now - this->lastDecrease < config::decreasePeriod) {
         return;
     }
     this->lastDecrease = now;
     this->startingUp = false;
     this->roundSuccesses = 0.0;
-    this->limit = std::max(config::minimumLimit, this->limit * config::overloadFactor);
+    this->limit = std::max(config::minimumLimit, this->limit * factor);
 }
 
 double AdaptiveLimit::ceilingOrMaximum() const
--- a/src/process/adaptive_limit.h
+++ b/src/process/adaptive_limit.h
@@ -24,6 +24,7 @@
     connection::wire::AttemptResult result = connection::wire::AttemptResult::Completed;
     Duration firstToken {0};
     Duration perToken {0};
+    Time startedAt {0}; ///< When the attempt was granted.
     std::uint32_t generation = 0; ///< Start counter that the backend server reports; zero when unknown.
 };
 
@@ -32,8 +33,11 @@
  *
  * Starts at config::coldLimit and grows by a factor each full round until the
  * first overload, by one request each round afterwards. Growth needs a full
- * use of the limit. Refusals, timeouts and missed latency targets shrink it;
- * a lost connection or a new generation makes the backend server cold.
+ * use of the limit, and stops where one more request would miss the latency
+ * target if latency grew in proportion. Refusals, timeouts and missed targets
+ * shrink the limit, by the measure of the miss; samples of attempts that began
+ * before the last decrease are not counted again. A lost connection or a new
+ * generation makes the backend server cold.
  */
 class AdaptiveLimit
 {
@@ -70,8 +74,10 @@
     void started(Time now);
 
 private:
-    void grow(std::size_t inFlight);
-    void shrink(Time now);
+    void judgeLatency(const AttemptSample &sample, std::size_t inFlight, const LatencyTarget &target, Time now);
+    bool hasHeadroom(const AttemptSample &sample, const LatencyTarget &target) const;
+    void grow();
+    void shrink(const AttemptSample &sample, double factor, Time now);
     double ceilingOrMaximum() const;
 
     double limit = config::coldLimit;
@@ -80,6 +86,7 @@
     double roundSuccesses = 0.0;
     std::uint32_t knownGeneration = 0;
     std::uint32_t failuresInRow = 0;
+    Duration fastestToken {0}; ///< Smallest latency per token since the last cold start; zero without a sample.
     Time lastDecrease {Time::min() / 2};
     Time coldSince {Time::min() / 2};
     Time lastProbe {Time::min() / 2};
--- a/src/process/dispatcher.cpp
+++ b/src/process/dispatcher.cpp
@@ -222,6 +222,7 @@
     sample.result = message.result();
     sample.firstToken = std::chrono::microseconds(message.first_token_us());
     sample.perToken = std::chrono::microseconds(message.per_token_us());
+    sample.startedAt = ended.since;
     sample.generation = message.generation();
     if (this->policy.adaptiveLimit) {
         backend.limit.record(sample, backend.inFlight, this->target, now);
@@ -421,7 +422,7 @@
 
 Duration Dispatcher::expectedService(WorkspaceHandle workspace, std::uint32_t costHint) const
 {
-    const double cost = this->queue.estimateCost(workspace, costHint);
+    const double cost = this->queue.cautiousCost(workspace, costHint);
     return Duration(static_cast<std::int64_t>(cost * this->meanTimePerCost));
 }
 
--- a/src/process/fair_queue.cpp
+++ b/src/process/fair_queue.cpp
@@ -3,6 +3,7 @@
 #include "eelgrassnotch/config.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace eelgrassnotch::process
 {
@@ -14,6 +15,8 @@
 constexpr double meanCostGain = 0.2;
 /** A hint counts up to this multiple of the workspace's mean, and down to its inverse. */
 constexpr double hintTrust = 4.0;
+/** Mean deviations above the estimate that a cautious cost allows for. */
+constexpr double cautiousDeviations = 2.0;
 
 }
 
@@ -121,6 +124,8 @@
 {
     Flow &flow = this->flows[workspace];
     const double cost = std::min(actual, config::maxCost);
+    const double deviation = flow.meanCost == 0.0 ? 0.0 : std::abs(cost - flow.meanCost);
+    flow.meanDeviation += meanCostGain * (deviation - flow.meanDeviation);
     flow.meanCost = flow.meanCost == 0.0 ? cost : flow.meanCost + meanCostGain * (cost - flow.meanCost);
     this->moveFinishTag(workspace, flow, (cost - charged) / flow.share);
 }
@@ -152,6 +157,14 @@
     return static_cast<std::uint32_t>(std::clamp(bounded, 1.0, static_cast<double>(config::maxCost)));
 }
 
+std::uint32_t FairQueue::cautiousCost(WorkspaceHandle workspace, std::uint32_t costHint) const
+{
+    const auto found = this->flows.find(workspace);
+    const double deviation = found == this->flows.end() ? 0.0 : found->second.meanDeviation;
+    const double cost = this->estimateCost(workspace, costHint) + cautiousDeviations * deviation;
+    return static_cast<std::uint32_t>(std::min(cost, static_cast<double>(config::maxCost)));
+}
+
 std::size_t FairQueue::waitingOf(WorkspaceHandle workspace) const
 {
     const auto found = this->flows.find(workspace);
--- a/src/process/fair_queue.h
+++ b/src/process/fair_queue.h
@@ -89,6 +89,8 @@
 
     /** @returns what a request would be charged now, in cost units. */
     std::uint32_t estimateCost(WorkspaceHandle workspace, std::uint32_t costHint) const;
+    /** @returns a cost that a request of the workspace seldom exceeds: the estimate and a multiple of the mean deviation. */
+    std::uint32_t cautiousCost(WorkspaceHandle workspace, std::uint32_t costHint) const;
 
     std::size_t size() const
     {
@@ -110,6 +112,7 @@
         double finishTag = 0.0; ///< Cost units over share.
         double startTag = 0.0;
         double meanCost = 0.0; ///< Zero without history.
+        double meanDeviation = 0.0; ///< Of the cost from its mean.
         std::deque<WaitingRequest> waiting;
     };
     using ActiveKey = std::pair<double, WorkspaceHandle>;
