--- a/include/eelgrassnotch/config.h
+++ b/include/eelgrassnotch/config.h
@@ -30,6 +30,8 @@
 constexpr std::chrono::microseconds vmListLag = 30s;
 /** Slots of a lost router stay occupied for this long, since its backend server may still work. */
 constexpr std::chrono::microseconds lostRouterHold = 5s;
+/** The same where the router's process is known to have ended, which closed its connections. */
+constexpr std::chrono::microseconds closedRouterHold = 500ms;
 /** A router drops a grant that waited longer than this in its own process. */
 constexpr std::chrono::microseconds grantFreshFor = 1s;
 
--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -105,3 +105,39 @@
 {
     curl -sf -o /dev/null -X PUT -d "$2" "http://127.0.0.1:$1/faults"
 }
+
+# start_demo_fleet: six daemons in three data centres, five engines, three services, declarations applied.
+start_demo_fleet()
+{
+    local port number
+    start_platform
+    for port in 21101 21102 21103 21301 21302; do
+        start "engine-$port" "$FLEET_BIN/standin-engine" -p "$port"
+    done
+    for port in 21201 21202 21401; do
+        start "service-$port" "$FLEET_BIN/standin-service" -p "$port"
+    done
+    publish_vms 1:auckland 2:auckland 3:wellington 4:wellington 5:christchurch 6:christchurch
+    "$FLEET_BIN/eelgrassnotchctl" plan -s "$FLEET_ROOT/examples/demo/ctl.json" -f "$FLEET_DIR/plan.json" "$FLEET_ROOT/examples/demo/declarations"
+    "$FLEET_BIN/eelgrassnotchctl" apply -s "$FLEET_ROOT/examples/demo/ctl.json" --yes "$FLEET_DIR/plan.json" >/dev/null
+    start_daemon 1 auckland
+    start_daemon 2 auckland
+    start_daemon 3 wellington
+    start_daemon 4 wellington
+    start_daemon 5 christchurch
+    start_daemon 6 christchurch
+    for number in 1 2 3 4 5 6; do
+        wait_for 20 daemon_ready "$number"
+    done
+}
+
+# most_executions PORT...: the largest number of executions of one key or request at all given services together.
+most_executions()
+{
+    local port
+    for port in "$@"; do
+        curl -sf "http://127.0.0.1:$port/executions"
+        echo
+    done | tr '{},' '\n\n\n' | grep ':' | sed 's/"//g' |
+        awk -F: '{sum[$1] += $2} END {for (key in sum) if (sum[key] > most) most = sum[key]; print most + 0}'
+}
--- a/src/process/dispatcher.cpp
+++ b/src/process/dispatcher.cpp
@@ -15,11 +15,11 @@
 /** Expected times are stretched by this factor when they are held against a deadline. */
 constexpr double deadlineMargin = 1.2;
 /** Running requests have ended after this many mean service times. */
-constexpr double serviceTimesUntilEnded = 2.0;
+constexpr int serviceTimesUntilEnded = 2;
 /** A new dispatcher has heard of the other data centres' room after this time. */
 constexpr Duration firstDigestsWithin = 3 * config::digestPeriod;
 /** Keeps a few redirected requests waiting until the next digest, so that no slot idles. */
-constexpr double roomMargin = 1.5;
+constexpr double roomMargin = 2.0;
 constexpr std::uint16_t maxWireCount = 0xffff;
 
 std::uint32_t toMilliseconds(Duration duration)
@@ -68,21 +68,22 @@
     this->slots.setCounted(view.counted);
 }
 
-void Dispatcher::adopt(DaemonHandle router, const connection::wire::InventoryT &inventory, Time now)
+void Dispatcher::adopt(DaemonHandle router, const connection::wire::InventoryT &inventory, Duration formerHold, Time now)
 {
-    this->drop(router, false, now);
+    this->drop(router, Duration {0}, now);
     Router &adopted = this->routers[router];
     adopted.session = inventory.session;
     adopted.adopted = true;
     adopted.heardAt = now;
     const DaemonHandle former {inventory.former};
+    const Duration expected = this->expectedEnd(std::chrono::milliseconds(inventory.service_ms), formerHold);
     for (const connection::wire::InFlight &entry : inventory.in_flight) {
         const BackendServerHandle backend {entry.backend()};
         adopted.inFlight[entry.request()] = {backend, WorkspaceHandle {entry.workspace()}, entry.cost(), now, 0};
         this->slots.adopt(router, backend, former);
     }
     for (const connection::wire::Observation &observation : inventory.observations) {
-        this->slots.observe(observation, former, std::chrono::milliseconds(inventory.service_ms), now);
+        this->slots.observe(observation, former, expected, now);
     }
 }
 
@@ -94,7 +95,7 @@
     }
 }
 
-void Dispatcher::drop(DaemonHandle router, bool hold, Time now)
+void Dispatcher::drop(DaemonHandle router, Duration hold, Time now)
 {
     this->queue.cancelRouter(router);
     const auto found = this->routers.find(router);
@@ -102,10 +103,9 @@
         return;
     }
     for (const auto &[request, entry] : found->second.inFlight) {
-        if (hold) {
-            this->slots.hold(router, entry.backend, now);
-        } else {
-            this->slots.remove(router, entry.backend);
+        this->slots.remove(router, entry.backend);
+        if (hold.count() > 0) {
+            this->slots.hold(entry.backend, now + hold);
         }
     }
     this->routers.erase(found);
@@ -137,10 +137,10 @@
         return;
     }
     const Duration remaining = std::chrono::milliseconds(message.deadline_ms());
-    const bool hasRoom = this->slots.usableSlots() > 0 || !this->rooms.empty();
+    const bool servesHere = this->slots.usableSlots() > 0;
     const Duration wait = this->expectedWait(workspace);
     const Duration service = this->expectedService(workspace, message.cost());
-    if (hasRoom && wait + service > remaining) {
+    if (servesHere && wait + service > remaining) {
         this->deny(key, DenyReason::DeadlineUnreachable, wait);
         return;
     }
@@ -259,23 +259,17 @@
 void Dispatcher::redirectWaiting(Time now, DispatchDecisions &decisions)
 {
     for (RemoteRoom &room : this->rooms) {
-        while (room.room > 0) {
-            const auto isHome = [this](const WaitingRequest &request) {
-                return std::binary_search(this->counted.begin(), this->counted.end(), request.key.router);
-            };
-            std::optional<ChargedRequest> taken = this->queue.popIf(isHome);
-            if (!taken) {
-                return;
-            }
+        while (room.room > 0 && this->redirectOne(room, decisions)) {
             --room.room;
-            const WaitingRequest &request = taken->request;
-            this->queue.refund(request.workspace, taken->charged);
-            const connection::wire::Redirect redirect(request.key.request, this->pool.id, room.dataCentre.id, room.dispatcher.id, 0);
-            decisions.redirects.push_back({request.key.router, redirect});
         }
     }
+    const bool hasSlots = this->slots.usableSlots() > 0;
+    RemoteRoom *shortest = hasSlots ? nullptr : this->shortestQueue();
+    while (shortest != nullptr && this->redirectOne(*shortest, decisions)) {
+        shortest = this->shortestQueue();
+    }
     const bool knowsOthers = now - this->startedAt > firstDigestsWithin;
-    const bool hopeless = knowsOthers && this->slots.usableSlots() == 0 && this->rooms.empty() && this->queue.size() > 0;
+    const bool hopeless = knowsOthers && !hasSlots && this->rooms.empty() && this->queue.size() > 0;
     if (!hopeless) {
         return;
     }
@@ -286,6 +280,33 @@
     }
 }
 
+bool Dispatcher::redirectOne(RemoteRoom &room, DispatchDecisions &decisions)
+{
+    const auto isHome = [this](const WaitingRequest &request) {
+        return std::binary_search(this->counted.begin(), this->counted.end(), request.key.router);
+    };
+    const std::optional<ChargedRequest> taken = this->queue.popIf(isHome);
+    if (!taken) {
+        return false;
+    }
+    ++room.waiting;
+    const WaitingRequest &request = taken->request;
+    this->queue.refund(request.workspace, taken->charged);
+    const connection::wire::Redirect redirect(request.key.request, this->pool.id, room.dataCentre.id, room.dispatcher.id, 0);
+    decisions.redirects.push_back({request.key.router, redirect});
+    return true;
+}
+
+/** Where a pool without backend servers sends its requests: they compete there by their workspaces' shares. */
+RemoteRoom *Dispatcher::shortestQueue()
+{
+    const auto load
+        = [](const RemoteRoom &room) { return static_cast<double>(room.waiting + 1) * room.linkCost / std::max(1u, room.slots); };
+    const auto isShorter = [&load](const RemoteRoom &left, const RemoteRoom &right) { return load(left) < load(right); };
+    const auto found = std::min_element(this->rooms.begin(), this->rooms.end(), isShorter);
+    return found == this->rooms.end() ? nullptr : &*found;
+}
+
 void Dispatcher::grant(const ChargedRequest &taken, BackendServerHandle handle, Time now, DispatchDecisions &decisions)
 {
     const WaitingRequest &request = taken.request;
@@ -337,11 +358,16 @@
     return served;
 }
 
-/** Time in which requests that run now have most probably ended. */
+/** Time in which running requests have most probably ended. */
+Duration Dispatcher::expectedEnd(Duration meanService, Duration longest)
+{
+    return meanService.count() == 0 ? longest : std::min(meanService * serviceTimesUntilEnded, longest);
+}
+
+/** The same for the requests that this dispatcher granted. */
 Duration Dispatcher::remainingService() const
 {
-    const Duration expected(static_cast<std::int64_t>(serviceTimesUntilEnded * this->meanServiceTime));
-    return this->meanServiceTime == 0.0 ? config::lostRouterHold : std::min(expected, config::lostRouterHold);
+    return this->expectedEnd(Duration(static_cast<std::int64_t>(this->meanServiceTime)), config::lostRouterHold);
 }
 
 bool Dispatcher::isHopeless(const ChargedRequest &taken, Time now) const
--- a/src/process/dispatcher.h
+++ b/src/process/dispatcher.h
@@ -42,6 +42,8 @@
     DaemonHandle dispatcher;
     std::uint32_t room = 0; ///< Requests that may be redirected until the next digest.
     std::uint32_t linkCost = 1; ///< Lower is preferred.
+    std::uint32_t slots = 0;
+    std::uint32_t waiting = 0; ///< At the last digest, and redirected since.
     Time validUntil {0};
 };
 
@@ -80,12 +82,15 @@
     void configure(const version::Configuration &configuration);
     void setMembers(const MemberView &view);
 
-    /** @brief Takes over a router, with all that it has in flight; it enqueues its waiting requests anew. */
-    void adopt(DaemonHandle router, const connection::wire::InventoryT &inventory, Time now);
+    /**
+     * @brief Takes over a router, with all that it has in flight; it enqueues its waiting requests anew.
+     * @param formerHold Longest time for which requests that the former dispatcher granted, and nobody names, may run.
+     */
+    void adopt(DaemonHandle router, const connection::wire::InventoryT &inventory, Duration formerHold, Time now);
     /** @brief Extends the promise of a router. */
     void renewLease(DaemonHandle router, Time until, Time now);
-    /** @brief Forgets a router; its slots stay occupied for config::lostRouterHold when @p hold is set. */
-    void drop(DaemonHandle router, bool hold, Time now);
+    /** @brief Forgets a router; its slots stay occupied for a while. */
+    void drop(DaemonHandle router, Duration hold, Time now);
     /** @brief Stops serving a router until it is adopted anew. */
     void suspend(DaemonHandle router);
 
@@ -152,11 +157,14 @@
     bool isServed(DaemonHandle router, Time now) const;
     ServedRouters computeServed(Time now);
     void suspendQuiet(Time now);
+    static Duration expectedEnd(Duration meanService, Duration longest);
     Duration remainingService() const;
     bool isHopeless(const ChargedRequest &taken, Time now) const;
     void grant(const ChargedRequest &taken, BackendServerHandle backend, Time now, DispatchDecisions &decisions);
     void denyExpired(Time now);
     void redirectWaiting(Time now, DispatchDecisions &decisions);
+    bool redirectOne(RemoteRoom &room, DispatchDecisions &decisions);
+    RemoteRoom *shortestQueue();
     void deny(RequestKey key, connection::wire::DenyReason reason, Duration retryAfter);
     Duration expectedWait(WorkspaceHandle workspace) const;
     Duration expectedService(WorkspaceHandle workspace, std::uint32_t costHint) const;
--- a/src/process/fair_queue.cpp
+++ b/src/process/fair_queue.cpp
@@ -125,6 +125,7 @@
     Flow &flow = this->flows[workspace];
     const double cost = std::min(actual, config::maxCost);
     const double deviation = flow.meanCost == 0.0 ? 0.0 : std::abs(cost - flow.meanCost);
+    this->meanCost = this->meanCost == 0.0 ? cost : this->meanCost + meanCostGain * (cost - this->meanCost);
     flow.meanDeviation += meanCostGain * (deviation - flow.meanDeviation);
     flow.meanCost = flow.meanCost == 0.0 ? cost : flow.meanCost + meanCostGain * (cost - flow.meanCost);
     this->moveFinishTag(workspace, flow, (cost - charged) / flow.share);
@@ -148,7 +149,8 @@
 std::uint32_t FairQueue::estimateCost(WorkspaceHandle workspace, std::uint32_t costHint) const
 {
     const auto found = this->flows.find(workspace);
-    const double mean = found == this->flows.end() ? 0.0 : found->second.meanCost;
+    const bool hasHistory = found != this->flows.end() && found->second.meanCost > 0.0;
+    const double mean = hasHistory ? found->second.meanCost : this->meanCost;
     if (mean == 0.0) {
         return std::clamp(costHint == 0 ? config::defaultCost : costHint, 1u, config::maxCost);
     }
--- a/src/process/fair_queue.h
+++ b/src/process/fair_queue.h
@@ -123,6 +123,7 @@
     std::set<std::pair<Time, RequestKey>> deadlines;
     double virtualTime = 0.0;
     double activeShare = 0.0;
+    double meanCost = 0.0; ///< Over all workspaces; zero without history.
     std::size_t waitingCount = 0;
 };
 
--- a/src/process/node.cpp
+++ b/src/process/node.cpp
@@ -111,11 +111,11 @@
     ++this->counters.framesReceived;
     const DaemonHandle sender = from.handle();
     if (this->members.heard(from, receivedAt)) {
-        this->peerGone(sender, true, receivedAt);
+        this->peerGone(sender, config::lostRouterHold, receivedAt);
     }
     if (frame.leaving) {
         this->members.left(sender);
-        this->peerGone(sender, false, receivedAt);
+        this->peerGone(sender, Duration {0}, receivedAt);
         this->log("member_left", {{"member", from.name}});
         return;
     }
@@ -156,7 +156,10 @@
 void Node::receiveDispatch(DaemonHandle from, const FrameT &frame, Time receivedAt)
 {
     for (const auto &inventory : frame.inventories) {
-        this->poolFor(ServiceHandle {inventory->service}, receivedAt).adopt(from, *inventory, receivedAt);
+        const Member *former = this->members.find(DaemonHandle {inventory->former});
+        const bool formerEnded = former != nullptr && former->refused;
+        const Duration formerHold = formerEnded ? config::closedRouterHold : config::lostRouterHold;
+        this->poolFor(ServiceHandle {inventory->service}, receivedAt).adopt(from, *inventory, formerHold, receivedAt);
     }
     for (const connection::wire::Release &message : frame.releases) {
         this->poolFor(ServiceHandle {message.service()}, receivedAt).release(from, message, receivedAt);
@@ -215,7 +218,7 @@
         if (obeys && sent != peer.heartbeatsSent.end()) {
             pool->renewLease(from, sent->second + this->members.lease(), receivedAt);
         } else if (!obeys && pool->hasRouter(from)) {
-            pool->drop(from, false, receivedAt);
+            pool->drop(from, Duration {0}, receivedAt);
         }
     }
 }
@@ -316,11 +319,11 @@
         return;
     }
     this->members.connectionRefused(peer);
-    this->peerGone(peer, true, refusedAt);
+    this->peerGone(peer, config::closedRouterHold, refusedAt);
     this->log("member_refused", {{"member", member->identity.name}});
 }
 
-void Node::peerGone(DaemonHandle peer, bool hold, Time goneAt)
+void Node::peerGone(DaemonHandle peer, Duration hold, Time goneAt)
 {
     this->ownRouter.dispatcherGone(peer);
     this->peers.erase(peer);
@@ -343,7 +346,7 @@
     this->members.setSelfState(settled, this->stopping);
     const MembershipChange change = this->members.advance(updatedAt);
     for (const DaemonHandle lost : change.lost) {
-        this->peerGone(lost, true, updatedAt);
+        this->peerGone(lost, config::lostRouterHold, updatedAt);
         this->log("member_lost", {{"member", std::to_string(lost.id)}});
     }
     const MemberView view = this->memberView(updatedAt);
@@ -376,7 +379,7 @@
         this->undesiredSince.erase(since);
         for (const DaemonHandle router : pool->routerHandles()) {
             this->frameFor(router).yields.push_back(service.id);
-            pool->drop(router, false, yieldedAt);
+            pool->drop(router, Duration {0}, yieldedAt);
         }
         this->log("pool_yielded", {{"service", std::to_string(service.id)}});
     }
@@ -632,7 +635,8 @@
         return;
     }
     const DaemonHandle dispatcher {digest.dispatcher};
-    pool.offerRoom({source, dispatcher, digest.room, this->linkCostTo(source), offeredAt + config::digestFreshFor});
+    pool.offerRoom(
+        {source, dispatcher, digest.room, this->linkCostTo(source), digest.slots, digest.waiting, offeredAt + config::digestFreshFor});
 }
 
 std::uint32_t Node::linkCostTo(DataCentreHandle target) const
--- a/src/process/node.h
+++ b/src/process/node.h
@@ -172,7 +172,7 @@
     void watchVmList();
     void onVmList(std::uint64_t version, const std::vector<DaemonIdentity> &listed, Time now);
     std::unique_ptr<connection::wire::VmListT> describeVmList() const;
-    void peerGone(DaemonHandle peer, bool hold, Time now);
+    void peerGone(DaemonHandle peer, Duration hold, Time now);
     void updateMembers(Time now);
     MemberView memberView(Time now) const;
     void yieldPools(Time now);
--- a/src/process/router.cpp
+++ b/src/process/router.cpp
@@ -475,8 +475,8 @@
         if (!this->policy.takeoverInventory) {
             break;
         }
-        inventory->observations.emplace_back(backend.id, toMilliseconds(this->now - seen.at), seen.generation, toMicroseconds(seen.fastestToken), seen.occupancy,
-                                             seen.limit);
+        inventory->observations.emplace_back(backend.id, toMilliseconds(this->now - seen.at), seen.generation,
+                                             toMicroseconds(seen.fastestToken), seen.occupancy, seen.limit);
     }
     frame.inventories.push_back(std::move(inventory));
 }
--- a/src/process/settings.cpp
+++ b/src/process/settings.cpp
@@ -26,15 +26,28 @@
     return content.str();
 }
 
-std::string readKey(const version::CheckedJson &root, const char *key)
+DaemonIdentity parseSeed(const version::CheckedJson &source)
+{
+    source.allowOnly({"name", "address", "port", "dataCentre"});
+    DaemonIdentity seed;
+    seed.name = source.member("name").name();
+    seed.address = source.member("address").ipNumber();
+    seed.port = static_cast<std::uint16_t>(source.member("port").integer(1, 65535));
+    seed.dataCentre = handleOf<DataCentreHandle>(source.member("dataCentre").name());
+    return seed;
+}
+
+}
+
+std::string readKeyFile(const version::CheckedJson &root, const char *member)
 {
-    if (!root.has(key)) {
+    if (!root.has(member)) {
         return {};
     }
-    std::string content = readFile(root.member(key).text());
+    std::string content = readFile(root.member(member).text());
     content.erase(content.find_last_not_of(" \r\n\t") + 1);
     if (content.empty()) {
-        root.member(key).fail("must name a file that holds a key");
+        root.member(member).fail("must name a file that holds a key");
     }
     return content;
 }
@@ -45,19 +58,6 @@
     return {source.member("address").ipNumber(), static_cast<std::uint16_t>(source.member("port").integer(1, 65535))};
 }
 
-DaemonIdentity parseSeed(const version::CheckedJson &source)
-{
-    source.allowOnly({"name", "address", "port", "dataCentre"});
-    DaemonIdentity seed;
-    seed.name = source.member("name").name();
-    seed.address = source.member("address").ipNumber();
-    seed.port = static_cast<std::uint16_t>(source.member("port").integer(1, 65535));
-    seed.dataCentre = handleOf<DataCentreHandle>(source.member("dataCentre").name());
-    return seed;
-}
-
-}
-
 Settings readSettings(const std::string &path)
 {
     const nlohmann::json document = nlohmann::json::parse(readFile(path), nullptr, false);
@@ -77,8 +77,8 @@
     for (const version::CheckedJson &seed : root.array("seeds")) {
         settings.seeds.push_back(parseSeed(seed));
     }
-    settings.linkKey = readKey(root, "linkKeyFile");
-    settings.operatorKey = readKey(root, "operatorKeyFile");
+    settings.linkKey = readKeyFile(root, "linkKeyFile");
+    settings.operatorKey = readKeyFile(root, "operatorKeyFile");
     settings.logFile = root.has("logFile") ? root.member("logFile").text() : "";
     const double stopTimeoutMs = root.number("stopTimeoutMs", 30'000, 100, maxStopTimeoutMs);
     settings.stopTimeout = std::chrono::milliseconds(static_cast<std::int64_t>(stopTimeoutMs));
--- a/src/process/settings.h
+++ b/src/process/settings.h
@@ -5,6 +5,8 @@
 #include "eelgrassnotch/types.h"
 #include "process/membership.h"
 
+#include "version/checked_json.h"
+
 #include <string>
 #include <vector>
 
@@ -43,4 +45,14 @@
  */
 Settings readSettings(const std::string &path);
 
+/** @brief Reads an object with address and port. @throws version::ConfigurationError */
+Endpoint parseEndpoint(const version::CheckedJson &source);
+
+/**
+ * @brief Reads the key from the file that a member names.
+ * @returns the empty key when the member is absent.
+ * @throws version::ConfigurationError when the file holds no key.
+ */
+std::string readKeyFile(const version::CheckedJson &root, const char *member);
+
 }
--- a/src/process/slot_table.cpp
+++ b/src/process/slot_table.cpp
@@ -13,8 +13,6 @@
 
 /** Limit of each backend server in experiments without the adaptive one. */
 constexpr double baselineLimit = 16.0;
-/** Requests seen under a former dispatcher have ended after this many mean service times. */
-constexpr int serviceTimesUntilEnded = 2;
 
 /** Owner of one slot among the counted members; both sides of a split compute the same. */
 DaemonHandle ownerOfSlot(BackendServerHandle backend, std::size_t slot, const std::vector<DaemonHandle> &counted)
@@ -109,10 +107,9 @@
     }
 }
 
-void SlotTable::hold(DaemonHandle router, BackendServerHandle backend, Time now)
+void SlotTable::hold(BackendServerHandle backend, Time until)
 {
-    this->remove(router, backend);
-    this->held.push_back({backend, now + config::lostRouterHold});
+    this->held.push_back({backend, until});
 }
 
 void SlotTable::lapsed(DaemonHandle router, Time mayRunUntil)
@@ -120,12 +117,11 @@
     this->lapsedUntil[router] = mayRunUntil;
 }
 
-void SlotTable::observe(const connection::wire::Observation &observation, DaemonHandle former, Duration meanService, Time now)
+void SlotTable::observe(const connection::wire::Observation &observation, DaemonHandle former, Duration endsWithin, Time now)
 {
     Backend &backend = this->backends[BackendServerHandle {observation.backend()}];
     const Duration age = std::chrono::milliseconds(observation.age_ms());
-    const Duration expected = meanService.count() > 0 ? meanService * serviceTimesUntilEnded : config::lostRouterHold;
-    const Time until = now - age + std::min(expected, config::lostRouterHold);
+    const Time until = now - age + endsWithin;
     if (until > now && former.isValid()) {
         Takeover &takeover = backend.takeovers[former];
         takeover.observed = std::max<std::size_t>(takeover.observed, observation.occupancy());
--- a/src/process/slot_table.h
+++ b/src/process/slot_table.h
@@ -52,16 +52,16 @@
     /** @brief The same for a request that was in flight under the former dispatcher. */
     void adopt(DaemonHandle router, BackendServerHandle backend, DaemonHandle former);
     void remove(DaemonHandle router, BackendServerHandle backend);
-    /** @brief Frees a lost router's slot only after config::lostRouterHold. */
-    void hold(DaemonHandle router, BackendServerHandle backend, Time now);
+    /** @brief Counts one more request, which nobody reports on, until a time. */
+    void hold(BackendServerHandle backend, Time until);
     /** @brief Notes until when the requests of a router that is no longer served may still run. */
     void lapsed(DaemonHandle router, Time mayRunUntil);
 
     /**
      * @brief Takes what a router saw under a former dispatcher.
-     * @param meanService Of the router's attempts; zero when unknown.
+     * @param endsWithin The observed requests have ended after this time.
      */
-    void observe(const connection::wire::Observation &observation, DaemonHandle former, Duration meanService, Time now);
+    void observe(const connection::wire::Observation &observation, DaemonHandle former, Duration endsWithin, Time now);
     void record(BackendServerHandle backend, const AttemptSample &sample, Time now);
 
     /** @returns the backend server with the most room, or the invalid handle. */
--- a/tests/scenarios/take_out.lua
+++ b/tests/scenarios/take_out.lua
@@ -9,11 +9,20 @@
 takeOut("wellington", true)
 run(2)
 local starts = backendState("writer-wellington").starts
+local visitors = {}
+for number = 1, 30 do
+    visitors[number] = submit{daemon = "w" .. (1 + number % 2), workspace = "small", service = "quote-writer", cost = 50, deadline = 15}
+end
 local served = backendState("writer-auckland").completedCost + backendState("writer-christchurch").completedCost
 run(30)
 local extra = backendState("writer-wellington").starts - starts
 local rate = (backendState("writer-auckland").completedCost + backendState("writer-christchurch").completedCost - served) / 30
 print(string.format("  %d starts after two seconds, rest serves %.1f tokens/s of 800", extra, rate))
+local visited = 0
+for _, entry in ipairs(visitors) do
+    visited = visited + (outcome(entry).answered and 1 or 0)
+end
+check(visited == #visitors, "callers of its daemons are served elsewhere (" .. visited .. " of " .. #visitors .. ")")
 check(extra == 0, "a data centre taken out gets no new work after two seconds")
 check(rate >= 0.99 * 800, "the rest serves at least 99% of what it bears")
 fault{backend = "writer-wellington", resetExcess = true}
