Limits reach large backend servers in few rounds

Cause: the target's backend servers bear about 64 requests of 222 tokens. Growing by one request a round of 4.4 s takes a cold limit 62 rounds, 270 s, while work waits.

Change: while latency is flat the limit grows by the factor that keeps it in its target if it grew in proportion from there, at most by half.

--- a/include/eelgrassnotch/config.h
+++ b/include/eelgrassnotch/config.h
@@ -40,6 +40,8 @@
 /** Smallest and largest adaptive limit, in concurrent requests. */
 constexpr double minimumLimit = 1.0;
 constexpr double maximumLimit = 1024.0;
+/** Largest growth of the limit in one round of successes, where latency leaves room for it. */
+constexpr double largestGrowthFactor = 1.5;
 /** Factor applied to the limit on overload. */
 constexpr double overloadFactor = 0.7;
 /** At most one decrease in this time. */
--- a/src/process/adaptive_limit.cpp
+++ b/src/process/adaptive_limit.cpp
@@ -124,26 +124,32 @@
     }
     const auto load = static_cast<double>(std::min(inFlight, sample.loadAtStart));
     const bool saturated = load + 1.0 > this->limit * saturation;
-    if (saturated && this->hasHeadroom(sample, target)) {
-        this->grow();
+    const double step = saturated ? this->growthStep(sample, target) : 0.0;
+    if (step > 0.0) {
+        this->grow(step);
     }
 }
 
-bool AdaptiveLimit::hasHeadroom(const AttemptSample &sample, const LatencyTarget &target) const
+/** Requests by which the limit may grow, if latency at most grows in proportion to the load; zero for none. */
+double AdaptiveLimit::growthStep(const AttemptSample &sample, const LatencyTarget &target) const
 {
+    const double current = ratio(sample.perToken, target.perToken);
     const bool isFlat = ratio(sample.perToken, this->fastestToken) <= flatLatency;
-    const double predicted = ratio(sample.perToken, target.perToken) * (this->limit + 1.0) / this->limit;
-    return isFlat || predicted <= 1.0;
+    if (!isFlat) {
+        return current * (this->limit + 1.0) / this->limit <= 1.0 ? 1.0 : 0.0;
+    }
+    const double factor = current <= 0.0 ? config::largestGrowthFactor : std::min(config::largestGrowthFactor, 1.0 / current);
+    return std::max(1.0, this->limit * (factor - 1.0));
 }
 
-void AdaptiveLimit::grow()
+void AdaptiveLimit::grow(double step)
 {
     this->roundSuccesses += 1.0;
     if (this->roundSuccesses < this->limit) {
         return;
     }
     this->roundSuccesses = 0.0;
-    this->limit = std::min(this->limit + 1.0, this->ceilingOrMaximum());
+    this->limit = std::min(this->limit + step, this->ceilingOrMaximum());
 }
 
 void AdaptiveLimit::shrink(const AttemptSample &sample, double factor, Time now)
--- a/src/process/adaptive_limit.h
+++ b/src/process/adaptive_limit.h
@@ -30,12 +30,14 @@
 /**
  * @brief Estimates how many concurrent requests a backend server bears.
  *
- * Starts at config::coldLimit and grows by one request each full round. Growth needs a
- * full use of the limit, and stops where one more request would miss the latency
- * target if latency grew in proportion. Refusals, timeouts and missed targets
- * shrink the limit, by the measure of the miss; samples of attempts that began
- * before the last decrease are not counted again. A lost connection or a new
- * generation makes the backend server cold.
+ * Starts at config::coldLimit and grows once in a full round of successes, if
+ * the limit is in full use. While latency is flat, it grows by the factor that
+ * keeps latency within its target should it grow in proportion from now on, and
+ * by one request at least; once latency rises, by one request as long as that
+ * keeps the target. Refusals, timeouts and missed targets shrink the limit, by
+ * the measure of the miss; samples of attempts that began before the last
+ * decrease are not counted again. A lost connection or a new generation makes
+ * the backend server cold.
  */
 class AdaptiveLimit
 {
@@ -75,8 +77,8 @@
 
 private:
     void judgeLatency(const AttemptSample &sample, std::size_t inFlight, const LatencyTarget &target, Time now);
-    bool hasHeadroom(const AttemptSample &sample, const LatencyTarget &target) const;
-    void grow();
+    double growthStep(const AttemptSample &sample, const LatencyTarget &target) const;
+    void grow(double step);
     void shrink(const AttemptSample &sample, double factor, Time now);
     double ceilingOrMaximum() const;
 
--- a/src/process/dispatcher.cpp
+++ b/src/process/dispatcher.cpp
@@ -312,7 +312,7 @@
     const WaitingRequest &request = taken.request;
     Router &router = this->routers[request.key.router];
     this->slots.add(request.key.router, handle);
-    router.inFlight[request.key.request] = {handle, request.workspace, taken.charged, now, this->slots.inFlightAt(handle)};
+    router.inFlight[request.key.request] = {handle, request.workspace, taken.charged, now, this->slots.loadAt(handle)};
     this->slots.started(handle, now);
     const std::uint16_t occupancy = toWireCount(static_cast<double>(this->slots.inFlightAt(handle)));
     const std::uint16_t limit = toWireCount(this->slots.limitOf(handle));
--- a/src/process/slot_table.cpp
+++ b/src/process/slot_table.cpp
@@ -141,8 +141,7 @@
         return;
     }
     Backend &backend = this->backends[handle];
-    const std::size_t load = this->served.whole ? backend.inFlight : 0;
-    backend.limit.record(sample, load, this->target, now);
+    backend.limit.record(sample, this->loadAt(handle), this->target, now);
 }
 
 BackendServerHandle SlotTable::choose(const PlacementWish &wish, Time now)
@@ -262,6 +261,11 @@
     return found == this->backends.end() ? 0 : found->second.inFlight;
 }
 
+std::size_t SlotTable::loadAt(BackendServerHandle backend) const
+{
+    return this->served.whole ? this->inFlightAt(backend) : 0;
+}
+
 double SlotTable::limitOf(BackendServerHandle backend) const
 {
     const auto found = this->backends.find(backend);
--- a/src/process/slot_table.h
+++ b/src/process/slot_table.h
@@ -74,6 +74,8 @@
     std::size_t freeSlots() const;
     std::size_t inFlight() const;
     std::size_t inFlightAt(BackendServerHandle backend) const;
+    /** @returns requests at a backend server, or zero while not all routers' requests are seen. */
+    std::size_t loadAt(BackendServerHandle backend) const;
     /** @returns limit of one backend server in requests, zero when it is unknown. */
     double limitOf(BackendServerHandle backend) const;
     const LatencyTarget &latencyTarget() const
--- a/tools/emulator/backend.cpp
+++ b/tools/emulator/backend.cpp
@@ -1,6 +1,7 @@
 #include "emulator/backend.h"
 
 #include <algorithm>
+#include <limits>
 #include <vector>
 
 namespace eelgrassnotch::emulator
@@ -9,6 +10,14 @@
 using request::AttemptOutcome;
 using request::AttemptResult;
 
+namespace
+{
+
+/** Part of a token that counts as none, against rounding. */
+constexpr double smallestRest = 1e-3;
+
+}
+
 Backend::Backend(EventQueue &events, BackendTruth truth)
     : events(events)
     , truth(truth)
@@ -58,18 +67,63 @@
     }
     ++this->starts;
     ++this->executions[request.name];
-    const double load = static_cast<double>(this->running.size() + 1) / this->capacityNow();
-    const auto perToken = std::chrono::duration_cast<Duration>(this->truth.tokenTime * std::max(1.0, load));
-    this->running[id] = {request, this->events.now(), perToken};
+    this->advance();
+    this->running[id] = {request, this->events.now(), static_cast<double>(request.cost)};
     this->excess = std::max(this->excess, static_cast<double>(this->running.size()) - this->bears());
-    if (load > this->truth.fallOver) {
+    if (static_cast<double>(this->running.size()) > this->capacityNow() * this->truth.fallOver) {
         this->restart();
         return id;
     }
-    this->events.after(perToken * request.cost, [this, id] { this->finish(id); });
+    this->scheduleNext();
     return id;
 }
 
+/** Counts the tokens since the last change. */
+void Backend::advance()
+{
+    const double seconds = std::chrono::duration<double>(this->events.now() - this->advancedAt).count();
+    for (auto &[id, entry] : this->running) {
+        entry.remaining -= seconds * this->tokensPerSecond;
+    }
+    this->advancedAt = this->events.now();
+}
+
+/** Computes the new speed and waits for the request that ends first. */
+void Backend::scheduleNext()
+{
+    ++this->epoch;
+    if (this->running.empty()) {
+        return;
+    }
+    const double load = std::max(1.0, static_cast<double>(this->running.size()) / this->capacityNow());
+    this->tokensPerSecond = 1.0 / (std::chrono::duration<double>(this->truth.tokenTime).count() * load);
+    double least = std::numeric_limits<double>::max();
+    for (const auto &[id, entry] : this->running) {
+        least = std::min(least, entry.remaining);
+    }
+    const std::chrono::duration<double> pause(std::max(0.0, least) / this->tokensPerSecond);
+    this->events.after(std::chrono::ceil<Duration>(pause), [this, epoch = this->epoch] {
+        if (epoch == this->epoch) {
+            this->finishDue();
+        }
+    });
+}
+
+void Backend::finishDue()
+{
+    this->advance();
+    std::vector<std::uint64_t> due;
+    for (const auto &[id, entry] : this->running) {
+        if (entry.remaining <= smallestRest) {
+            due.push_back(id);
+        }
+    }
+    for (const std::uint64_t id : due) {
+        this->finish(id);
+    }
+    this->scheduleNext();
+}
+
 void Backend::finish(std::uint64_t id)
 {
     const auto found = this->running.find(id);
@@ -96,8 +150,9 @@
     outcome.result = result;
     outcome.verdict = verdict;
     outcome.cost = ended.request.cost;
-    outcome.firstToken = ended.perToken;
-    outcome.perToken = ended.perToken;
+    const Duration perToken = (this->events.now() - ended.since) / std::max(1u, ended.request.cost);
+    outcome.firstToken = perToken;
+    outcome.perToken = perToken;
     outcome.generation = result == AttemptResult::Completed ? this->generation : 0;
     outcome.status = result == AttemptResult::Completed ? 200 : 0;
     outcome.answer = "answer to " + ended.request.name;
@@ -109,7 +164,9 @@
     if (!this->truth.cancels || !this->running.contains(id)) {
         return;
     }
+    this->advance();
     this->end(id, AttemptResult::CallerGone, Verdict::MayHaveRun);
+    this->scheduleNext();
 }
 
 void Backend::restart()
@@ -124,6 +181,7 @@
     for (const std::uint64_t id : ids) {
         this->end(id, AttemptResult::ConnectionLost, Verdict::MayHaveRun);
     }
+    this->scheduleNext();
 }
 
 }
--- a/tools/emulator/backend.h
+++ b/tools/emulator/backend.h
@@ -30,7 +30,7 @@
     std::function<void(const request::AttemptOutcome &)> ended;
 };
 
-/** @brief Runs requests at a speed that falls once the capacity is exceeded. */
+/** @brief Runs requests side by side; once they exceed the capacity, each slows down in proportion. */
 class Backend
 {
 public:
@@ -77,10 +77,13 @@
     struct Running {
         BackendRequest request;
         Time since {0};
-        Duration perToken {0};
+        double remaining = 0; ///< Tokens that are still to come.
     };
 
     double capacityNow() const;
+    void advance();
+    void scheduleNext();
+    void finishDue();
     void finish(std::uint64_t id);
     void end(std::uint64_t id, request::AttemptResult result, Verdict verdict);
 
@@ -90,6 +93,9 @@
     std::uint64_t nextId = 1;
     std::uint32_t generation = 1;
     double excess = 0;
+    Time advancedAt {0};
+    std::uint64_t epoch = 0; ///< Grows with every change; an event of a former epoch is void.
+    double tokensPerSecond = 0; ///< For each running request, since the last change.
     std::map<std::uint64_t, Running> running;
 };
 
