Capacity: measured slopes and a run at the target's size; cheaper turns

Ruled out: encoding of frames (the share of a run without traffic between data centres was the same).

Change: own members are counted when they change, candidates are looked up when the membership was looked at, a pool decides only after a change, and heartbeats to other data centres go out every fourth period.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # Front door of the build; each target does its own set-up.
 BUILD := build
 
-.PHONY: all setup build test demo check format lint generate clean
+.PHONY: all setup build test demo tour capacity plots check format lint generate clean
 
 all: build
 
@@ -15,6 +15,9 @@
 test: build
 	@ctest --test-dir $(BUILD) --output-on-failure
 
+capacity: build
+	@$(BUILD)/bin/capacity
+
 demo: build
 	@scripts/demo.sh
 
--- a/include/eelgrassnotch/config.h
+++ b/include/eelgrassnotch/config.h
@@ -56,6 +56,9 @@
 constexpr std::chrono::microseconds firstTokenTarget = 750ms;
 constexpr std::chrono::microseconds perTokenTarget = 31ms;
 
+/** A router or dispatcher of another data centre that is not heard for this long is no longer served or used. */
+constexpr std::chrono::microseconds guestQuietAfter = 6s;
+
 /** Waiting requests of one workspace in one pool. */
 constexpr std::size_t maxWaitingPerWorkspace = 256;
 /** Waiting requests in one pool. */
--- a/src/process/dispatcher.cpp
+++ b/src/process/dispatcher.cpp
@@ -54,6 +54,7 @@
 
 void Dispatcher::configure(const version::Configuration &configuration)
 {
+    this->changed = true;
     for (const auto &[handle, workspace] : configuration.workspaces) {
         this->queue.setShare(handle, workspace.share);
     }
@@ -62,6 +63,7 @@
 
 void Dispatcher::setMembers(const MemberView &view)
 {
+    this->changed = true;
     this->yielding = view.mustYield;
     this->quietAfter = view.quietAfter;
     this->counted = view.counted;
@@ -89,6 +91,7 @@
 
 void Dispatcher::renewLease(DaemonHandle router, Time until, Time now)
 {
+    this->changed = true;
     if (const auto found = this->routers.find(router); found != this->routers.end()) {
         found->second.heardAt = now;
         found->second.leaseUntil = std::max(found->second.leaseUntil, until);
@@ -97,6 +100,7 @@
 
 void Dispatcher::drop(DaemonHandle router, Duration hold, Time now)
 {
+    this->changed = true;
     this->queue.cancelRouter(router);
     const auto found = this->routers.find(router);
     if (found == this->routers.end()) {
@@ -121,6 +125,7 @@
 
 void Dispatcher::enqueue(DaemonHandle router, const connection::wire::Enqueue &message, Time now)
 {
+    this->changed = true;
     const RequestKey key {router, message.request()};
     const WorkspaceHandle workspace = this->flowOf(WorkspaceHandle {message.workspace()});
     if (!this->routers.contains(router)) {
@@ -167,6 +172,7 @@
 
 void Dispatcher::release(DaemonHandle router, const connection::wire::Release &message, Time now)
 {
+    this->changed = true;
     const auto found = this->routers.find(router);
     if (found == this->routers.end()) {
         return;
@@ -207,6 +213,7 @@
 
 void Dispatcher::offerRoom(const RemoteRoom &room)
 {
+    this->changed = true;
     this->withdrawRoom(room.dataCentre);
     const auto isDearer = [&room](const RemoteRoom &other) { return other.linkCost > room.linkCost; };
     this->rooms.insert(std::find_if(this->rooms.begin(), this->rooms.end(), isDearer), room);
@@ -220,6 +227,7 @@
 DispatchDecisions Dispatcher::decide(Time now)
 {
     DispatchDecisions decisions;
+    this->changed = false;
     this->denyExpired(now);
     std::erase_if(this->rooms, [now](const RemoteRoom &room) { return room.validUntil <= now; });
     this->suspendQuiet(now);
@@ -337,7 +345,9 @@
 void Dispatcher::suspendQuiet(Time now)
 {
     for (auto &[handle, router] : this->routers) {
-        if (router.adopted && now - router.heardAt > this->quietAfter) {
+        const bool isMember = std::binary_search(this->counted.begin(), this->counted.end(), handle);
+        const Duration quiet = isMember ? this->quietAfter : config::guestQuietAfter;
+        if (router.adopted && now - router.heardAt > quiet) {
             this->suspend(handle);
         }
     }
--- a/src/process/dispatcher.h
+++ b/src/process/dispatcher.h
@@ -104,6 +104,11 @@
     /** @brief Forgets the room in a data centre. */
     void withdrawRoom(DataCentreHandle dataCentre);
 
+    /** @returns whether anything has changed since the last decision; setMembers() counts, so that time passes for it. */
+    bool needsDecision() const
+    {
+        return this->changed;
+    }
     /** @brief Decides what can be decided now. */
     DispatchDecisions decide(Time now);
 
@@ -177,6 +182,7 @@
     SlotTable slots;
     std::map<DaemonHandle, Router> routers;
     std::vector<DaemonHandle> counted;
+    bool changed = true;
     bool yielding = false;
     Duration quietAfter = config::suspectAfter;
     std::vector<RemoteRoom> rooms;
--- a/src/process/membership.cpp
+++ b/src/process/membership.cpp
@@ -43,6 +43,9 @@
     member.identity = identity;
     member.lastHeard = now;
     member.refused = false;
+    if (isNew) {
+        this->countOwn();
+    }
     this->departed.erase(handle);
     this->reclaimed.erase(handle);
     return restarted;
@@ -67,6 +70,7 @@
     if (isNew) {
         member.known = now;
         member.identity = identity;
+        this->countOwn();
         return;
     }
     const bool moved = member.identity.address != identity.address || member.identity.port != identity.port;
@@ -112,6 +116,7 @@
 {
     this->members.erase(member);
     this->departed.insert(member);
+    this->countOwn();
 }
 
 MembershipChange Membership::advance(Time now)
@@ -144,6 +149,7 @@
         this->members.erase(handle);
         this->departed.insert(handle);
     }
+    this->countOwn();
     if (half) {
         this->minoritySince.reset();
     } else if (!this->minoritySince) {
@@ -286,9 +292,12 @@
 
 Duration Membership::heartbeatPeriod() const
 {
-    const auto ownCount
-        = std::count_if(this->members.begin(), this->members.end(), [this](const auto &entry) { return this->isOwn(entry.second); });
-    return std::clamp(periodPerMember * (ownCount + 1), config::heartbeatPeriod, longestPeriod);
+    return std::clamp(periodPerMember * (this->ownMembers + 1), config::heartbeatPeriod, longestPeriod);
+}
+
+void Membership::countOwn()
+{
+    this->ownMembers = std::count_if(this->members.begin(), this->members.end(), [this](const auto &entry) { return this->isOwn(entry.second); });
 }
 
 Duration Membership::suspectAfter() const
--- a/src/process/membership.h
+++ b/src/process/membership.h
@@ -120,11 +120,13 @@
     bool isOwn(const Member &member) const;
     bool isCounted(const Member &member, Time now) const;
     Time silentSince(const Member &member) const;
+    void countOwn();
 
     DaemonIdentity me;
     bool selfSettled = false;
     bool selfDraining = false;
     std::map<DaemonHandle, Member> members;
+    std::ptrdiff_t ownMembers = 0; ///< Others in the own data centre.
     std::set<DaemonHandle> departed; ///< Left by plan or dropped by the platform's list; only a direct word brings them back.
     std::set<DaemonHandle> reclaimed; ///< Share taken over by the majority.
     std::set<DaemonHandle> platformListed;
--- a/src/process/node.cpp
+++ b/src/process/node.cpp
@@ -17,6 +17,8 @@
 constexpr Duration membershipPeriod = std::chrono::milliseconds(100);
 constexpr Duration watchCheckPeriod = std::chrono::milliseconds(500);
 constexpr std::size_t rememberedHeartbeats = 8;
+/** Heartbeats to other data centres are sent once in this many periods. */
+constexpr int remotePeriods = 4;
 constexpr std::uint32_t sameRegionCost = 1;
 constexpr std::uint32_t otherRegionCost = 10;
 
@@ -115,6 +117,7 @@
     }
     if (frame.leaving) {
         this->members.left(sender);
+        this->candidates = this->members.candidates(receivedAt);
         this->peerGone(sender, Duration {0}, receivedAt);
         this->log("member_left", {{"member", from.name}});
         return;
@@ -216,7 +219,7 @@
     for (auto &[service, pool] : this->pools) {
         const bool obeys = std::find(heartbeat.obeys.begin(), heartbeat.obeys.end(), service.id) != heartbeat.obeys.end();
         if (obeys && sent != peer.heartbeatsSent.end()) {
-            pool->renewLease(from, sent->second + this->members.lease(), receivedAt);
+            pool->renewLease(from, sent->second + this->leaseFor(from), receivedAt);
         } else if (!obeys && pool->hasRouter(from)) {
             pool->drop(from, Duration {0}, receivedAt);
         }
@@ -229,8 +232,7 @@
         this->frameFor(from).configuration_wanted = true;
     }
     const Member *member = this->members.find(from);
-    const bool isOwn = member != nullptr && member->identity.dataCentre == this->members.self().dataCentre;
-    if (!isOwn) {
+    if (member == nullptr || this->isRemote(from)) {
         return;
     }
     if (heartbeat.members_hash != this->members.hash()) {
@@ -249,8 +251,11 @@
 
 void Node::sendHeartbeats(Time sentAt)
 {
+    const bool remoteTurn = this->heartbeatRound++ % remotePeriods == 0;
     for (const DaemonHandle peer : this->heartbeatPeers(sentAt)) {
-        this->sendHeartbeat(peer, sentAt);
+        if (remoteTurn || !this->isRemote(peer)) {
+            this->sendHeartbeat(peer, sentAt);
+        }
     }
     const DaemonHandle self = this->members.self().handle();
     this->ownRouter.heartbeatReceived(self, this->members.lease(), sentAt);
@@ -270,7 +275,7 @@
     heartbeat->echo = state.heartbeatSeen;
     heartbeat->configuration = this->configurationState.version();
     heartbeat->members_hash = this->members.hash();
-    heartbeat->lease_ms = toMilliseconds(this->members.lease());
+    heartbeat->lease_ms = toMilliseconds(this->leaseFor(peer));
     heartbeat->vm_list = this->vmListVersion;
     heartbeat->vm_list_age_ms = toMilliseconds(sentAt - this->vmListAt);
     heartbeat->settled = this->members.isSelfSettled();
@@ -283,6 +288,18 @@
     this->frameFor(peer).heartbeat = std::move(heartbeat);
 }
 
+bool Node::isRemote(DaemonHandle peer) const
+{
+    const Member *member = this->members.find(peer);
+    return member != nullptr && member->identity.dataCentre != this->members.self().dataCentre;
+}
+
+/** Other data centres count for no shares, so their promises may last longer, which saves heartbeats. */
+Duration Node::leaseFor(DaemonHandle peer) const
+{
+    return this->isRemote(peer) ? this->members.lease() * remotePeriods : this->members.lease();
+}
+
 std::set<DaemonHandle> Node::heartbeatPeers(Time) const
 {
     std::set<DaemonHandle> targets = this->ownRouter.remoteDispatchers();
@@ -319,6 +336,7 @@
         return;
     }
     this->members.connectionRefused(peer);
+    this->candidates = this->members.candidates(refusedAt);
     this->peerGone(peer, config::closedRouterHold, refusedAt);
     this->log("member_refused", {{"member", member->identity.name}});
 }
@@ -336,7 +354,7 @@
 {
     this->now = advancedAt;
     this->timers.advance(advancedAt);
-    this->ownRouter.advance(advancedAt, this->members.candidates(advancedAt));
+    this->ownRouter.advance(advancedAt, this->candidates);
     this->claimKeeper.advance(advancedAt);
 }
 
@@ -349,6 +367,7 @@
         this->peerGone(lost, config::lostRouterHold, updatedAt);
         this->log("member_lost", {{"member", std::to_string(lost.id)}});
     }
+    this->candidates = this->members.candidates(updatedAt);
     const MemberView view = this->memberView(updatedAt);
     for (auto &[service, pool] : this->pools) {
         pool->setMembers(view);
@@ -674,6 +693,9 @@
 void Node::runPools(Time decidedAt)
 {
     for (auto &[service, pool] : this->pools) {
+        if (!pool->needsDecision()) {
+            continue;
+        }
         DispatchDecisions decisions = pool->decide(decidedAt);
         this->counters.grants += decisions.grants.size();
         this->counters.denies += decisions.denies.size();
--- a/src/process/node.h
+++ b/src/process/node.h
@@ -180,6 +180,8 @@
     void pumpRouter(Time now);
     Dispatcher &poolFor(ServiceHandle service, Time now);
     connection::wire::FrameT &frameFor(DaemonHandle peer);
+    bool isRemote(DaemonHandle peer) const;
+    Duration leaseFor(DaemonHandle peer) const;
     std::set<DaemonHandle> heartbeatPeers(Time now) const;
     void log(const std::string &event, const std::vector<std::pair<std::string, std::string>> &fields) const;
 
@@ -199,6 +201,8 @@
     Time startedAt;
     Time now;
     std::uint64_t heartbeatSequence = 0;
+    std::uint64_t heartbeatRound = 0;
+    std::vector<DaemonHandle> candidates; ///< Members that may hold roles, as of the last look at the membership.
     bool stopping = false;
     bool left = false;
     bool configurationChanged = false;
--- a/src/process/router.cpp
+++ b/src/process/router.cpp
@@ -15,6 +15,8 @@
 {
 
 constexpr double serviceTimeGain = 0.1;
+/** Pools of other data centres that are no longer used are noticed within this time. */
+constexpr Duration guestCheckPeriod = std::chrono::milliseconds(200);
 /** A core that was not advanced for this long was paused; grants that it holds may be void. */
 constexpr Duration pauseTolerance = config::grantFreshFor;
 
@@ -393,7 +395,10 @@
             this->follow(pool, desired);
         }
     }
-    this->dropUnusedGuestPools();
+    if (this->now >= this->nextGuestCheck) {
+        this->nextGuestCheck = this->now + guestCheckPeriod;
+        this->dropUnusedGuestPools();
+    }
 }
 
 void Router::dropUnusedGuestPools()
@@ -413,7 +418,7 @@
         }
         const auto heard = this->heartbeats.find(obedience.dispatcher);
         const Time last = heard == this->heartbeats.end() ? obedience.promisedUntil : heard->second.at;
-        const bool silent = this->now - last > config::digestFreshFor;
+        const bool silent = this->now - last > config::guestQuietAfter;
         if (!used.contains(pool) || silent) {
             lapsed.push_back(pool);
         }
--- a/src/process/router.h
+++ b/src/process/router.h
@@ -193,6 +193,7 @@
     std::uint64_t nextRequest = 1;
     std::uint32_t nextSession = 1;
     Time now {0};
+    Time nextGuestCheck {0};
     std::unordered_map<std::uint64_t, Request> requests;
     std::set<std::pair<Time, std::uint64_t>> deadlines;
     std::map<PoolKey, Obedience> obediences;
--- a/tools/emulator/fleet.cpp
+++ b/tools/emulator/fleet.cpp
@@ -5,6 +5,7 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <ctime>
 
 namespace eelgrassnotch::emulator
 {
@@ -21,6 +22,13 @@
 constexpr Duration backendDelay = std::chrono::microseconds(500);
 constexpr std::uint16_t anyPort = 7000;
 
+std::chrono::nanoseconds threadTime()
+{
+    timespec used {};
+    clock_gettime(CLOCK_THREAD_CPUTIME_ID, &used);
+    return std::chrono::seconds(used.tv_sec) + std::chrono::nanoseconds(used.tv_nsec);
+}
+
 }
 
 Fleet::Fleet(std::uint32_t seed, Policy policy)
@@ -129,7 +137,7 @@
         return;
     }
     if (!target.paused) {
-        target.node->advance(this->events.now());
+        this->measured(target, [&] { target.node->advance(this->events.now()); });
         this->flush(target);
     }
     if (target.node && target.stopping && !target.paused && target.node->isDrained()) {
@@ -147,14 +155,31 @@
         target.inbox.push_back(std::move(action));
         return;
     }
-    target.node->advance(this->events.now());
-    action();
+    this->measured(target, [&] {
+        target.node->advance(this->events.now());
+        action();
+    });
     this->flush(target);
 }
 
+/** Runs the core's work, and adds its processor time to the daemon's. */
+template<class Work>
+void Fleet::measured(Daemon &target, Work &&work)
+{
+    if (!this->measuring) {
+        work();
+        return;
+    }
+    const auto before = threadTime();
+    work();
+    target.coreTime += threadTime() - before;
+}
+
+
 void Fleet::flush(Daemon &target)
 {
-    const process::Outbox outbox = target.node->takeOutbox(this->events.now());
+    process::Outbox outbox;
+    this->measured(target, [&] { outbox = target.node->takeOutbox(this->events.now()); });
     const std::uint64_t version = target.node->configuration().version();
     this->reverted = this->reverted || version < target.lastVersion;
     target.lastVersion = version;
@@ -209,8 +234,10 @@
         });
         return;
     }
-    const auto bytes = std::make_shared<std::vector<std::uint8_t>>(connection::encodeFrame(outgoing.frame));
+    const auto bytes = std::make_shared<std::vector<std::uint8_t>>();
+    this->measured(from, [&] { *bytes = connection::encodeFrame(outgoing.frame); });
     from.bytesSent += bytes->size();
+    ++from.framesSent;
     const process::DaemonIdentity sender = from.identity;
     const std::uint64_t receiverLife = target.life;
     this->events.after(delay, [this, sender, &target, receiverLife, bytes] {
@@ -484,6 +511,11 @@
     return this->daemons.at(handleOf<DaemonHandle>(name)).bytesSent;
 }
 
+Duration Fleet::coreTimeOf(const std::string &name) const
+{
+    return std::chrono::duration_cast<Duration>(this->daemons.at(handleOf<DaemonHandle>(name)).coreTime);
+}
+
 int Fleet::executionsOf(const std::string &name) const
 {
     int executions = 0;
--- a/tools/emulator/fleet.h
+++ b/tools/emulator/fleet.h
@@ -116,6 +116,13 @@
     }
     /** @returns frame bytes sent by a daemon so far. */
     std::uint64_t bytesSentBy(const std::string &daemon) const;
+    /** @returns processor time that a daemon's core has used so far. */
+    Duration coreTimeOf(const std::string &daemon) const;
+    /** @brief Measures the cores' processor time from now on; costs two clock readings a turn. */
+    void measureCores()
+    {
+        this->measuring = true;
+    }
     /** @returns executions of a request or key at all backend servers. */
     int executionsOf(const std::string &name) const;
     /** @returns whether a configuration version was ever followed by a lower one. */
@@ -144,6 +151,8 @@
         std::map<std::uint64_t, Attempt> attempts;
         std::set<DaemonHandle> links; ///< Outgoing links that are up.
         std::uint64_t bytesSent = 0;
+        std::uint64_t framesSent = 0;
+        std::chrono::nanoseconds coreTime {0};
         std::uint64_t lastVersion = 0;
     };
 
@@ -151,6 +160,8 @@
     void startDaemon(Daemon &target);
     void endDaemon(Daemon &target, bool connectionsClose);
     void deliver(Daemon &target, std::function<void()> action);
+    template<class Work>
+    void measured(Daemon &target, Work &&work);
     void tick(Daemon &target, std::uint64_t life);
     void flush(Daemon &target);
     void send(Daemon &from, const process::OutgoingFrame &outgoing);
@@ -173,6 +184,7 @@
     std::vector<ArrivalSpec> arrivals;
     std::uint64_t lastIncarnation = 0;
     bool reverted = false;
+    bool measuring = false;
 };
 
 }
