--- a/src/process/dispatcher.cpp
+++ b/src/process/dispatcher.cpp
@@ -132,6 +132,7 @@
         this->deny(key, DenyReason::NotDispatcher, Duration {0});
         return;
     }
+    this->routers[router].heardAt = now;
     const bool full = this->queue.waitingOf(workspace) >= config::maxWaitingPerWorkspace || this->queue.size() >= config::maxWaitingPerPool;
     if (full) {
         this->deny(key, DenyReason::QueueFull, this->expectedWait(workspace));
@@ -231,6 +232,7 @@
     this->denyExpired(now);
     std::erase_if(this->rooms, [now](const RemoteRoom &room) { return room.validUntil <= now; });
     this->suspendQuiet(now);
+    this->dropIdleGuests(now);
     const ServedRouters served = this->computeServed(now);
     this->slots.setServed(served);
     while (!this->yielding && this->slots.choose({}, now).isValid()) {
@@ -353,6 +355,17 @@
     }
 }
 
+/** Routers of other data centres stay only as long as they have requests here. */
+void Dispatcher::dropIdleGuests(Time now)
+{
+    for (auto position = this->routers.begin(); position != this->routers.end();) {
+        const auto &[handle, router] = *position;
+        const bool isMember = std::binary_search(this->counted.begin(), this->counted.end(), handle);
+        const bool idle = router.inFlight.empty() && !this->queue.hasWaiting(handle) && now - router.heardAt > config::digestPeriod;
+        position = !isMember && idle ? this->routers.erase(position) : std::next(position);
+    }
+}
+
 ServedRouters Dispatcher::computeServed(Time now)
 {
     ServedRouters served;
--- a/src/process/dispatcher.h
+++ b/src/process/dispatcher.h
@@ -162,6 +162,7 @@
     bool isServed(DaemonHandle router, Time now) const;
     ServedRouters computeServed(Time now);
     void suspendQuiet(Time now);
+    void dropIdleGuests(Time now);
     static Duration expectedEnd(Duration meanService, Duration longest);
     Duration remainingService() const;
     bool isHopeless(const ChargedRequest &taken, Time now) const;
--- a/src/process/fair_queue.cpp
+++ b/src/process/fair_queue.cpp
@@ -36,6 +36,7 @@
     this->deadlines.emplace(request.deadline, request.key);
     flow.waiting.push_back(request);
     ++this->waitingCount;
+    ++this->byRouter[request.key.router];
     if (flow.waiting.size() == 1) {
         this->activate(workspace, flow);
     }
@@ -51,6 +52,15 @@
     return std::nullopt;
 }
 
+void FairQueue::uncount(DaemonHandle router)
+{
+    --this->waitingCount;
+    const auto found = this->byRouter.find(router);
+    if (--found->second == 0) {
+        this->byRouter.erase(found);
+    }
+}
+
 ChargedRequest FairQueue::take(double startTag, WorkspaceHandle workspace)
 {
     Flow &flow = this->flows[workspace];
@@ -59,7 +69,7 @@
     taken.charged = this->estimateCost(workspace, taken.request.costHint);
     this->deactivate(workspace, flow);
     flow.waiting.pop_front();
-    --this->waitingCount;
+    this->uncount(taken.request.key.router);
     this->deadlines.erase({taken.request.deadline, taken.request.key});
     flow.finishTag = startTag + taken.charged / flow.share;
     if (!flow.waiting.empty()) {
@@ -85,7 +95,7 @@
         this->deactivate(workspace, flow);
     }
     flow.waiting.erase(position);
-    --this->waitingCount;
+    this->uncount(key.router);
     return true;
 }
 
--- a/src/process/fair_queue.h
+++ b/src/process/fair_queue.h
@@ -94,6 +94,11 @@
         return this->waitingCount;
     }
     std::size_t waitingOf(WorkspaceHandle workspace) const;
+    /** @returns whether any request of a router waits. */
+    bool hasWaiting(DaemonHandle router) const
+    {
+        return this->byRouter.contains(router);
+    }
     bool isBacklogged(WorkspaceHandle workspace) const
     {
         return this->waitingOf(workspace) > 0;
@@ -113,6 +118,7 @@
     };
     using ActiveKey = std::pair<double, WorkspaceHandle>;
 
+    void uncount(DaemonHandle router);
     ChargedRequest take(double startTag, WorkspaceHandle workspace);
     void activate(WorkspaceHandle workspace, Flow &flow);
     void deactivate(WorkspaceHandle workspace, Flow &flow);
@@ -121,6 +127,7 @@
     std::unordered_map<WorkspaceHandle, Flow> flows;
     std::set<ActiveKey> active;
     std::set<std::pair<Time, RequestKey>> deadlines;
+    std::map<DaemonHandle, std::size_t> byRouter; ///< Waiting requests; no entry for none.
     double virtualTime = 0.0;
     double activeShare = 0.0;
     double meanCost = 0.0; ///< Over all workspaces; zero without history.
--- a/src/process/membership.cpp
+++ b/src/process/membership.cpp
@@ -51,11 +51,11 @@
     return restarted;
 }
 
-void Membership::recordHeartbeat(DaemonHandle member, const connection::wire::HeartbeatT &heartbeat)
+void Membership::recordHeartbeat(DaemonHandle member, const connection::wire::Heartbeat &heartbeat)
 {
     if (const auto found = this->members.find(member); found != this->members.end()) {
-        found->second.settled = heartbeat.settled;
-        found->second.draining = heartbeat.draining;
+        found->second.settled = heartbeat.settled();
+        found->second.draining = heartbeat.draining();
     }
 }
 
@@ -297,7 +297,8 @@
 
 void Membership::countOwn()
 {
-    this->ownMembers = std::count_if(this->members.begin(), this->members.end(), [this](const auto &entry) { return this->isOwn(entry.second); });
+    this->ownMembers
+        = std::count_if(this->members.begin(), this->members.end(), [this](const auto &entry) { return this->isOwn(entry.second); });
 }
 
 Duration Membership::suspectAfter() const
--- a/src/process/membership.h
+++ b/src/process/membership.h
@@ -63,7 +63,7 @@
     /** @brief Notes that a member spoke. @returns true when it is another incarnation than known before. */
     bool heard(const DaemonIdentity &identity, Time now);
     /** @brief Takes the state that a heartbeat tells. */
-    void recordHeartbeat(DaemonHandle member, const connection::wire::HeartbeatT &heartbeat);
+    void recordHeartbeat(DaemonHandle member, const connection::wire::Heartbeat &heartbeat);
     /** @brief Takes second-hand knowledge: seeds, gossip or the platform's list. */
     void learn(const DaemonIdentity &identity, Time now);
     void learn(const connection::wire::MemberT &member, Time now);
--- a/src/process/node.cpp
+++ b/src/process/node.cpp
@@ -9,7 +9,7 @@
 {
 
 using connection::wire::FrameT;
-using connection::wire::HeartbeatT;
+using connection::wire::Heartbeat;
 
 namespace
 {
@@ -117,7 +117,7 @@
     }
     if (frame.leaving) {
         this->members.left(sender);
-        this->candidates = this->members.candidates(receivedAt);
+        this->placeDispatchers(receivedAt);
         this->peerGone(sender, Duration {0}, receivedAt);
         this->log("member_left", {{"member", from.name}});
         return;
@@ -126,7 +126,7 @@
     this->receiveDispatch(sender, frame, receivedAt);
     this->receiveRouting(sender, frame, receivedAt);
     if (frame.heartbeat) {
-        this->onHeartbeat(sender, *frame.heartbeat, receivedAt);
+        this->onHeartbeat(sender, *frame.heartbeat, frame.obeys, receivedAt);
     }
     if (!frame.inventories.empty()) {
         this->sendHeartbeat(sender, receivedAt);
@@ -194,30 +194,30 @@
     }
 }
 
-void Node::onHeartbeat(DaemonHandle from, const HeartbeatT &heartbeat, Time receivedAt)
+void Node::onHeartbeat(DaemonHandle from, const Heartbeat &heartbeat, const std::vector<std::uint32_t> &obeys, Time receivedAt)
 {
     this->members.recordHeartbeat(from, heartbeat);
     const bool isFirst = this->peers[from].heartbeatSeen == 0;
-    this->peers[from].heartbeatSeen = heartbeat.sequence;
-    this->ownRouter.heartbeatReceived(from, std::chrono::milliseconds(heartbeat.lease_ms), receivedAt);
-    this->renewLeases(from, heartbeat, receivedAt);
+    this->peers[from].heartbeatSeen = heartbeat.sequence();
+    this->ownRouter.heartbeatReceived(from, std::chrono::milliseconds(heartbeat.lease_ms()), receivedAt);
+    this->renewLeases(from, heartbeat.echo(), obeys, receivedAt);
     this->answerDifferences(from, heartbeat, receivedAt);
     if (isFirst && !this->ownRouter.promise(from).empty()) {
         this->sendHeartbeat(from, receivedAt);
     }
 }
 
-void Node::renewLeases(DaemonHandle from, const HeartbeatT &heartbeat, Time receivedAt)
+void Node::renewLeases(DaemonHandle from, std::uint32_t echo, const std::vector<std::uint32_t> &obeyed, Time receivedAt)
 {
     const PeerState &peer = this->peers[from];
-    const auto sent = peer.heartbeatsSent.find(heartbeat.echo);
-    for (const std::uint32_t service : heartbeat.obeys) {
+    const auto sent = peer.heartbeatsSent.find(echo);
+    for (const std::uint32_t service : obeyed) {
         if (!this->poolFor(ServiceHandle {service}, receivedAt).hasAdopted(from)) {
             this->frameFor(from).inventories_wanted.push_back(service);
         }
     }
     for (auto &[service, pool] : this->pools) {
-        const bool obeys = std::find(heartbeat.obeys.begin(), heartbeat.obeys.end(), service.id) != heartbeat.obeys.end();
+        const bool obeys = std::find(obeyed.begin(), obeyed.end(), service.id) != obeyed.end();
         if (obeys && sent != peer.heartbeatsSent.end()) {
             pool->renewLease(from, sent->second + this->leaseFor(from), receivedAt);
         } else if (!obeys && pool->hasRouter(from)) {
@@ -226,22 +226,22 @@
     }
 }
 
-void Node::answerDifferences(DaemonHandle from, const HeartbeatT &heartbeat, Time receivedAt)
+void Node::answerDifferences(DaemonHandle from, const Heartbeat &heartbeat, Time receivedAt)
 {
-    if (heartbeat.configuration > this->configurationState.version()) {
+    if (heartbeat.configuration() > this->configurationState.version()) {
         this->frameFor(from).configuration_wanted = true;
     }
     const Member *member = this->members.find(from);
     if (member == nullptr || this->isRemote(from)) {
         return;
     }
-    if (heartbeat.members_hash != this->members.hash()) {
+    if (heartbeat.members_hash() != this->members.hash()) {
         this->frameFor(from).members = this->members.describe(receivedAt, true);
     }
-    if (heartbeat.vm_list < this->vmListVersion) {
+    if (heartbeat.vm_list() < this->vmListVersion) {
         this->frameFor(from).vm_list = this->describeVmList();
-    } else if (heartbeat.vm_list == this->vmListVersion && this->vmListVersion != 0) {
-        const Time confirmedAt = receivedAt - std::chrono::milliseconds(heartbeat.vm_list_age_ms);
+    } else if (heartbeat.vm_list() == this->vmListVersion && this->vmListVersion != 0) {
+        const Time confirmedAt = receivedAt - std::chrono::milliseconds(heartbeat.vm_list_age_ms());
         if (confirmedAt > this->vmListAt) {
             this->vmListAt = confirmedAt;
             this->members.vmListArrived(this->vmList, confirmedAt);
@@ -270,22 +270,18 @@
 void Node::sendHeartbeat(DaemonHandle peer, Time sentAt)
 {
     PeerState &state = this->peers[peer];
-    auto heartbeat = std::make_unique<HeartbeatT>();
-    heartbeat->sequence = ++this->heartbeatSequence;
-    heartbeat->echo = state.heartbeatSeen;
-    heartbeat->configuration = this->configurationState.version();
-    heartbeat->members_hash = this->members.hash();
-    heartbeat->lease_ms = toMilliseconds(this->leaseFor(peer));
-    heartbeat->vm_list = this->vmListVersion;
-    heartbeat->vm_list_age_ms = toMilliseconds(sentAt - this->vmListAt);
-    heartbeat->settled = this->members.isSelfSettled();
-    heartbeat->draining = this->stopping;
-    heartbeat->obeys = this->ownRouter.promise(peer);
-    state.heartbeatsSent[heartbeat->sequence] = sentAt;
+    const std::uint32_t sequence = ++this->heartbeatSequence;
+    const auto version = static_cast<std::uint32_t>(this->configurationState.version());
+    const auto listVersion = static_cast<std::uint32_t>(this->vmListVersion);
+    const std::uint32_t listAge = toMilliseconds(sentAt - this->vmListAt);
+    FrameT &frame = this->frameFor(peer);
+    frame.heartbeat = std::make_unique<Heartbeat>(sequence, state.heartbeatSeen, version, this->members.hash(), listVersion, listAge,
+                                                  toMilliseconds(this->leaseFor(peer)), this->members.isSelfSettled(), this->stopping);
+    frame.obeys = this->ownRouter.promise(peer);
+    state.heartbeatsSent[sequence] = sentAt;
     while (state.heartbeatsSent.size() > rememberedHeartbeats) {
         state.heartbeatsSent.erase(state.heartbeatsSent.begin());
     }
-    this->frameFor(peer).heartbeat = std::move(heartbeat);
 }
 
 bool Node::isRemote(DaemonHandle peer) const
@@ -336,7 +332,7 @@
         return;
     }
     this->members.connectionRefused(peer);
-    this->candidates = this->members.candidates(refusedAt);
+    this->placeDispatchers(refusedAt);
     this->peerGone(peer, config::closedRouterHold, refusedAt);
     this->log("member_refused", {{"member", member->identity.name}});
 }
@@ -354,7 +350,7 @@
 {
     this->now = advancedAt;
     this->timers.advance(advancedAt);
-    this->ownRouter.advance(advancedAt, this->candidates);
+    this->ownRouter.advance(advancedAt, this->placement);
     this->claimKeeper.advance(advancedAt);
 }
 
@@ -367,7 +363,7 @@
         this->peerGone(lost, config::lostRouterHold, updatedAt);
         this->log("member_lost", {{"member", std::to_string(lost.id)}});
     }
-    this->candidates = this->members.candidates(updatedAt);
+    this->placeDispatchers(updatedAt);
     const MemberView view = this->memberView(updatedAt);
     for (auto &[service, pool] : this->pools) {
         pool->setMembers(view);
@@ -375,6 +371,18 @@
     this->yieldPools(updatedAt);
 }
 
+void Node::placeDispatchers(Time placedAt)
+{
+    this->placement.candidates = this->members.candidates(placedAt);
+    std::vector<std::uint32_t> roles;
+    if (this->configurationState.get()) {
+        for (const auto &[service, declared] : this->configurationState.get()->services) {
+            roles.push_back(service.id);
+        }
+    }
+    this->placement.dispatchers = placeRoles(roles, this->placement.candidates);
+}
+
 MemberView Node::memberView(Time at) const
 {
     return {this->members.counted(at), this->members.mustYield(at), this->members.heartbeatPeriod() * 3 / 2};
@@ -382,10 +390,9 @@
 
 void Node::yieldPools(Time yieldedAt)
 {
-    const std::vector<DaemonHandle> candidates = this->members.candidates(yieldedAt);
     const DaemonHandle self = this->members.self().handle();
     for (auto &[service, pool] : this->pools) {
-        const DaemonHandle desired = chooseDaemon(service.id, candidates);
+        const DaemonHandle desired = this->placement.dispatcherOf(service);
         const bool undesired = desired.isValid() && desired != self && !pool->routerHandles().empty();
         if (!undesired) {
             this->undesiredSince.erase(service);
@@ -617,7 +624,7 @@
     const auto found = this->pools.find(service);
     const bool dispatches = found != this->pools.end() && !found->second->routerHandles().empty();
     if (!dispatches) {
-        this->forwardDigest(digest, receivedAt);
+        this->forwardDigest(digest);
         return;
     }
     RemotePool &remote = this->remotePools[{service, DataCentreHandle {digest.data_centre}}];
@@ -634,9 +641,9 @@
     this->offerRoom(*found->second, digest, receivedAt);
 }
 
-void Node::forwardDigest(const connection::wire::DigestT &digest, Time receivedAt)
+void Node::forwardDigest(const connection::wire::DigestT &digest)
 {
-    const DaemonHandle dispatcher = chooseDaemon(digest.service, this->members.candidates(receivedAt));
+    const DaemonHandle dispatcher = this->placement.dispatcherOf(ServiceHandle {digest.service});
     const bool canForward = !digest.forwarded && dispatcher.isValid() && dispatcher != this->members.self().handle();
     if (!canForward) {
         return;
--- a/src/process/node.h
+++ b/src/process/node.h
@@ -145,21 +145,21 @@
         std::set<std::uint32_t> backlogged;
     };
     struct PeerState {
-        std::uint64_t heartbeatSeen = 0; ///< Last sequence number heard.
-        std::map<std::uint64_t, Time> heartbeatsSent;
+        std::uint32_t heartbeatSeen = 0; ///< Last sequence number heard.
+        std::map<std::uint32_t, Time> heartbeatsSent;
     };
 
     void subscribeTimers();
     void sendHeartbeats(Time now);
     void sendHeartbeat(DaemonHandle peer, Time now);
-    void onHeartbeat(DaemonHandle from, const connection::wire::HeartbeatT &heartbeat, Time now);
-    void answerDifferences(DaemonHandle from, const connection::wire::HeartbeatT &heartbeat, Time now);
-    void renewLeases(DaemonHandle from, const connection::wire::HeartbeatT &heartbeat, Time now);
+    void onHeartbeat(DaemonHandle from, const connection::wire::Heartbeat &heartbeat, const std::vector<std::uint32_t> &obeys, Time now);
+    void answerDifferences(DaemonHandle from, const connection::wire::Heartbeat &heartbeat, Time now);
+    void renewLeases(DaemonHandle from, std::uint32_t echo, const std::vector<std::uint32_t> &obeyed, Time now);
     void receiveDispatch(DaemonHandle from, const connection::wire::FrameT &frame, Time now);
     void receiveRouting(DaemonHandle from, const connection::wire::FrameT &frame, Time now);
     void receiveKnowledge(DaemonHandle from, const connection::wire::FrameT &frame, Time now);
     void onDigest(const connection::wire::DigestT &digest, Time now);
-    void forwardDigest(const connection::wire::DigestT &digest, Time now);
+    void forwardDigest(const connection::wire::DigestT &digest);
     void exchangeDigests(Time now);
     void sendDigest(Dispatcher &pool, DataCentreHandle target, const std::map<WorkspaceHandle, std::uint64_t> &served, Time now);
     void offerRoom(Dispatcher &pool, const connection::wire::DigestT &digest, Time now);
@@ -174,6 +174,7 @@
     std::unique_ptr<connection::wire::VmListT> describeVmList() const;
     void peerGone(DaemonHandle peer, Duration hold, Time now);
     void updateMembers(Time now);
+    void placeDispatchers(Time now);
     MemberView memberView(Time now) const;
     void yieldPools(Time now);
     void runPools(Time now);
@@ -200,9 +201,9 @@
     std::shared_ptr<bool> alive = std::make_shared<bool>(true);
     Time startedAt;
     Time now;
-    std::uint64_t heartbeatSequence = 0;
+    std::uint32_t heartbeatSequence = 0;
     std::uint64_t heartbeatRound = 0;
-    std::vector<DaemonHandle> candidates; ///< Members that may hold roles, as of the last look at the membership.
+    Placement placement; ///< As of the last look at the membership.
     bool stopping = false;
     bool left = false;
     bool configurationChanged = false;
--- a/src/process/rendezvous.cpp
+++ b/src/process/rendezvous.cpp
@@ -35,6 +35,26 @@
     return chosen;
 }
 
+std::map<std::uint32_t, DaemonHandle> placeRoles(std::span<const std::uint32_t> roles, std::span<const DaemonHandle> daemons)
+{
+    std::map<std::uint32_t, DaemonHandle> placed;
+    if (daemons.empty()) {
+        return placed;
+    }
+    const std::size_t most = (roles.size() + daemons.size() - 1) / daemons.size();
+    std::map<DaemonHandle, std::size_t> carried;
+    for (const std::uint32_t role : roles) {
+        for (const DaemonHandle daemon : chooseDaemons(role, daemons, daemons.size())) {
+            if (carried[daemon] < most) {
+                ++carried[daemon];
+                placed[role] = daemon;
+                break;
+            }
+        }
+    }
+    return placed;
+}
+
 DaemonHandle chooseDaemon(std::uint32_t role, std::span<const DaemonHandle> daemons)
 {
     const std::vector<DaemonHandle> chosen = chooseDaemons(role, daemons, 1);
--- a/src/process/rendezvous.h
+++ b/src/process/rendezvous.h
@@ -4,6 +4,7 @@
 
 #include "eelgrassnotch/types.h"
 
+#include <map>
 #include <span>
 #include <vector>
 
@@ -21,6 +22,15 @@
  */
 DaemonHandle chooseDaemon(std::uint32_t role, std::span<const DaemonHandle> daemons);
 
+/**
+ * @brief Places roles so that no daemon carries more than its even part.
+ * @param roles Ids in an order that all daemons share.
+ * @returns the daemon of each role; empty without daemons.
+ * @remarks Each role takes the daemon of highest weight that still has room, so
+ * that the end of one daemon moves its own roles and few others.
+ */
+std::map<std::uint32_t, DaemonHandle> placeRoles(std::span<const std::uint32_t> roles, std::span<const DaemonHandle> daemons);
+
 /** @returns up to @p count daemons for a role, the first choice first. */
 std::vector<DaemonHandle> chooseDaemons(std::uint32_t role, std::span<const DaemonHandle> daemons, std::size_t count);
 
--- a/src/process/router.cpp
+++ b/src/process/router.cpp
@@ -1,7 +1,5 @@
 #include "process/router.h"
 
-#include "process/rendezvous.h"
-
 #include <algorithm>
 
 namespace eelgrassnotch::process
@@ -371,7 +369,7 @@
     return services;
 }
 
-void Router::advance(Time advancedAt, const std::vector<DaemonHandle> &candidates)
+void Router::advance(Time advancedAt, const Placement &placement)
 {
     const bool paused = this->now.count() != 0 && advancedAt - this->now > pauseTolerance;
     this->now = std::max(this->now, advancedAt);
@@ -385,8 +383,9 @@
         if (paused && current.isValid()) {
             this->sendInventory(pool);
         }
-        const DaemonHandle desired = chooseDaemon(pool.service.id, candidates);
-        const bool kept = current.isValid() && std::find(candidates.begin(), candidates.end(), current) != candidates.end();
+        const DaemonHandle desired = placement.dispatcherOf(pool.service);
+        const bool kept = current.isValid()
+            && std::find(placement.candidates.begin(), placement.candidates.end(), current) != placement.candidates.end();
         const bool bound = current.isValid() && obedience.promisedUntil > this->now;
         if (this->policy.promises && (kept || bound)) {
             continue;
--- a/src/process/router.h
+++ b/src/process/router.h
@@ -27,6 +27,19 @@
     constexpr auto operator<=>(const PoolKey &) const = default;
 };
 
+/** @brief Which daemons may hold roles, and which one each service's dispatcher belongs on. */
+struct Placement {
+    std::vector<DaemonHandle> candidates;
+    std::map<std::uint32_t, DaemonHandle> dispatchers; ///< By service id.
+
+    /** @returns the invalid handle without candidates. */
+    DaemonHandle dispatcherOf(ServiceHandle service) const
+    {
+        const auto found = this->dispatchers.find(service.id);
+        return found == this->dispatchers.end() ? DaemonHandle {} : found->second;
+    }
+};
+
 /** @brief Order to send a request to a backend server. */
 struct StartAttempt {
     std::uint64_t request = 0;
@@ -106,9 +119,9 @@
     std::vector<std::uint32_t> promise(DaemonHandle dispatcher);
     /**
      * @brief Applies timeouts and picks dispatchers.
-     * @param candidates Daemons of the own data centre that may hold roles.
+     * @param placement Daemon of the own data centre that each service's dispatcher belongs on.
      */
-    void advance(Time now, const std::vector<DaemonHandle> &candidates);
+    void advance(Time now, const Placement &placement);
 
     /** @brief Moves messages for a dispatcher into a frame. @returns daemons with messages. */
     std::map<DaemonHandle, connection::wire::FrameT> takeFrames();
--- a/tools/capacity.cpp
+++ b/tools/capacity.cpp
@@ -179,8 +179,9 @@
 void printLine(const std::string &what, const std::string &unit, const std::vector<std::pair<double, double>> &points)
 {
     const Line line = fit(points);
-    std::cout << "  " << std::left << std::setw(34) << what << std::scientific << std::setprecision(3) << "offset " << line.offset << "  slope " << line.slope << " " << unit
-              << std::fixed << std::setprecision(1) << "  residual " << line.residual * 100 << "%  at";
+    std::cout << "  " << std::left << std::setw(34) << what << std::scientific << std::setprecision(3) << "offset " << line.offset
+              << "  slope " << line.slope << " " << unit << std::fixed << std::setprecision(1) << "  residual " << line.residual * 100
+              << "%  at";
     for (const auto &[x, y] : points) {
         std::cout << " " << std::setprecision(0) << x << ":" << std::scientific << std::setprecision(2) << y << std::fixed;
     }
@@ -230,7 +231,8 @@
         clock_gettime(CLOCK_THREAD_CPUTIME_ID, &end);
         memory.emplace_back(objects, static_cast<double>(allocatedBytes() - before));
         document.emplace_back(objects, static_cast<double>(text.size()));
-        seconds.emplace_back(objects, static_cast<double>(end.tv_sec - start.tv_sec) + static_cast<double>(end.tv_nsec - start.tv_nsec) * 1e-9);
+        seconds.emplace_back(objects,
+                             static_cast<double>(end.tv_sec - start.tv_sec) + static_cast<double>(end.tv_nsec - start.tv_nsec) * 1e-9);
     }
     printLine("configuration memory / objects", "B", memory);
     printLine("configuration document / objects", "B", document);
@@ -261,8 +263,9 @@
 void printTarget(const std::string &what, const Size &size)
 {
     const Cost cost = measure(size);
-    std::cout << "  " << what << ": " << size.dataCentres * size.daemonsEach << " daemons, " << size.dataCentres * size.services * size.backendsEach << " backend servers, "
-              << size.workspaces << " workspaces, " << std::fixed << std::setprecision(0) << size.rateEach * size.daemonsEach * size.dataCentres << " requests/s\n"
+    std::cout << "  " << what << ": " << size.dataCentres * size.daemonsEach << " daemons, "
+              << size.dataCentres * size.services * size.backendsEach << " backend servers, " << size.workspaces << " workspaces, "
+              << std::fixed << std::setprecision(0) << size.rateEach * size.daemonsEach * size.dataCentres << " requests/s\n"
               << std::setprecision(4) << "    core part mean " << cost.core << " busiest " << cost.maxCore << " (allowed 0.042)\n"
               << std::setprecision(0) << "    bytes sent per s mean " << cost.bytes << " busiest " << cost.maxBytes << " (allowed 14000)\n"
               << std::setprecision(3) << "    answered " << cost.answered << " of the requests, the rest waits or was refused\n";
--- a/tools/emulator/fleet.cpp
+++ b/tools/emulator/fleet.cpp
@@ -163,7 +163,7 @@
 }
 
 /** Runs the core's work, and adds its processor time to the daemon's. */
-template<class Work>
+template <class Work>
 void Fleet::measured(Daemon &target, Work &&work)
 {
     if (!this->measuring) {
@@ -175,7 +175,6 @@
     target.coreTime += threadTime() - before;
 }
 
-
 void Fleet::flush(Daemon &target)
 {
     process::Outbox outbox;
--- a/tools/emulator/fleet.h
+++ b/tools/emulator/fleet.h
@@ -160,7 +160,7 @@
     void startDaemon(Daemon &target);
     void endDaemon(Daemon &target, bool connectionsClose);
     void deliver(Daemon &target, std::function<void()> action);
-    template<class Work>
+    template <class Work>
     void measured(Daemon &target, Work &&work);
     void tick(Daemon &target, std::uint64_t life);
     void flush(Daemon &target);
