--- a/src/process/dispatcher.cpp
+++ b/src/process/dispatcher.cpp
@@ -138,7 +138,8 @@
         this->deny(key, DenyReason::QueueFull, this->expectedWait(workspace));
         return;
     }
-    if (message.attempt() > 0 && this->rooms.empty() && !this->slots.acceptsRetries(now)) {
+    const bool hasNoOther = this->rooms.empty() && this->knowsOthers(now);
+    if (message.attempt() > 0 && hasNoOther && !this->slots.acceptsRetries(now)) {
         this->deny(key, DenyReason::NoBackend, config::noRetryOntoCold);
         return;
     }
@@ -278,8 +279,7 @@
     while (shortest != nullptr && this->redirectOne(*shortest, decisions)) {
         shortest = this->shortestQueue();
     }
-    const bool knowsOthers = now - this->startedAt > firstDigestsWithin;
-    const bool hopeless = knowsOthers && !hasSlots && this->rooms.empty() && this->queue.size() > 0;
+    const bool hopeless = this->knowsOthers(now) && !hasSlots && this->rooms.empty() && this->queue.size() > 0;
     if (!hopeless) {
         return;
     }
@@ -290,6 +290,12 @@
     }
 }
 
+/** Whether the other data centres' digests had the time to arrive. */
+bool Dispatcher::knowsOthers(Time now) const
+{
+    return now - this->startedAt > firstDigestsWithin;
+}
+
 bool Dispatcher::redirectOne(RemoteRoom &room, DispatchDecisions &decisions)
 {
     const auto isHome = [this](const WaitingRequest &request) {
@@ -429,6 +435,7 @@
     view.slots = this->slots.usableSlots();
     view.inFlight = this->slots.inFlight();
     view.freeSlots = this->slots.freeSlots();
+    view.dataCentresKnown = this->rooms.size();
     if (this->yielding) {
         return view;
     }
--- a/src/process/dispatcher.h
+++ b/src/process/dispatcher.h
@@ -61,6 +61,7 @@
     std::size_t slots = 0;
     std::size_t freeSlots = 0;
     std::size_t room = 0; ///< Requests of other data centres that it can take until the next digest.
+    std::size_t dataCentresKnown = 0; ///< Other data centres with backend servers and a fresh digest.
 };
 
 /**
@@ -169,6 +170,7 @@
     void grant(const ChargedRequest &taken, BackendServerHandle backend, Time now, DispatchDecisions &decisions);
     void denyExpired(Time now);
     void redirectWaiting(Time now, DispatchDecisions &decisions);
+    bool knowsOthers(Time now) const;
     bool redirectOne(RemoteRoom &room, DispatchDecisions &decisions);
     RemoteRoom *shortestQueue();
     void deny(RequestKey key, connection::wire::DenyReason reason, Duration retryAfter);
--- a/src/process/status.cpp
+++ b/src/process/status.cpp
@@ -61,6 +61,7 @@
                          {"waiting", view.waiting},
                          {"inFlight", view.inFlight},
                          {"slots", view.slots},
+                         {"dataCentresKnown", view.dataCentresKnown},
                          {"routers", pool->routerHandles().size()},
                          {"backendServers", describeBackends(*pool, service)}});
     }
