--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # Front door of the build; each target does its own set-up.
 BUILD := build
 
-.PHONY: all setup build test demo tour capacity plots check format lint generate clean
+.PHONY: all setup build test fuzz demo tour capacity plots check format lint generate clean
 
 all: build
 
@@ -12,6 +12,9 @@
 	@cmake -S . -B $(BUILD) -G Ninja >/dev/null
 	@cmake --build $(BUILD)
 
+fuzz: build
+	@scripts/fuzz.sh
+
 test: build
 	@ctest --test-dir $(BUILD) --output-on-failure
 
--- a/src/request/backend_client.cpp
+++ b/src/request/backend_client.cpp
@@ -70,9 +70,6 @@
         if (!this->call.idempotencyKey.empty()) {
             message.headers().add("Idempotency-Key", this->call.idempotencyKey);
         }
-        if (!this->call.idempotent) {
-            message.headers().add("Connection", "close");
-        }
         if (!this->call.body.empty()) {
             message.set_body(this->call.body);
             message.headers().set_content_type(this->call.contentType.empty() ? "application/json" : this->call.contentType);
--- /dev/null
+++ b/tests/unit/test_core_parts.cpp
@@ -0,0 +1,193 @@
+#include "process/adaptive_limit.h"
+#include "process/event_log.h"
+#include "process/fair_queue.h"
+#include "process/membership.h"
+#include "process/rendezvous.h"
+#include "request/retry_budget.h"
+
+#include <doctest/doctest.h>
+
+using namespace eelgrassnotch;
+using namespace eelgrassnotch::process;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+constexpr WorkspaceHandle one {1};
+constexpr WorkspaceHandle two {2};
+
+WaitingRequest waiting(std::uint64_t number, WorkspaceHandle workspace, std::uint32_t hint)
+{
+    return {{DaemonHandle {1}, number}, workspace, hint, 1h, {}, 0};
+}
+
+bool any(const WaitingRequest &)
+{
+    return true;
+}
+
+}
+
+TEST_CASE("service follows the shares")
+{
+    FairQueue queue;
+    queue.setShare(one, 3);
+    queue.setShare(two, 1);
+    for (std::uint64_t number = 0; number < 80; ++number) {
+        queue.push(waiting(number, number % 2 == 0 ? one : two, 10));
+    }
+    int first = 0;
+    for (int taken = 0; taken < 40; ++taken) {
+        first += queue.popIf(any)->request.workspace == one ? 1 : 0;
+    }
+    CHECK(first == 30);
+}
+
+TEST_CASE("a cost that was higher than charged is paid back")
+{
+    FairQueue queue;
+    for (std::uint64_t number = 0; number < 20; ++number) {
+        queue.push(waiting(number, number % 2 == 0 ? one : two, 10));
+    }
+    const auto taken = queue.popIf(any);
+    const WorkspaceHandle dear = taken->request.workspace;
+    queue.settle(dear, taken->charged, taken->charged * 5);
+    for (int turn = 0; turn < 4; ++turn) {
+        CHECK(queue.popIf(any)->request.workspace != dear);
+    }
+}
+
+TEST_CASE("a request that can't be placed does not hold up others")
+{
+    FairQueue queue;
+    queue.push(waiting(1, one, 10));
+    queue.push(waiting(2, two, 10));
+    const auto onlyTwo = [](const WaitingRequest &request) { return request.workspace == two; };
+    CHECK(queue.popIf(onlyTwo)->request.key.request == 2);
+    CHECK_FALSE(queue.popIf(onlyTwo).has_value());
+    CHECK(queue.size() == 1);
+}
+
+TEST_CASE("the end of one daemon moves its own roles and few others")
+{
+    std::vector<DaemonHandle> daemons;
+    for (std::uint32_t id = 1; id <= 10; ++id) {
+        daemons.push_back({hashName("daemon-" + std::to_string(id))});
+    }
+    const std::vector<std::uint32_t> roles {11, 22, 33, 44, 55, 66, 77};
+    const auto before = placeRoles(roles, daemons);
+    const DaemonHandle gone = before.at(33);
+    std::erase(daemons, gone);
+    int moved = 0;
+    for (const auto &[role, daemon] : placeRoles(roles, daemons)) {
+        moved += daemon != before.at(role) && before.at(role) != gone ? 1 : 0;
+    }
+    CHECK(moved <= 2);
+    CHECK(placeRoles(roles, {}).empty());
+}
+
+TEST_CASE("a new generation makes a backend server cold")
+{
+    AdaptiveLimit limit;
+    limit.adopt(20, 1);
+    AttemptSample sample;
+    sample.generation = 2;
+    CHECK(limit.record(sample, 20, {}, 10s));
+    CHECK(limit.value() == config::coldLimit);
+    CHECK(limit.isRecentlyCold(11s));
+    CHECK_FALSE(limit.isRecentlyCold(20s));
+}
+
+TEST_CASE("the limit shrinks once for one overload")
+{
+    AdaptiveLimit limit;
+    limit.adopt(20, 1);
+    AttemptSample late;
+    late.generation = 1;
+    late.startedAt = 5s;
+    late.loadAtStart = 20;
+    late.perToken = 62ms;
+    limit.record(late, 20, {}, 10s);
+    const double once = limit.value();
+    CHECK(once < 20);
+    limit.record(late, 20, {}, 12s);
+    CHECK(limit.value() == once);
+}
+
+TEST_CASE("an unreachable backend server is probed by single requests")
+{
+    AdaptiveLimit limit;
+    AttemptSample failed;
+    failed.result = connection::wire::AttemptResult::ConnectFailed;
+    limit.record(failed, 1, {}, 10s);
+    limit.record(failed, 1, {}, 10s);
+    CHECK_FALSE(limit.admits(0, 11s));
+    CHECK(limit.admits(0, 13s));
+    CHECK_FALSE(limit.admits(1, 13s));
+}
+
+TEST_CASE("retries are bounded by the requests")
+{
+    request::RetryBudget budget;
+    int spent = 0;
+    for (int request = 0; request < 1000; ++request) {
+        budget.earn();
+        spent += budget.spend() ? 1 : 0;
+    }
+    CHECK(spent <= 1000 * config::retryBudgetRatio + config::retryBudgetBurst + 1);
+}
+
+TEST_CASE("a silent member counts until the platform says that it is gone, or a majority may reclaim its share")
+{
+    const DaemonIdentity self {"a", "127.0.0.1", 1, DataCentreHandle {9}, 1};
+    std::vector<DaemonIdentity> others;
+    for (const char *name : {"b", "c", "d"}) {
+        others.push_back({name, "127.0.0.1", 1, DataCentreHandle {9}, 1});
+    }
+    Membership members(self);
+    members.setSelfState(true, false);
+    const connection::wire::Heartbeat settled(1, 0, 0, 0, 0, 0, 0, true, false);
+    const auto hearAll = [&](Time now, std::size_t count) {
+        for (std::size_t index = 0; index < count; ++index) {
+            members.heard(others[index], now);
+            members.recordHeartbeat(others[index].handle(), settled);
+        }
+        members.advance(now);
+    };
+    hearAll(10s, 3);
+    CHECK(members.counted(10s).size() == 4);
+    hearAll(20s, 2);
+    CHECK(members.counted(20s).size() == 4);
+    CHECK(members.candidates(20s).size() == 3);
+    hearAll(75s, 2);
+    CHECK(members.counted(75s).size() == 3);
+    hearAll(76s, 3);
+    CHECK(members.counted(76s).size() == 4);
+    members.vmListArrived({self, others[0], others[1], others[2]}, 80s);
+    members.vmListArrived({self, others[0], others[1]}, 90s);
+    hearAll(90s, 2);
+    CHECK(members.counted(90s).size() == 3);
+}
+
+TEST_CASE("a minority yields before the majority may reclaim")
+{
+    static_assert(config::minorityYieldAfter < config::reclaimAfter);
+    Membership members({"a", "127.0.0.1", 1, DataCentreHandle {9}, 1});
+    members.setSelfState(true, false);
+    for (const char *name : {"b", "c", "d"}) {
+        members.heard({name, "127.0.0.1", 1, DataCentreHandle {9}, 1}, 10s);
+        members.recordHeartbeat(handleOf<DaemonHandle>(name), connection::wire::Heartbeat(1, 0, 0, 0, 0, 0, 0, true, false));
+    }
+    members.advance(10s);
+    members.advance(12s);
+    CHECK_FALSE(members.mustYield(12s));
+    members.advance(12s + config::minorityYieldAfter);
+    CHECK(members.mustYield(12s + config::minorityYieldAfter));
+}
+
+TEST_CASE("log lines are key=value pairs on one line")
+{
+    CHECK(formatEvent("stopped", {{"drained", "true"}, {"why", "two words"}, {"text", "a\"b\nc"}})
+          == "event=stopped drained=true why=\"two words\" text=\"a\\\"b c\"");
+}
