Digests and platform watches in classes of their own

Ruled out: changing what is sent; the frames are the same.

Change: DigestExchange and PlatformWatcher, the null guarded.

--- a/src/process/node.cpp
+++ b/src/process/node.cpp
@@ -19,8 +19,6 @@
 constexpr std::size_t rememberedHeartbeats = 8;
 /** Heartbeats to other data centres are sent once in this many periods. */
 constexpr int remotePeriods = 4;
-constexpr std::uint32_t sameRegionCost = 1;
-constexpr std::uint32_t otherRegionCost = 10;
 
 std::uint32_t toMilliseconds(Duration duration)
 {
@@ -39,6 +37,8 @@
     , members(self)
     , ownRouter(self.dataCentre, this->hooks.policy)
     , claimKeeper(*this->hooks.store, self.name + "/" + std::to_string(self.incarnation))
+    , digests(this->members, this->hooks.policy)
+    , watcher(*this->hooks.store, this->watchedObjects())
     , startedAt(startTime)
     , now(startTime)
 {
@@ -55,7 +55,7 @@
     const auto heartbeat = [this](Time due) { this->sendHeartbeats(due); };
     const auto membership = [this](Time due) { this->updateMembers(due); };
     const auto digest = [this](Time due) { this->exchangeDigests(due); };
-    const auto watch = [this](Time due) { this->watchPlatform(due); };
+    const auto watch = [this](Time due) { this->watcher.advance(this->configurationState.version() == 0 || this->isRelay(due)); };
     this->subscriptions.push_back(this->timers.subscribe(every(membershipPeriod), membership));
     this->subscriptions.push_back(this->timers.subscribe([this] { return this->members.heartbeatPeriod(); }, heartbeat));
     this->subscriptions.push_back(this->timers.subscribe(every(config::digestPeriod), digest));
@@ -476,65 +476,28 @@
     return std::find(relays.begin(), relays.end(), this->members.self().handle()) != relays.end();
 }
 
-void Node::watchPlatform(Time watchedAt)
+std::array<WatchedObject, 2> Node::watchedObjects()
 {
-    const bool startsEmpty = this->configurationState.version() == 0;
-    if (!startsEmpty && !this->isRelay(watchedAt)) {
-        return;
-    }
-    if (!this->watchingConfiguration) {
-        this->watchConfiguration();
-    }
-    if (!this->watchingVmList) {
-        this->watchVmList();
-    }
-}
-
-void Node::watchConfiguration()
-{
-    this->watchingConfiguration = true;
-    ++this->counters.platformCalls;
-    const auto answered = [this, watch = std::weak_ptr<bool>(this->alive)](const StoreAnswer &answer) {
-        if (watch.expired()) {
-            return;
-        }
-        this->watchingConfiguration = false;
-        if (answer.status != StoreStatus::Ok) {
-            return;
-        }
-        this->offerConfiguration(answer.version, answer.value, this->now);
-        if (this->isRelay(this->now)) {
-            this->watchConfiguration();
-        }
-    };
-    this->hooks.store->watch(configurationKey, this->configurationState.version(), answered);
+    WatchedObject configuration;
+    configuration.key = configurationKey;
+    configuration.knownVersion = [this] { return this->configurationState.version(); };
+    configuration.onAnswer = [this](const StoreAnswer &answer) { this->offerConfiguration(answer.version, answer.value, this->now); };
+    WatchedObject list;
+    list.key = vmListKey;
+    list.knownVersion = [this] { return this->vmListVersion; };
+    list.onAnswer = [this](const StoreAnswer &answer) { this->offerVmList(answer.version, answer.value); };
+    return {configuration, list};
 }
 
-void Node::watchVmList()
+void Node::offerVmList(std::uint64_t version, const std::string &document)
 {
-    this->watchingVmList = true;
-    ++this->counters.platformCalls;
-    const auto answered = [this, watch = std::weak_ptr<bool>(this->alive)](const StoreAnswer &answer) {
-        if (watch.expired()) {
-            return;
-        }
-        this->watchingVmList = false;
-        if (answer.status != StoreStatus::Ok) {
-            return;
-        }
-        try {
-            const bool unchanged = answer.version == this->vmListVersion;
-            this->onVmList(answer.version, unchanged ? this->vmList : version::parseVmList(answer.value), this->now);
-        } catch (const version::ConfigurationError &error) {
-            ++this->counters.badConfigurations;
-            this->log("vm_list_invalid", {{"error", error.what()}});
-            return;
-        }
-        if (this->isRelay(this->now)) {
-            this->watchVmList();
-        }
-    };
-    this->hooks.store->watch(vmListKey, this->vmListVersion, answered);
+    try {
+        const bool unchanged = version == this->vmListVersion;
+        this->onVmList(version, unchanged ? this->vmList : version::parseVmList(document), this->now);
+    } catch (const version::ConfigurationError &error) {
+        ++this->counters.badConfigurations;
+        this->log("vm_list_invalid", {{"error", error.what()}});
+    }
 }
 
 void Node::onVmList(std::uint64_t version, const std::vector<DaemonIdentity> &listed, Time listedAt)
@@ -574,71 +537,25 @@
     if (!this->configurationState.get()) {
         return;
     }
+    const DigestSender sender = [this](DaemonHandle receiver, std::unique_ptr<connection::wire::DigestT> digest) {
+        this->frameFor(receiver).digests.push_back(std::move(digest));
+    };
     for (auto &[service, pool] : this->pools) {
-        if (pool->routerHandles().empty()) {
-            continue;
-        }
-        const std::map<WorkspaceHandle, std::uint64_t> served = pool->takeServed();
-        for (const auto &[target, dataCentre] : this->configurationState.get()->dataCentres) {
-            if (target != this->members.self().dataCentre) {
-                this->sendDigest(*pool, target, served, sentAt);
-            }
+        if (!pool->routerHandles().empty()) {
+            this->digests.send(*pool, *this->configurationState.get(), sender, sentAt);
         }
     }
 }
 
-void Node::sendDigest(Dispatcher &pool, DataCentreHandle target, const std::map<WorkspaceHandle, std::uint64_t> &served, Time sentAt)
-{
-    const PoolKey key {pool.service(), target};
-    const auto remote = this->remotePools.find(key);
-    const bool isKnown = remote != this->remotePools.end() && sentAt - remote->second.at <= config::digestFreshFor;
-    const std::vector<DaemonHandle> daemons = this->members.daemonsOf(target, sentAt);
-    const DaemonHandle receiver = isKnown ? remote->second.dispatcher : chooseDaemon(pool.service().id, daemons);
-    if (!receiver.isValid()) {
-        return;
-    }
-    const PoolView view = pool.view();
-    auto digest = std::make_unique<connection::wire::DigestT>();
-    digest->service = pool.service().id;
-    digest->data_centre = this->members.self().dataCentre.id;
-    digest->dispatcher = this->members.self().handle().id;
-    digest->waiting = static_cast<std::uint32_t>(view.waiting);
-    digest->slots = static_cast<std::uint32_t>(view.slots);
-    const auto isHungry = [&key](const auto &entry) { return entry.first.service == key.service && entry.second.waiting > 0; };
-    const auto hungry = std::count_if(this->remotePools.begin(), this->remotePools.end(), isHungry);
-    digest->room = static_cast<std::uint32_t>(view.room / static_cast<std::size_t>(std::max<std::ptrdiff_t>(1, hungry)));
-    for (const WorkspaceHandle workspace : pool.backlogged()) {
-        digest->backlogged.push_back(workspace.id);
-    }
-    for (const auto &[workspace, cost] : served) {
-        if (isKnown && remote->second.backlogged.contains(workspace.id)) {
-            digest->charges.emplace_back(workspace.id, static_cast<std::uint32_t>(std::min<std::uint64_t>(cost, 0xffffffff)));
-        }
-    }
-    this->frameFor(receiver).digests.push_back(std::move(digest));
-}
-
 void Node::onDigest(const connection::wire::DigestT &digest, Time receivedAt)
 {
-    const ServiceHandle service {digest.service};
-    const auto found = this->pools.find(service);
+    const auto found = this->pools.find(ServiceHandle {digest.service});
     const bool dispatches = found != this->pools.end() && !found->second->routerHandles().empty();
     if (!dispatches) {
         this->forwardDigest(digest);
-        return;
+    } else if (this->configurationState.get()) {
+        this->digests.take(*found->second, digest, *this->configurationState.get(), receivedAt);
     }
-    RemotePool &remote = this->remotePools[{service, DataCentreHandle {digest.data_centre}}];
-    remote.at = receivedAt;
-    remote.dispatcher = DaemonHandle {digest.dispatcher};
-    remote.waiting = digest.waiting;
-    remote.backlogged = {digest.backlogged.begin(), digest.backlogged.end()};
-    for (const connection::wire::Charge &charge : digest.charges) {
-        if (!this->hooks.policy.digestCharges) {
-            break;
-        }
-        found->second->chargeElsewhere(WorkspaceHandle {charge.workspace()}, charge.cost());
-    }
-    this->offerRoom(*found->second, digest, receivedAt);
 }
 
 void Node::forwardDigest(const connection::wire::DigestT &digest)
@@ -653,27 +570,6 @@
     this->frameFor(dispatcher).digests.push_back(std::move(copy));
 }
 
-void Node::offerRoom(Dispatcher &pool, const connection::wire::DigestT &digest, Time offeredAt)
-{
-    const DataCentreHandle source {digest.data_centre};
-    if (!this->hooks.policy.redirects || digest.slots == 0) {
-        pool.withdrawRoom(source);
-        return;
-    }
-    const DaemonHandle dispatcher {digest.dispatcher};
-    pool.offerRoom(
-        {source, dispatcher, digest.room, this->linkCostTo(source), digest.slots, digest.waiting, offeredAt + config::digestFreshFor});
-}
-
-std::uint32_t Node::linkCostTo(DataCentreHandle target) const
-{
-    const auto &dataCentres = this->configurationState.get()->dataCentres;
-    const auto own = dataCentres.find(this->members.self().dataCentre);
-    const auto other = dataCentres.find(target);
-    const bool sameRegion = own != dataCentres.end() && other != dataCentres.end() && own->second.region == other->second.region;
-    return sameRegion ? sameRegionCost : otherRegionCost;
-}
-
 void Node::beginStop(Time stoppedAt)
 {
     this->stopping = true;
--- a/src/process/node.h
+++ b/src/process/node.h
@@ -6,12 +6,15 @@
 #include "eelgrassnotch/policy.h"
 #include "process/claim_keeper.h"
 #include "process/configuration_state.h"
+#include "process/digest_exchange.h"
 #include "process/dispatcher.h"
 #include "process/membership.h"
 #include "process/platform_store.h"
+#include "process/platform_watcher.h"
 #include "process/router.h"
 #include "process/timer_service.h"
 
+#include <array>
 #include <functional>
 #include <map>
 #include <memory>
@@ -61,7 +64,6 @@
 
 /** @brief Counters of one core. */
 struct NodeStats {
-    std::uint64_t platformCalls = 0;
     std::uint64_t framesReceived = 0;
     std::uint64_t badConfigurations = 0;
     std::uint64_t dispatcherTakeovers = 0;
@@ -138,12 +140,6 @@
     }
 
 private:
-    struct RemotePool {
-        Time at {0};
-        DaemonHandle dispatcher;
-        std::uint32_t waiting = 0;
-        std::set<std::uint32_t> backlogged;
-    };
     struct PeerState {
         std::uint32_t heartbeatSeen = 0; ///< Last sequence number heard.
         std::map<std::uint32_t, Time> heartbeatsSent;
@@ -161,15 +157,11 @@
     void onDigest(const connection::wire::DigestT &digest, Time now);
     void forwardDigest(const connection::wire::DigestT &digest);
     void exchangeDigests(Time now);
-    void sendDigest(Dispatcher &pool, DataCentreHandle target, const std::map<WorkspaceHandle, std::uint64_t> &served, Time now);
-    void offerRoom(Dispatcher &pool, const connection::wire::DigestT &digest, Time now);
-    std::uint32_t linkCostTo(DataCentreHandle target) const;
     void offerConfiguration(std::uint64_t version, const std::string &document, Time now);
     void applyConfiguration(Time now);
     void sendConfiguration(DaemonHandle peer);
-    void watchPlatform(Time now);
-    void watchConfiguration();
-    void watchVmList();
+    std::array<WatchedObject, 2> watchedObjects();
+    void offerVmList(std::uint64_t version, const std::string &document);
     void onVmList(std::uint64_t version, const std::vector<DaemonIdentity> &listed, Time now);
     std::unique_ptr<connection::wire::VmListT> describeVmList() const;
     void peerGone(DaemonHandle peer, Duration hold, Time now);
@@ -191,14 +183,14 @@
     Router ownRouter;
     ClaimKeeper claimKeeper;
     ConfigurationState configurationState;
+    DigestExchange digests;
+    PlatformWatcher watcher;
     TimerService timers;
     std::vector<TimerService::Subscription> subscriptions;
     std::map<ServiceHandle, std::unique_ptr<Dispatcher>> pools;
     std::map<DaemonHandle, PeerState> peers;
-    std::map<PoolKey, RemotePool> remotePools;
     std::map<DaemonHandle, connection::wire::FrameT> frames;
     std::vector<ReplayRequest> replays;
-    std::shared_ptr<bool> alive = std::make_shared<bool>(true);
     Time startedAt;
     Time now;
     std::uint32_t heartbeatSequence = 0;
@@ -207,8 +199,6 @@
     bool stopping = false;
     bool left = false;
     bool configurationChanged = false;
-    bool watchingConfiguration = false;
-    bool watchingVmList = false;
     std::uint64_t vmListVersion = 0;
     Time vmListAt {0};
     std::vector<DaemonIdentity> vmList;
--- a/src/process/router.h
+++ b/src/process/router.h
@@ -6,6 +6,7 @@
 #include "eelgrassnotch/policy.h"
 #include "eelgrassnotch/types.h"
 #include "eelgrassnotch/verdict.h"
+#include "process/digest_exchange.h"
 #include "process/dispatcher.h"
 #include "request/attempt.h"
 #include "request/retry_budget.h"
@@ -19,14 +20,6 @@
 namespace eelgrassnotch::process
 {
 
-/** @brief Pool as a router sees it. */
-struct PoolKey {
-    ServiceHandle service;
-    DataCentreHandle dataCentre;
-
-    constexpr auto operator<=>(const PoolKey &) const = default;
-};
-
 /** @brief Which daemons may hold roles, and which one each service's dispatcher belongs on. */
 struct Placement {
     std::vector<DaemonHandle> candidates;
