Tour of the operators' tool, and the latency that the fleet adds

Ruled out: comparing two runs; direct and routed calls are mixed in one.

Change: make tour, make latency.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # Front door of the build; each target does its own set-up.
 BUILD := build
 
-.PHONY: all setup build test fuzz demo tour capacity plots check format lint generate clean
+.PHONY: all setup build test fuzz demo tour latency capacity plots check format lint generate clean
 
 all: build
 
@@ -18,6 +18,12 @@
 test: build
 	@ctest --test-dir $(BUILD) --output-on-failure
 
+tour: build
+	@scripts/tour.sh
+
+latency: build
+	@scripts/latency.sh
+
 capacity: build
 	@$(BUILD)/bin/capacity
 
