A member that moves between dispatchers brings its slots after a wait

Trace: the dispatcher that came back took over a member whose former dispatcher had given all slots to itself; the member had seen no grant for long, knew of no occupancy, and its slots were used at once.

Ruled out: grown limits (24 slots throughout), grants under way (voided by the yield), requests missing in the inventories.

Change: a member without a fresh observation of its former dispatcher keeps its slots unused, while members are missing, for two mean service times and at most 5 s.

--- a/src/process/dispatcher.cpp
+++ b/src/process/dispatcher.cpp
@@ -84,6 +84,11 @@
         adopted.inFlight[entry.request()] = {backend, WorkspaceHandle {entry.workspace()}, entry.cost(), now, 0};
         this->slots.adopt(router, backend, former);
     }
+    const auto isFresh = [expected](const auto &observation) { return std::chrono::milliseconds(observation.age_ms()) < expected; };
+    const bool sawFormer = std::any_of(inventory.observations.begin(), inventory.observations.end(), isFresh);
+    if (former.isValid() && !sawFormer) {
+        this->slots.setProbation(router, now + expected);
+    }
     for (const connection::wire::Observation &observation : inventory.observations) {
         this->slots.observe(observation, former, expected, now);
     }
--- a/src/process/slot_table.cpp
+++ b/src/process/slot_table.cpp
@@ -135,6 +135,17 @@
     backend.limit.adoptFastestToken(std::chrono::microseconds(observation.fastest_token_us()));
 }
 
+void SlotTable::setProbation(DaemonHandle router, Time until)
+{
+    this->probationUntil[router] = until;
+}
+
+bool SlotTable::isOnProbation(DaemonHandle router, Time now) const
+{
+    const auto found = this->probationUntil.find(router);
+    return found != this->probationUntil.end() && now < found->second;
+}
+
 void SlotTable::record(BackendServerHandle handle, const AttemptSample &sample, Time now)
 {
     if (!this->policy.adaptiveLimit) {
@@ -172,17 +183,19 @@
         return backend.limit.admits(backend.inFlight + others, now);
     }
     const std::size_t own = this->inFlightOfServed(backend);
-    return own < this->allowedSlots(backend, handle) && backend.limit.admits(own + others, now);
+    return own < this->allowedSlots(backend, handle, now) && backend.limit.admits(own + others, now);
 }
 
-std::size_t SlotTable::allowedSlots(Backend &backend, BackendServerHandle handle) const
+std::size_t SlotTable::allowedSlots(Backend &backend, BackendServerHandle handle, Time now) const
 {
     const auto slots = static_cast<std::size_t>(std::floor(backend.limit.value()));
     while (backend.slotOwners.size() < slots) {
         backend.slotOwners.push_back(ownerOfSlot(handle, backend.slotOwners.size(), this->counted));
     }
     const auto end = backend.slotOwners.begin() + static_cast<std::ptrdiff_t>(slots);
-    const auto owned = std::count_if(backend.slotOwners.begin(), end, [this](DaemonHandle owner) { return this->served.contains(owner); });
+    const auto owned = std::count_if(backend.slotOwners.begin(), end, [this, now](DaemonHandle owner) {
+        return this->served.contains(owner) && !this->isOnProbation(owner, now);
+    });
     return static_cast<std::size_t>(owned);
 }
 
--- a/src/process/slot_table.h
+++ b/src/process/slot_table.h
@@ -62,6 +62,11 @@
      * @param endsWithin The observed requests have ended after this time.
      */
     void observe(const connection::wire::Observation &observation, DaemonHandle former, Duration endsWithin, Time now);
+    /**
+     * @brief Keeps a router's slots unused, while members are missing, until a time.
+     * @remarks For a router that can't tell what its former dispatcher granted on them to others.
+     */
+    void setProbation(DaemonHandle router, Time until);
     void record(BackendServerHandle backend, const AttemptSample &sample, Time now);
 
     /** @returns the backend server with the most room, or the invalid handle. */
@@ -104,7 +109,8 @@
         Time until {0};
     };
 
-    std::size_t allowedSlots(Backend &backend, BackendServerHandle handle) const;
+    std::size_t allowedSlots(Backend &backend, BackendServerHandle handle, Time now) const;
+    bool isOnProbation(DaemonHandle router, Time now) const;
     std::size_t inFlightOfServed(const Backend &backend) const;
     std::size_t inFlightOfOthers(const Backend &backend, BackendServerHandle handle, Time now) const;
     bool hasRoom(Backend &backend, BackendServerHandle handle, Time now) const;
@@ -116,6 +122,7 @@
     LatencyTarget target;
     std::map<BackendServerHandle, Backend> backends;
     std::map<DaemonHandle, Time> lapsedUntil;
+    std::map<DaemonHandle, Time> probationUntil;
     std::vector<Held> held;
     std::vector<DaemonHandle> counted;
     ServedRouters served;
--- a/tests/scenario_runner.cpp
+++ b/tests/scenario_runner.cpp
@@ -322,6 +322,11 @@
     setNumber(lua, "waiting", static_cast<double>(view.waiting));
     setNumber(lua, "running", static_cast<double>(view.running));
     setNumber(lua, "ending", static_cast<double>(view.ending));
+    double slots = 0;
+    for (const auto &[handle, pool] : node.dispatchers()) {
+        slots += static_cast<double>(pool->routerHandles().empty() ? 0 : pool->view().slots);
+    }
+    setNumber(lua, "slots", slots);
     lua_newtable(lua);
     for (const auto &[handle, pool] : node.dispatchers()) {
         const bool isActive = !pool->routerHandles().empty();
