--- a/Makefile
+++ b/Makefile
@@ -43,3 +43,6 @@
 
 clean:
 	@cmake --build $(BUILD) --target clean
+
+plots:
+	@scripts/plots.sh
