--- a/src/process/dispatcher.cpp
+++ b/src/process/dispatcher.cpp
@@ -1,5 +1,7 @@
 #include "process/dispatcher.h"
 
+#include "process/units.h"
+
 #include <algorithm>
 
 namespace eelgrassnotch::process
@@ -22,11 +24,6 @@
 constexpr double roomMargin = 2.0;
 constexpr std::uint16_t maxWireCount = 0xffff;
 
-std::uint32_t toMilliseconds(Duration duration)
-{
-    return static_cast<std::uint32_t>(std::chrono::ceil<std::chrono::milliseconds>(duration).count());
-}
-
 std::uint16_t toWireCount(double count)
 {
     return static_cast<std::uint16_t>(std::clamp(count, 0.0, static_cast<double>(maxWireCount)));
@@ -274,9 +271,11 @@
 
 void Dispatcher::redirectWaiting(Time now, DispatchDecisions &decisions)
 {
+    bool hasHomeRequests = this->queue.size() > 0;
     for (RemoteRoom &room : this->rooms) {
-        while (room.room > 0 && this->redirectOne(room, decisions)) {
-            --room.room;
+        while (hasHomeRequests && room.room > 0) {
+            hasHomeRequests = this->redirectOne(room, decisions);
+            room.room -= hasHomeRequests ? 1 : 0;
         }
     }
     const bool hasSlots = this->slots.usableSlots() > 0;
@@ -313,7 +312,7 @@
     ++room.waiting;
     const WaitingRequest &request = taken->request;
     this->queue.refund(request.workspace, taken->charged);
-    const connection::wire::Redirect redirect(request.key.request, this->pool.id, room.dataCentre.id, room.dispatcher.id, 0);
+    const connection::wire::Redirect redirect(request.key.request, this->pool.id, room.dataCentre.id, room.dispatcher.id);
     decisions.redirects.push_back({request.key.router, redirect});
     return true;
 }
@@ -337,7 +336,7 @@
     this->slots.started(handle, now);
     const std::uint16_t occupancy = toWireCount(static_cast<double>(this->slots.inFlightAt(handle)));
     const std::uint16_t limit = toWireCount(this->slots.limitOf(handle));
-    const connection::wire::Grant grant(request.key.request, this->pool.id, handle.id, router.session, occupancy, limit);
+    const connection::wire::Grant grant(request.key.request, handle.id, router.session, occupancy, limit);
     decisions.grants.push_back({request.key.router, grant});
 }
 
--- a/src/process/dispatcher.h
+++ b/src/process/dispatcher.h
@@ -127,6 +127,10 @@
         const auto found = this->routers.find(router);
         return found != this->routers.end() && found->second.adopted;
     }
+    bool hasRouters() const
+    {
+        return !this->routers.empty();
+    }
     std::vector<DaemonHandle> routerHandles() const;
     std::vector<WorkspaceHandle> backlogged() const
     {
--- a/src/process/fair_queue.cpp
+++ b/src/process/fair_queue.cpp
@@ -22,17 +22,36 @@
 
 void FairQueue::setShare(WorkspaceHandle workspace, double share)
 {
-    Flow &flow = this->flows[workspace];
-    if (!flow.waiting.empty()) {
-        this->activeShare += share - flow.share;
+    this->shares[workspace] = share;
+    const auto found = this->flows.find(workspace);
+    if (found == this->flows.end()) {
+        return;
     }
-    flow.share = share;
+    if (!found->second.waiting.empty()) {
+        this->activeShare += share - found->second.share;
+    }
+    found->second.share = share;
+}
+
+double FairQueue::shareOf(WorkspaceHandle workspace) const
+{
+    const auto found = this->shares.find(workspace);
+    return found == this->shares.end() ? 1.0 : found->second;
+}
+
+FairQueue::Flow &FairQueue::flowOf(WorkspaceHandle workspace)
+{
+    const auto [position, isNew] = this->flows.try_emplace(workspace);
+    if (isNew) {
+        position->second.share = this->shareOf(workspace);
+    }
+    return position->second;
 }
 
 void FairQueue::push(const WaitingRequest &request)
 {
     const WorkspaceHandle workspace = request.workspace;
-    Flow &flow = this->flows[workspace];
+    Flow &flow = this->flowOf(workspace);
     this->deadlines.emplace(request.deadline, request.key);
     flow.waiting.push_back(request);
     ++this->waitingCount;
@@ -45,7 +64,7 @@
 std::optional<ChargedRequest> FairQueue::popIf(const std::function<bool(const WaitingRequest &)> &canPlace)
 {
     for (const auto &[startTag, workspace] : this->active) {
-        if (canPlace(this->flows[workspace].waiting.front())) {
+        if (canPlace(this->flows.at(workspace).waiting.front())) {
             return this->take(startTag, workspace);
         }
     }
@@ -63,7 +82,7 @@
 
 ChargedRequest FairQueue::take(double startTag, WorkspaceHandle workspace)
 {
-    Flow &flow = this->flows[workspace];
+    Flow &flow = this->flowOf(workspace);
     this->virtualTime = std::max(this->virtualTime, this->active.begin()->first);
     ChargedRequest taken {flow.waiting.front(), 0};
     taken.charged = this->estimateCost(workspace, taken.request.costHint);
@@ -132,7 +151,7 @@
 
 void FairQueue::settle(WorkspaceHandle workspace, std::uint32_t charged, std::uint32_t actual)
 {
-    Flow &flow = this->flows[workspace];
+    Flow &flow = this->flowOf(workspace);
     const double cost = std::min(actual, config::maxCost);
     const double deviation = flow.meanCost == 0.0 ? 0.0 : std::abs(cost - flow.meanCost);
     this->meanCost = this->meanCost == 0.0 ? cost : this->meanCost + meanCostGain * (cost - this->meanCost);
@@ -143,17 +162,17 @@
 
 void FairQueue::refund(WorkspaceHandle workspace, std::uint32_t charged)
 {
-    Flow &flow = this->flows[workspace];
+    Flow &flow = this->flowOf(workspace);
     this->moveFinishTag(workspace, flow, -static_cast<double>(charged) / flow.share);
 }
 
 void FairQueue::chargeElsewhere(WorkspaceHandle workspace, std::uint64_t cost)
 {
-    Flow &flow = this->flows[workspace];
-    if (flow.waiting.empty()) {
+    const auto found = this->flows.find(workspace);
+    if (found == this->flows.end() || found->second.waiting.empty()) {
         return;
     }
-    this->moveFinishTag(workspace, flow, static_cast<double>(cost) / flow.share);
+    this->moveFinishTag(workspace, found->second, static_cast<double>(cost) / found->second.share);
 }
 
 std::uint32_t FairQueue::estimateCost(WorkspaceHandle workspace, std::uint32_t costHint) const
@@ -185,8 +204,7 @@
 
 double FairQueue::fractionOf(WorkspaceHandle workspace) const
 {
-    const auto found = this->flows.find(workspace);
-    const double share = found == this->flows.end() ? 1.0 : found->second.share;
+    const double share = this->shareOf(workspace);
     const double total = this->isBacklogged(workspace) ? this->activeShare : this->activeShare + share;
     return total <= 0.0 ? 1.0 : share / total;
 }
--- a/src/process/fair_queue.h
+++ b/src/process/fair_queue.h
@@ -124,7 +124,11 @@
     void deactivate(WorkspaceHandle workspace, Flow &flow);
     void moveFinishTag(WorkspaceHandle workspace, Flow &flow, double delta);
 
-    std::unordered_map<WorkspaceHandle, Flow> flows;
+    Flow &flowOf(WorkspaceHandle workspace);
+    double shareOf(WorkspaceHandle workspace) const;
+
+    std::unordered_map<WorkspaceHandle, double> shares;
+    std::unordered_map<WorkspaceHandle, Flow> flows; ///< Of workspaces that were seen here.
     std::set<ActiveKey> active;
     std::set<std::pair<Time, RequestKey>> deadlines;
     std::map<DaemonHandle, std::size_t> byRouter; ///< Waiting requests; no entry for none.
--- a/src/process/node.cpp
+++ b/src/process/node.cpp
@@ -1,5 +1,7 @@
 #include "process/node.h"
 
+#include "process/units.h"
+
 #include "process/rendezvous.h"
 #include "version/vm_list.h"
 
@@ -20,11 +22,6 @@
 /** Heartbeats to other data centres are sent once in this many periods. */
 constexpr int remotePeriods = 4;
 
-std::uint32_t toMilliseconds(Duration duration)
-{
-    return static_cast<std::uint32_t>(std::max<std::int64_t>(0, std::chrono::duration_cast<std::chrono::milliseconds>(duration).count()));
-}
-
 TimerService::Period every(Duration period)
 {
     return [period] { return period; };
@@ -162,7 +159,7 @@
         const Member *former = this->members.find(DaemonHandle {inventory->former});
         const bool formerEnded = former != nullptr && former->refused;
         const Duration formerHold = formerEnded ? config::closedRouterHold : config::lostRouterHold;
-        this->poolFor(ServiceHandle {inventory->service}, receivedAt).adopt(from, *inventory, formerHold, receivedAt);
+        this->takeOver(ServiceHandle {inventory->service}, receivedAt).adopt(from, *inventory, formerHold, receivedAt);
     }
     for (const connection::wire::Release &message : frame.releases) {
         this->poolFor(ServiceHandle {message.service()}, receivedAt).release(from, message, receivedAt);
@@ -273,10 +270,12 @@
     const std::uint32_t sequence = ++this->heartbeatSequence;
     const auto version = static_cast<std::uint32_t>(this->configurationState.version());
     const auto listVersion = static_cast<std::uint32_t>(this->vmListVersion);
-    const std::uint32_t listAge = toMilliseconds(sentAt - this->vmListAt);
+    constexpr std::uint32_t largestAge = 0xffff;
+    const auto listAge = static_cast<std::uint16_t>(std::min(largestAge, toMilliseconds(sentAt - this->vmListAt)));
+    const auto lease = static_cast<std::uint16_t>(toMilliseconds(this->leaseFor(peer)));
     FrameT &frame = this->frameFor(peer);
-    frame.heartbeat = std::make_unique<Heartbeat>(sequence, state.heartbeatSeen, version, this->members.hash(), listVersion, listAge,
-                                                  toMilliseconds(this->leaseFor(peer)), this->members.isSelfSettled(), this->stopping);
+    frame.heartbeat = std::make_unique<Heartbeat>(sequence, state.heartbeatSeen, version, this->members.hash(), listVersion, listAge, lease,
+                                                  this->members.isSelfSettled(), this->stopping);
     frame.obeys = this->ownRouter.promise(peer);
     state.heartbeatsSent[sequence] = sentAt;
     while (state.heartbeatsSent.size() > rememberedHeartbeats) {
@@ -393,7 +392,7 @@
     const DaemonHandle self = this->members.self().handle();
     for (auto &[service, pool] : this->pools) {
         const DaemonHandle desired = this->placement.dispatcherOf(service);
-        const bool undesired = desired.isValid() && desired != self && !pool->routerHandles().empty();
+        const bool undesired = desired.isValid() && desired != self && pool->hasRouters();
         if (!undesired) {
             this->undesiredSince.erase(service);
             continue;
@@ -414,18 +413,33 @@
 Dispatcher &Node::poolFor(ServiceHandle service, Time at)
 {
     std::unique_ptr<Dispatcher> &pool = this->pools[service];
-    const bool isTakeover = !pool || pool->routerHandles().empty();
-    if (isTakeover) {
-        pool = std::make_unique<Dispatcher>(service, this->members.self().dataCentre, at, this->hooks.policy);
-        pool->setMembers(this->memberView(at));
+    if (!pool) {
+        pool = this->makePool(service, at);
+    }
+    return *pool;
+}
+
+/** A pool without routers was given up or never held; what it knew of the backend servers is stale. */
+Dispatcher &Node::takeOver(ServiceHandle service, Time at)
+{
+    std::unique_ptr<Dispatcher> &pool = this->pools[service];
+    if (!pool || !pool->hasRouters()) {
+        pool = this->makePool(service, at);
         ++this->counters.dispatcherTakeovers;
-        if (this->configurationState.get()) {
-            pool->configure(*this->configurationState.get());
-        }
     }
     return *pool;
 }
 
+std::unique_ptr<Dispatcher> Node::makePool(ServiceHandle service, Time at) const
+{
+    auto pool = std::make_unique<Dispatcher>(service, this->members.self().dataCentre, at, this->hooks.policy);
+    pool->setMembers(this->memberView(at));
+    if (this->configurationState.get()) {
+        pool->configure(*this->configurationState.get());
+    }
+    return pool;
+}
+
 void Node::offerConfiguration(std::uint64_t version, const std::string &document, Time offeredAt)
 {
     try {
@@ -541,7 +555,7 @@
         this->frameFor(receiver).digests.push_back(std::move(digest));
     };
     for (auto &[service, pool] : this->pools) {
-        if (!pool->routerHandles().empty()) {
+        if (pool->hasRouters()) {
             this->digests.send(*pool, *this->configurationState.get(), sender, sentAt);
         }
     }
@@ -550,7 +564,7 @@
 void Node::onDigest(const connection::wire::DigestT &digest, Time receivedAt)
 {
     const auto found = this->pools.find(ServiceHandle {digest.service});
-    const bool dispatches = found != this->pools.end() && !found->second->routerHandles().empty();
+    const bool dispatches = found != this->pools.end() && found->second->hasRouters();
     if (!dispatches) {
         this->forwardDigest(digest);
     } else if (this->configurationState.get()) {
@@ -580,7 +594,7 @@
 
 bool Node::isDrained() const
 {
-    const auto isEmpty = [](const auto &entry) { return entry.second->routerHandles().empty(); };
+    const auto isEmpty = [](const auto &entry) { return !entry.second->hasRouters(); };
     const bool rolesAreGone = std::all_of(this->pools.begin(), this->pools.end(), isEmpty) || this->members.candidates(this->now).empty();
     return this->stopping && this->ownRouter.size() == 0 && rolesAreGone;
 }
--- a/src/process/node.h
+++ b/src/process/node.h
@@ -172,6 +172,8 @@
     void runPools(Time now);
     void pumpRouter(Time now);
     Dispatcher &poolFor(ServiceHandle service, Time now);
+    Dispatcher &takeOver(ServiceHandle service, Time now);
+    std::unique_ptr<Dispatcher> makePool(ServiceHandle service, Time now) const;
     connection::wire::FrameT &frameFor(DaemonHandle peer);
     bool isRemote(DaemonHandle peer) const;
     Duration leaseFor(DaemonHandle peer) const;
--- a/src/process/router.cpp
+++ b/src/process/router.cpp
@@ -1,5 +1,7 @@
 #include "process/router.h"
 
+#include "process/units.h"
+
 #include <algorithm>
 
 namespace eelgrassnotch::process
@@ -18,17 +20,6 @@
 /** A core that was not advanced for this long was paused; grants that it holds may be void. */
 constexpr Duration pauseTolerance = config::grantFreshFor;
 
-std::uint32_t toMilliseconds(Duration duration)
-{
-    const auto milliseconds = std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
-    return static_cast<std::uint32_t>(std::max<std::int64_t>(0, milliseconds));
-}
-
-std::uint32_t toMicroseconds(Duration duration)
-{
-    return static_cast<std::uint32_t>(std::clamp<std::int64_t>(duration.count(), 0, 0xffffffff));
-}
-
 RefusalReason refusalOf(DenyReason reason)
 {
     switch (reason) {
@@ -246,12 +237,12 @@
 void Router::onGrant(DaemonHandle dispatcher, const connection::wire::Grant &grant, Time grantedAt)
 {
     this->now = std::max(this->now, grantedAt);
-    const ServiceHandle service {grant.service()};
-    const Obedience *obedience = this->obeyed(service, dispatcher);
-    if (obedience == nullptr || obedience->session != grant.session()) {
+    const PoolKey *pool = this->poolOfSession(dispatcher, grant.session());
+    if (pool == nullptr) {
         ++this->counters.staleGrants;
         return;
     }
+    const ServiceHandle service = pool->service;
     const BackendServerHandle backend {grant.backend()};
     Observed &seen = this->observed[backend];
     seen.at = this->now;
@@ -485,6 +476,17 @@
     frame.inventories.push_back(std::move(inventory));
 }
 
+/** Sessions are counted over all pools, so a session names its pool. */
+const PoolKey *Router::poolOfSession(DaemonHandle dispatcher, std::uint32_t session) const
+{
+    for (const auto &[pool, obedience] : this->obediences) {
+        if (obedience.session == session && obedience.dispatcher == dispatcher) {
+            return &pool;
+        }
+    }
+    return nullptr;
+}
+
 Router::Obedience *Router::obeyed(ServiceHandle service, DaemonHandle dispatcher)
 {
     const PoolKey *pool = this->poolServedBy(service, dispatcher);
--- a/src/process/router.h
+++ b/src/process/router.h
@@ -189,6 +189,7 @@
     void retryOrFinish(std::uint64_t id, Request &request, const request::AttemptOutcome &outcome);
     void release(std::uint64_t id, const Request &request, const request::AttemptOutcome &outcome);
     void observeOutcome(const Request &request, const request::AttemptOutcome &outcome);
+    const PoolKey *poolOfSession(DaemonHandle dispatcher, std::uint32_t session) const;
     Obedience *obeyed(ServiceHandle service, DaemonHandle dispatcher);
     const PoolKey *poolServedBy(ServiceHandle service, DaemonHandle dispatcher) const;
     void dropUnusedGuestPools();
--- a/src/process/settings.cpp
+++ b/src/process/settings.cpp
@@ -2,6 +2,7 @@
 
 #include "version/checked_json.h"
 #include "version/configuration.h"
+#include "version/vm_list.h"
 
 #include <fstream>
 #include <sstream>
@@ -26,17 +27,6 @@
     return content.str();
 }
 
-DaemonIdentity parseSeed(const version::CheckedJson &source)
-{
-    source.allowOnly({"name", "address", "port", "dataCentre"});
-    DaemonIdentity seed;
-    seed.name = source.member("name").name();
-    seed.address = source.member("address").ipNumber();
-    seed.port = static_cast<std::uint16_t>(source.member("port").integer(1, 65535));
-    seed.dataCentre = handleOf<DataCentreHandle>(source.member("dataCentre").name());
-    return seed;
-}
-
 }
 
 std::string readKeyFile(const version::CheckedJson &root, const char *member)
@@ -75,7 +65,7 @@
     settings.operators = parseEndpoint(root.member("operators"));
     settings.platform = parseEndpoint(root.member("platform"));
     for (const version::CheckedJson &seed : root.array("seeds")) {
-        settings.seeds.push_back(parseSeed(seed));
+        settings.seeds.push_back(version::parseVm(seed));
     }
     settings.linkKey = readKeyFile(root, "linkKeyFile");
     settings.operatorKey = readKeyFile(root, "operatorKeyFile");
--- a/src/process/status.cpp
+++ b/src/process/status.cpp
@@ -1,5 +1,7 @@
 #include "process/status.h"
 
+#include "process/units.h"
+
 #include <nlohmann/json.hpp>
 
 namespace eelgrassnotch::process
@@ -8,11 +10,6 @@
 namespace
 {
 
-std::int64_t toMilliseconds(Duration duration)
-{
-    return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
-}
-
 nlohmann::json describeMembers(const Node &node, Time now)
 {
     nlohmann::json members = nlohmann::json::array();
--- a/src/version/configuration.cpp
+++ b/src/version/configuration.cpp
@@ -1,5 +1,7 @@
 #include "version/configuration.h"
 
+#include "process/units.h"
+
 #include "version/checked_json.h"
 
 #include <nlohmann/json.hpp>
@@ -99,11 +101,6 @@
             {"draining", backend.draining}};
 }
 
-std::int64_t toMilliseconds(Duration duration)
-{
-    return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
-}
-
 nlohmann::json toJson(const Service &service, const Configuration &configuration)
 {
     nlohmann::json backends = nlohmann::json::array();
@@ -113,8 +110,8 @@
     return {{"name", service.name},
             {"kind", service.kind == ServiceKind::Engine ? "engine" : "plain"},
             {"nonIdempotentPaths", service.nonIdempotentPaths},
-            {"firstTokenTargetMs", toMilliseconds(service.target.firstToken)},
-            {"perTokenTargetMs", toMilliseconds(service.target.perToken)},
+            {"firstTokenTargetMs", process::toMilliseconds(service.target.firstToken)},
+            {"perTokenTargetMs", process::toMilliseconds(service.target.perToken)},
             {"backendServers", backends}};
 }
 
--- a/src/version/vm_list.cpp
+++ b/src/version/vm_list.cpp
@@ -6,6 +6,17 @@
 namespace eelgrassnotch::version
 {
 
+process::DaemonIdentity parseVm(const CheckedJson &source)
+{
+    source.allowOnly({"name", "address", "port", "dataCentre"});
+    process::DaemonIdentity identity;
+    identity.name = source.member("name").name();
+    identity.address = source.member("address").ipNumber();
+    identity.port = static_cast<std::uint16_t>(source.member("port").integer(1, 65535));
+    identity.dataCentre = handleOf<DataCentreHandle>(source.member("dataCentre").name());
+    return identity;
+}
+
 std::vector<process::DaemonIdentity> parseVmList(const std::string &text)
 {
     const nlohmann::json document = nlohmann::json::parse(text, nullptr, false);
@@ -14,14 +25,7 @@
     }
     std::vector<process::DaemonIdentity> listed;
     for (std::size_t index = 0; index < document.size(); ++index) {
-        const CheckedJson entry(document[index], "/" + std::to_string(index));
-        entry.allowOnly({"name", "address", "port", "dataCentre"});
-        process::DaemonIdentity identity;
-        identity.name = entry.member("name").name();
-        identity.address = entry.member("address").ipNumber();
-        identity.port = static_cast<std::uint16_t>(entry.member("port").integer(1, 65535));
-        identity.dataCentre = handleOf<DataCentreHandle>(entry.member("dataCentre").name());
-        listed.push_back(std::move(identity));
+        listed.push_back(parseVm(CheckedJson(document[index], "/" + std::to_string(index))));
     }
     return listed;
 }
--- a/src/version/vm_list.h
+++ b/src/version/vm_list.h
@@ -3,6 +3,7 @@
 /** @file The platform's list of live VMs. */
 
 #include "process/membership.h"
+#include "version/checked_json.h"
 
 #include <string>
 #include <vector>
@@ -17,4 +18,7 @@
  */
 std::vector<process::DaemonIdentity> parseVmList(const std::string &text);
 
+/** @brief Reads one VM of such a list. @throws ConfigurationError */
+process::DaemonIdentity parseVm(const CheckedJson &source);
+
 }
