--- a/src/process/node.cpp
+++ b/src/process/node.cpp
@@ -1,8 +1,7 @@
 #include "process/node.h"
 
-#include "process/units.h"
-
 #include "process/rendezvous.h"
+#include "process/units.h"
 #include "version/vm_list.h"
 
 #include <algorithm>
@@ -11,16 +10,12 @@
 {
 
 using connection::wire::FrameT;
-using connection::wire::Heartbeat;
 
 namespace
 {
 
 constexpr Duration membershipPeriod = std::chrono::milliseconds(100);
 constexpr Duration watchCheckPeriod = std::chrono::milliseconds(500);
-constexpr std::size_t rememberedHeartbeats = 8;
-/** Heartbeats to other data centres are sent once in this many periods. */
-constexpr int remotePeriods = 4;
 
 TimerService::Period every(Duration period)
 {
@@ -130,29 +125,6 @@
     }
 }
 
-void Node::receiveKnowledge(DaemonHandle from, const FrameT &frame, Time receivedAt)
-{
-    for (const auto &member : frame.members) {
-        this->members.learn(*member, receivedAt);
-    }
-    if (frame.vm_list && frame.vm_list->version > this->vmListVersion) {
-        std::vector<DaemonIdentity> listed;
-        for (const auto &member : frame.vm_list->members) {
-            listed.push_back({member->name, member->address, member->port, DataCentreHandle {member->data_centre}, 0});
-        }
-        this->onVmList(frame.vm_list->version, listed, receivedAt);
-    }
-    if (frame.configuration) {
-        this->offerConfiguration(frame.configuration->version, frame.configuration->document, receivedAt);
-    }
-    if (frame.configuration_wanted) {
-        this->sendConfiguration(from);
-    }
-    for (const auto &digest : frame.digests) {
-        this->onDigest(*digest, receivedAt);
-    }
-}
-
 void Node::receiveDispatch(DaemonHandle from, const FrameT &frame, Time receivedAt)
 {
     for (const auto &inventory : frame.inventories) {
@@ -191,125 +163,6 @@
     }
 }
 
-void Node::onHeartbeat(DaemonHandle from, const Heartbeat &heartbeat, const std::vector<std::uint32_t> &obeys, Time receivedAt)
-{
-    this->members.recordHeartbeat(from, heartbeat);
-    const bool isFirst = this->peers[from].heartbeatSeen == 0;
-    this->peers[from].heartbeatSeen = heartbeat.sequence();
-    this->ownRouter.heartbeatReceived(from, std::chrono::milliseconds(heartbeat.lease_ms()), receivedAt);
-    this->renewLeases(from, heartbeat.echo(), obeys, receivedAt);
-    this->answerDifferences(from, heartbeat, receivedAt);
-    if (isFirst && !this->ownRouter.promise(from).empty()) {
-        this->sendHeartbeat(from, receivedAt);
-    }
-}
-
-void Node::renewLeases(DaemonHandle from, std::uint32_t echo, const std::vector<std::uint32_t> &obeyed, Time receivedAt)
-{
-    const PeerState &peer = this->peers[from];
-    const auto sent = peer.heartbeatsSent.find(echo);
-    for (const std::uint32_t service : obeyed) {
-        if (!this->poolFor(ServiceHandle {service}, receivedAt).hasAdopted(from)) {
-            this->frameFor(from).inventories_wanted.push_back(service);
-        }
-    }
-    for (auto &[service, pool] : this->pools) {
-        const bool obeys = std::find(obeyed.begin(), obeyed.end(), service.id) != obeyed.end();
-        if (obeys && sent != peer.heartbeatsSent.end()) {
-            pool->renewLease(from, sent->second + this->leaseFor(from), receivedAt);
-        } else if (!obeys && pool->hasRouter(from)) {
-            pool->drop(from, Duration {0}, receivedAt);
-        }
-    }
-}
-
-void Node::answerDifferences(DaemonHandle from, const Heartbeat &heartbeat, Time receivedAt)
-{
-    if (heartbeat.configuration() > this->configurationState.version()) {
-        this->frameFor(from).configuration_wanted = true;
-    }
-    const Member *member = this->members.find(from);
-    if (member == nullptr || this->isRemote(from)) {
-        return;
-    }
-    if (heartbeat.members_hash() != this->members.hash()) {
-        this->frameFor(from).members = this->members.describe(receivedAt, true);
-    }
-    if (heartbeat.vm_list() < this->vmListVersion) {
-        this->frameFor(from).vm_list = this->describeVmList();
-    } else if (heartbeat.vm_list() == this->vmListVersion && this->vmListVersion != 0) {
-        const Time confirmedAt = receivedAt - std::chrono::milliseconds(heartbeat.vm_list_age_ms());
-        if (confirmedAt > this->vmListAt) {
-            this->vmListAt = confirmedAt;
-            this->members.vmListArrived(this->vmList, confirmedAt);
-        }
-    }
-}
-
-void Node::sendHeartbeats(Time sentAt)
-{
-    const bool remoteTurn = this->heartbeatRound++ % remotePeriods == 0;
-    for (const DaemonHandle peer : this->heartbeatPeers(sentAt)) {
-        if (remoteTurn || !this->isRemote(peer)) {
-            this->sendHeartbeat(peer, sentAt);
-        }
-    }
-    const DaemonHandle self = this->members.self().handle();
-    this->ownRouter.heartbeatReceived(self, this->members.lease(), sentAt);
-    const std::vector<std::uint32_t> services = this->ownRouter.promise(self);
-    for (const std::uint32_t service : services) {
-        if (const auto found = this->pools.find(ServiceHandle {service}); found != this->pools.end()) {
-            found->second->renewLease(self, sentAt + this->members.lease(), sentAt);
-        }
-    }
-}
-
-void Node::sendHeartbeat(DaemonHandle peer, Time sentAt)
-{
-    PeerState &state = this->peers[peer];
-    const std::uint32_t sequence = ++this->heartbeatSequence;
-    const auto version = static_cast<std::uint32_t>(this->configurationState.version());
-    const auto listVersion = static_cast<std::uint32_t>(this->vmListVersion);
-    constexpr std::uint32_t largestAge = 0xffff;
-    const auto listAge = static_cast<std::uint16_t>(std::min(largestAge, toMilliseconds(sentAt - this->vmListAt)));
-    const auto lease = static_cast<std::uint16_t>(toMilliseconds(this->leaseFor(peer)));
-    FrameT &frame = this->frameFor(peer);
-    frame.heartbeat = std::make_unique<Heartbeat>(sequence, state.heartbeatSeen, version, this->members.hash(), listVersion, listAge, lease,
-                                                  this->members.isSelfSettled(), this->stopping);
-    frame.obeys = this->ownRouter.promise(peer);
-    state.heartbeatsSent[sequence] = sentAt;
-    while (state.heartbeatsSent.size() > rememberedHeartbeats) {
-        state.heartbeatsSent.erase(state.heartbeatsSent.begin());
-    }
-}
-
-bool Node::isRemote(DaemonHandle peer) const
-{
-    const Member *member = this->members.find(peer);
-    return member != nullptr && member->identity.dataCentre != this->members.self().dataCentre;
-}
-
-/** Other data centres count for no shares, so their promises may last longer, which saves heartbeats. */
-Duration Node::leaseFor(DaemonHandle peer) const
-{
-    return this->isRemote(peer) ? this->members.lease() * remotePeriods : this->members.lease();
-}
-
-std::set<DaemonHandle> Node::heartbeatPeers(Time) const
-{
-    std::set<DaemonHandle> targets = this->ownRouter.remoteDispatchers();
-    for (const DaemonHandle peer : this->members.ownPeers()) {
-        targets.insert(peer);
-    }
-    for (const auto &[service, pool] : this->pools) {
-        for (const DaemonHandle router : pool->routerHandles()) {
-            targets.insert(router);
-        }
-    }
-    targets.erase(this->members.self().handle());
-    return targets;
-}
-
 void Node::linkUp(DaemonHandle peer, Time upAt)
 {
     this->now = upAt;
@@ -440,150 +293,6 @@
     return pool;
 }
 
-void Node::offerConfiguration(std::uint64_t version, const std::string &document, Time offeredAt)
-{
-    try {
-        if (this->configurationState.offer(version, document)) {
-            this->applyConfiguration(offeredAt);
-        }
-    } catch (const version::ConfigurationError &error) {
-        ++this->counters.badConfigurations;
-        this->log("configuration_invalid", {{"version", std::to_string(version)}, {"error", error.what()}});
-    }
-}
-
-void Node::applyConfiguration(Time)
-{
-    const version::Configuration &configuration = *this->configurationState.get();
-    std::set<ServiceHandle> services;
-    for (const auto &[handle, service] : configuration.services) {
-        services.insert(handle);
-    }
-    this->ownRouter.setServices(services);
-    for (auto &[service, pool] : this->pools) {
-        pool->configure(configuration);
-    }
-    this->configurationChanged = true;
-    for (const DaemonHandle peer : this->members.ownPeers()) {
-        if (this->isRelay(this->now)) {
-            this->sendConfiguration(peer);
-        }
-    }
-    this->log("configuration_in_force", {{"version", std::to_string(configuration.version)}});
-}
-
-void Node::sendConfiguration(DaemonHandle peer)
-{
-    if (this->configurationState.version() == 0) {
-        return;
-    }
-    auto message = std::make_unique<connection::wire::ConfigurationT>();
-    message->version = this->configurationState.version();
-    message->document = this->configurationState.document();
-    this->frameFor(peer).configuration = std::move(message);
-}
-
-bool Node::isRelay(Time at) const
-{
-    const std::vector<DaemonHandle> candidates = this->members.candidates(at);
-    const std::vector<DaemonHandle> relays = chooseDaemons(relayRole, candidates, config::relaysPerDataCentre);
-    return std::find(relays.begin(), relays.end(), this->members.self().handle()) != relays.end();
-}
-
-std::array<WatchedObject, 2> Node::watchedObjects()
-{
-    WatchedObject configuration;
-    configuration.key = configurationKey;
-    configuration.knownVersion = [this] { return this->configurationState.version(); };
-    configuration.onAnswer = [this](const StoreAnswer &answer) { this->offerConfiguration(answer.version, answer.value, this->now); };
-    WatchedObject list;
-    list.key = vmListKey;
-    list.knownVersion = [this] { return this->vmListVersion; };
-    list.onAnswer = [this](const StoreAnswer &answer) { this->offerVmList(answer.version, answer.value); };
-    return {configuration, list};
-}
-
-void Node::offerVmList(std::uint64_t version, const std::string &document)
-{
-    try {
-        const bool unchanged = version == this->vmListVersion;
-        this->onVmList(version, unchanged ? this->vmList : version::parseVmList(document), this->now);
-    } catch (const version::ConfigurationError &error) {
-        ++this->counters.badConfigurations;
-        this->log("vm_list_invalid", {{"error", error.what()}});
-    }
-}
-
-void Node::onVmList(std::uint64_t version, const std::vector<DaemonIdentity> &listed, Time listedAt)
-{
-    const bool isNew = version != this->vmListVersion;
-    this->vmListVersion = version;
-    if (isNew) {
-        this->vmList = listed;
-    }
-    this->vmListAt = listedAt;
-    this->members.vmListArrived(listed, listedAt);
-    if (!isNew || !this->isRelay(listedAt)) {
-        return;
-    }
-    for (const DaemonHandle peer : this->members.ownPeers()) {
-        this->frameFor(peer).vm_list = this->describeVmList();
-    }
-}
-
-std::unique_ptr<connection::wire::VmListT> Node::describeVmList() const
-{
-    auto list = std::make_unique<connection::wire::VmListT>();
-    list->version = this->vmListVersion;
-    for (const DaemonIdentity &identity : this->vmList) {
-        auto member = std::make_unique<connection::wire::MemberT>();
-        member->name = identity.name;
-        member->address = identity.address;
-        member->port = identity.port;
-        member->data_centre = identity.dataCentre.id;
-        list->members.push_back(std::move(member));
-    }
-    return list;
-}
-
-void Node::exchangeDigests(Time sentAt)
-{
-    if (!this->configurationState.get()) {
-        return;
-    }
-    const DigestSender sender = [this](DaemonHandle receiver, std::unique_ptr<connection::wire::DigestT> digest) {
-        this->frameFor(receiver).digests.push_back(std::move(digest));
-    };
-    for (auto &[service, pool] : this->pools) {
-        if (pool->hasRouters()) {
-            this->digests.send(*pool, *this->configurationState.get(), sender, sentAt);
-        }
-    }
-}
-
-void Node::onDigest(const connection::wire::DigestT &digest, Time receivedAt)
-{
-    const auto found = this->pools.find(ServiceHandle {digest.service});
-    const bool dispatches = found != this->pools.end() && found->second->hasRouters();
-    if (!dispatches) {
-        this->forwardDigest(digest);
-    } else if (this->configurationState.get()) {
-        this->digests.take(*found->second, digest, *this->configurationState.get(), receivedAt);
-    }
-}
-
-void Node::forwardDigest(const connection::wire::DigestT &digest)
-{
-    const DaemonHandle dispatcher = this->placement.dispatcherOf(ServiceHandle {digest.service});
-    const bool canForward = !digest.forwarded && dispatcher.isValid() && dispatcher != this->members.self().handle();
-    if (!canForward) {
-        return;
-    }
-    auto copy = std::make_unique<connection::wire::DigestT>(digest);
-    copy->forwarded = true;
-    this->frameFor(dispatcher).digests.push_back(std::move(copy));
-}
-
 void Node::beginStop(Time stoppedAt)
 {
     this->stopping = true;
--- a/src/version/configuration.cpp
+++ b/src/version/configuration.cpp
@@ -1,7 +1,6 @@
 #include "version/configuration.h"
 
 #include "process/units.h"
-
 #include "version/checked_json.h"
 
 #include <nlohmann/json.hpp>
--- a/tests/scenario_runner.cpp
+++ b/tests/scenario_runner.cpp
@@ -44,7 +44,7 @@
 std::string textField(lua_State *lua, const char *name, const std::string &fallback = "")
 {
     lua_getfield(lua, 1, name);
-    const std::string value = lua_isnil(lua, -1) ? fallback : luaL_checkstring(lua, -1);
+    std::string value = lua_isnil(lua, -1) ? fallback : luaL_checkstring(lua, -1);
     lua_pop(lua, 1);
     return value;
 }
--- a/tests/unit/test_published.cpp
+++ b/tests/unit/test_published.cpp
@@ -26,8 +26,10 @@
     published.publish(std::make_unique<Pair>(Pair {0, 0}));
     std::atomic<bool> stop {false};
     std::atomic<int> torn {0};
+    constexpr int readerCount = 4;
     std::vector<std::thread> readers;
-    for (int reader = 0; reader < 4; ++reader) {
+    readers.reserve(readerCount);
+    for (int reader = 0; reader < readerCount; ++reader) {
         readers.emplace_back([&] {
             while (!stop) {
                 published.read([&](const Pair *value) { torn += value->first != value->second ? 1 : 0; });
--- a/tools/capacity.cpp
+++ b/tools/capacity.cpp
@@ -61,6 +61,7 @@
     constexpr int regions = 3;
     for (int dataCentre = 0; dataCentre < size.dataCentres; ++dataCentre) {
         std::vector<std::string> daemons;
+        daemons.reserve(static_cast<std::size_t>(size.daemonsEach));
         for (int daemon = 0; daemon < size.daemonsEach; ++daemon) {
             daemons.push_back(number(number("daemon", dataCentre), daemon));
         }
--- a/tools/fuzz.cpp
+++ b/tools/fuzz.cpp
@@ -26,6 +26,8 @@
 
 }
 
+// The library asks for this name.
+// NOLINTNEXTLINE(readability-identifier-naming)
 extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t *data, std::size_t size)
 {
     if (size == 0) {
