Every answer carries a request id; the demo counts executions by kind

Cause: refusals before admission had an empty request id, and the demo did not print what the backend servers executed, as the issue asks.

Ruled out: the core's request number, which does not exist yet for a refusal before admission.

Change: ids are given at arrival; the check in command_lines.sh now asks for a filled id in place of the empty one, which is stricter.

--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -13,6 +13,8 @@
 orders="$(most_executions 21201 21202)"
 payments="$(most_executions 21401)"
 echo
+echo "executed at backend servers: quotes $(count_executions . 21101 21102 21103), orders $(count_executions '^order-' 21201 21202)," \
+    "appraisals $(count_executions . 21301 21302), slot lookups $(count_executions '^entry-' 21401), payments $(count_executions '^payment-' 21401)"
 echo "most executions of one order: $orders, of one payment or lookup: $payments"
 clean=0
 for number in 1 2 3 4 5 6; do
--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -131,13 +131,24 @@
     done
 }
 
-# most_executions PORT...: the largest number of executions of one key or request at all given services together.
-most_executions()
+# executions PORT...: lines "name:count" of the execution logs of stand-ins.
+executions()
 {
     local port
     for port in "$@"; do
         curl -sf "http://127.0.0.1:$port/executions"
         echo
-    done | tr '{},' '\n\n\n' | grep ':' | sed 's/"//g' |
-        awk -F: '{sum[$1] += $2} END {for (key in sum) if (sum[key] > most) most = sum[key]; print most + 0}'
+    done | tr '{},' '\n\n\n' | grep ':' | sed 's/"//g'
+}
+
+# count_executions PATTERN PORT...: executions of all names that match.
+count_executions()
+{
+    executions "${@:2}" | grep -E "$1" | awk -F: '{sum += $2} END {print sum + 0}'
+}
+
+# most_executions PORT...: the largest number of executions of one key or request at all given services together.
+most_executions()
+{
+    executions "$@" | awk -F: '{sum[$1] += $2} END {for (key in sum) if (sum[key] > most) most = sum[key]; print most + 0}'
 }
--- a/src/process/frontend.cpp
+++ b/src/process/frontend.cpp
@@ -118,6 +118,7 @@
 void Frontend::admit(const http_request &request)
 {
     const auto caller = std::make_shared<Caller>(request);
+    caller->setRequestId(this->idPrefix + std::to_string(++this->requestCount));
     if (!this->fillFromHeaders(request, caller)) {
         return;
     }
@@ -215,7 +216,6 @@
     }
     this->hooks.post([this, caller](Node &node, Time now) {
         const std::uint64_t id = node.submit(caller->info, now);
-        caller->setRequestId(this->idPrefix + std::to_string(id));
         this->callers[id] = caller;
     });
 }
--- a/src/process/frontend.h
+++ b/src/process/frontend.h
@@ -64,6 +64,7 @@
     FrontendHooks hooks;
     Published<version::ConfigurationPointer> published;
     std::atomic<bool> ready {false};
+    std::atomic<std::uint64_t> requestCount {0};
     request::BackendClient backends;
     std::unordered_map<std::uint64_t, connection::CallerPointer> callers; ///< Owned by the core's thread.
     web::http::experimental::listener::http_listener callerListener;
--- a/tests/processes/command_lines.sh
+++ b/tests/processes/command_lines.sh
@@ -48,5 +48,5 @@
 printf '\xff\xff\xff\xffgarbage' >/dev/tcp/127.0.0.1/23001
 check "a frame out of bounds is counted" wait_for 5 metric 'eelgrassnotch_links_total{kind="bad_frames"}'
 check "a key never reaches the log" bash -c '! grep -q "secret-key\|link-key" "$1"/entry-*.log' _ "$FLEET_DIR"
-check "before the first configuration requests are refused as not run" grep -q '"reason":"no_configuration","requestId":"","retryAfterSeconds":1,"verdict":"not run"' <<<"$(quote 1)"
+check "before the first configuration requests are refused as not run" grep -q '"reason":"no_configuration","requestId":"entry-1-[0-9]*-[0-9]*","retryAfterSeconds":1,"verdict":"not run"' <<<"$(quote 1)"
 finish
