Membership counts its quorum in one place

Cause: reading as a newcomer, the count of heard members stood twice, one function held four steps, and three parameters were unused.

Ruled out: a change of behaviour; conditions are the same.

Change: Quorum with isHalf and isMajority, one function a step.

--- a/src/connection/caller.cpp
+++ b/src/connection/caller.cpp
@@ -79,7 +79,6 @@
         this->answered = true;
         web::http::http_response response = this->responseWith(web::http::status_codes::OK);
         response.set_body(this->stream.create_istream(), "text/event-stream");
-        const auto watch = std::weak_ptr<web::http::http_request>();
         this->request.reply(response).then([](const pplx::task<void> &task) {
             try {
                 task.get();
--- a/src/process/daemon.cpp
+++ b/src/process/daemon.cpp
@@ -96,8 +96,8 @@
         FrontendHooks hooks;
         hooks.post = [this](CoreLoop::Command command) { this->loop.post(std::move(command)); };
         hooks.describeStatus = [](Node &node, Time now) { return process::describeStatus(node, now); };
-        hooks.describeMetrics = [this](Node &node, Time now) {
-            this->metrics.update(node, this->links.stats(), this->platform.calls(), this->loop.processorTime(), now);
+        hooks.describeMetrics = [this](Node &node, Time) {
+            this->metrics.update(node, this->links.stats(), this->platform.calls(), this->loop.processorTime());
             return this->metrics.serialize();
         };
         return hooks;
--- a/src/process/membership.cpp
+++ b/src/process/membership.cpp
@@ -121,36 +121,20 @@
 
 MembershipChange Membership::advance(Time now)
 {
+    const Quorum quorum = this->countQuorum(now);
+    this->reclaimSilent(quorum, now);
     MembershipChange change;
-    const bool listIsFresh = this->vmListAt && now - *this->vmListAt <= config::vmListFreshFor;
-    const bool half = this->seesHalf(now);
-    std::size_t heardCount = this->selfSettled ? 1 : 0;
-    std::size_t countedCount = this->selfSettled ? 1 : 0;
-    for (const auto &[handle, member] : this->members) {
-        if (this->isOwn(member) && this->isCounted(member, now)) {
-            ++countedCount;
-            heardCount += this->isLive(handle, now) ? 1 : 0;
-        }
-    }
-    const bool majority = heardCount * 2 > countedCount;
     for (const auto &[handle, member] : this->members) {
-        const Duration silence = now - this->silentSince(member);
-        const bool silent = silence >= this->suspectAfter();
-        const bool listKnowsIt = member.listed || now - member.known >= config::vmListLag;
-        const bool dropped = silent && listIsFresh && listKnowsIt && !this->platformListed.contains(handle);
-        if (dropped) {
+        if (this->isDroppedByPlatform(member, now)) {
             change.lost.push_back(handle);
         }
-        if (majority && silence >= config::reclaimAfter) {
-            this->reclaimed.insert(handle);
-        }
     }
     for (const DaemonHandle handle : change.lost) {
         this->members.erase(handle);
         this->departed.insert(handle);
     }
     this->countOwn();
-    if (half) {
+    if (quorum.isHalf()) {
         this->minoritySince.reset();
     } else if (!this->minoritySince) {
         this->minoritySince = now;
@@ -158,6 +142,37 @@
     return change;
 }
 
+Membership::Quorum Membership::countQuorum(Time now) const
+{
+    Quorum quorum;
+    for (const DaemonHandle handle : this->counted()) {
+        ++quorum.counted;
+        quorum.heard += this->isLive(handle, now) ? 1 : 0;
+    }
+    return quorum;
+}
+
+/** A majority takes over the shares of members that have been silent for long. */
+void Membership::reclaimSilent(const Quorum &quorum, Time now)
+{
+    if (!quorum.isMajority()) {
+        return;
+    }
+    for (const auto &[handle, member] : this->members) {
+        if (now - this->silentSince(member) >= config::reclaimAfter) {
+            this->reclaimed.insert(handle);
+        }
+    }
+}
+
+bool Membership::isDroppedByPlatform(const Member &member, Time now) const
+{
+    const bool listIsFresh = this->vmListAt && now - *this->vmListAt <= config::vmListFreshFor;
+    const bool listKnowsIt = member.listed || now - member.known >= config::vmListLag;
+    const bool silent = now - this->silentSince(member) >= this->suspectAfter();
+    return listIsFresh && listKnowsIt && silent && !this->platformListed.contains(member.identity.handle());
+}
+
 void Membership::setSelfState(bool settled, bool draining)
 {
     this->selfSettled = settled;
@@ -178,14 +193,14 @@
     return live;
 }
 
-std::vector<DaemonHandle> Membership::counted(Time now) const
+std::vector<DaemonHandle> Membership::counted() const
 {
     std::vector<DaemonHandle> handles;
     if (this->selfSettled) {
         handles.push_back(this->me.handle());
     }
     for (const auto &[handle, member] : this->members) {
-        if (this->isOwn(member) && this->isCounted(member, now)) {
+        if (this->isOwn(member) && this->isCounted(member)) {
             handles.push_back(handle);
         }
     }
@@ -193,17 +208,6 @@
     return handles;
 }
 
-bool Membership::seesHalf(Time now) const
-{
-    std::size_t heardCount = 0;
-    const std::vector<DaemonHandle> handles = this->counted(now);
-    for (const DaemonHandle handle : handles) {
-        const bool isSelf = handle == this->me.handle();
-        heardCount += isSelf || this->isLive(handle, now) ? 1 : 0;
-    }
-    return heardCount * 2 >= handles.size();
-}
-
 bool Membership::mustYield(Time now) const
 {
     return this->minoritySince && now - *this->minoritySince >= config::minorityYieldAfter;
@@ -316,7 +320,7 @@
     return member.identity.dataCentre == this->me.dataCentre;
 }
 
-bool Membership::isCounted(const Member &member, Time) const
+bool Membership::isCounted(const Member &member) const
 {
     if (member.refused || this->reclaimed.contains(member.identity.handle())) {
         return false;
--- a/src/process/membership.h
+++ b/src/process/membership.h
@@ -90,9 +90,7 @@
     /** @returns members of the own data centre that may take roles, this daemon included. */
     std::vector<DaemonHandle> candidates(Time now) const;
     /** @returns counted members of the own data centre, this daemon included once settled. */
-    std::vector<DaemonHandle> counted(Time now) const;
-    /** @returns whether the counted members that are heard are at least half of all. */
-    bool seesHalf(Time now) const;
+    std::vector<DaemonHandle> counted() const;
     /** @returns whether a minority must stop granting, since the rest may take over its share. */
     bool mustYield(Time now) const;
     /** @returns whether a member was heard lately. */
@@ -117,8 +115,26 @@
     Duration lease() const;
 
 private:
+    /** Counted members of the own data centre, this daemon included. */
+    struct Quorum {
+        std::size_t counted = 0;
+        std::size_t heard = 0;
+
+        bool isHalf() const
+        {
+            return this->heard * 2 >= this->counted;
+        }
+        bool isMajority() const
+        {
+            return this->heard * 2 > this->counted;
+        }
+    };
+
     bool isOwn(const Member &member) const;
-    bool isCounted(const Member &member, Time now) const;
+    bool isCounted(const Member &member) const;
+    bool isDroppedByPlatform(const Member &member, Time now) const;
+    Quorum countQuorum(Time now) const;
+    void reclaimSilent(const Quorum &quorum, Time now);
     Time silentSince(const Member &member) const;
     void countOwn();
 
--- a/src/process/metrics.h
+++ b/src/process/metrics.h
@@ -21,7 +21,7 @@
     Metrics &operator=(const Metrics &) = delete;
 
     /** @brief Takes the current counters. @param processorTime Of the core's thread. */
-    void update(const Node &node, const connection::LinkStats &links, std::uint64_t platformCalls, Duration processorTime, Time now);
+    void update(const Node &node, const connection::LinkStats &links, std::uint64_t platformCalls, Duration processorTime);
     /** @brief Counts a refusal that was decided before the core. */
     void countEarlyRefusal(RefusalReason reason);
     /** @brief Counts a refused operator call. */
--- a/src/process/node.cpp
+++ b/src/process/node.cpp
@@ -237,7 +237,7 @@
 
 MemberView Node::memberView(Time at) const
 {
-    return {this->members.counted(at), this->members.mustYield(at), this->members.heartbeatPeriod() * 3 / 2};
+    return {this->members.counted(), this->members.mustYield(at), this->members.heartbeatPeriod() * 3 / 2};
 }
 
 void Node::yieldPools(Time yieldedAt)
--- a/tests/scenario_runner.cpp
+++ b/tests/scenario_runner.cpp
@@ -315,7 +315,7 @@
     }
     const process::Node &node = fleet.node(name);
     setNumber(lua, "version", static_cast<double>(node.configuration().version()));
-    setNumber(lua, "members", static_cast<double>(node.membership().counted(fleet.now()).size()));
+    setNumber(lua, "members", static_cast<double>(node.membership().counted().size()));
     const process::RouterView view = node.router().view();
     setNumber(lua, "requests", static_cast<double>(node.router().size()));
     setNumber(lua, "held", static_cast<double>(view.held));
--- a/tests/unit/test_core_parts.cpp
+++ b/tests/unit/test_core_parts.cpp
@@ -156,18 +156,18 @@
         members.advance(now);
     };
     hearAll(10s, 3);
-    CHECK(members.counted(10s).size() == 4);
+    CHECK(members.counted().size() == 4);
     hearAll(20s, 2);
-    CHECK(members.counted(20s).size() == 4);
+    CHECK(members.counted().size() == 4);
     CHECK(members.candidates(20s).size() == 3);
     hearAll(75s, 2);
-    CHECK(members.counted(75s).size() == 3);
+    CHECK(members.counted().size() == 3);
     hearAll(76s, 3);
-    CHECK(members.counted(76s).size() == 4);
+    CHECK(members.counted().size() == 4);
     members.vmListArrived({self, others[0], others[1], others[2]}, 80s);
     members.vmListArrived({self, others[0], others[1]}, 90s);
     hearAll(90s, 2);
-    CHECK(members.counted(90s).size() == 3);
+    CHECK(members.counted().size() == 3);
 }
 
 TEST_CASE("a minority yields before the majority may reclaim")
