The resend test no longer depends on when a connection is kept

Cause: one run of the suite under load failed it (executions were not 3): the second call came before the library had put the first connection back, so it opened a new one and nothing was resent.

Ruled out: a fault of the daemon's path; the test documents the library's behaviour, and the test of non-idempotent calls passed.

Change: calls go on, 200 at most, until one finds a kept connection; then there must be exactly one execution more than calls, as strict as before.

--- a/tests/unit/test_backend_client.cpp
+++ b/tests/unit/test_backend_client.cpp
@@ -111,12 +111,17 @@
 
 TEST_CASE("the library sends an idempotent call again by itself when a kept connection closes")
 {
-    // Documents why the test above matters: two calls, three executions.
+    // Documents why the test above matters. When the library puts a connection back
+    // for the next call is its own affair, so calls go on until one finds it kept.
+    constexpr int mostCalls = 200;
     ClosingServer server;
     request::BackendClient client;
-    callOnce(client, server.port(), true);
-    callOnce(client, server.port(), true);
-    CHECK(server.executions == 3);
+    int calls = 0;
+    while (calls < mostCalls && server.executions <= calls) {
+        callOnce(client, server.port(), true);
+        ++calls;
+    }
+    CHECK(server.executions == calls + 1);
 }
 
 TEST_CASE("a refused connection is certain not to have run")
