Unused state of the node removed

Cause: reading the whole change again, a flag was written and never read and a counter was never written.

Ruled out: a use in metrics or status (searched; none).

Change: both are gone; behaviour is the same.

--- a/src/process/node.cpp
+++ b/src/process/node.cpp
@@ -310,7 +310,6 @@
 
 void Node::sayGoodbye()
 {
-    this->left = true;
     for (const DaemonHandle peer : this->heartbeatPeers(this->now)) {
         this->frameFor(peer).leaving = true;
     }
--- a/src/process/node.h
+++ b/src/process/node.h
@@ -70,7 +70,6 @@
     std::uint64_t redirects = 0;
     std::uint64_t denies = 0;
     std::uint64_t grants = 0;
-    std::uint64_t pauses = 0;
 };
 
 /**
@@ -199,7 +198,6 @@
     std::uint64_t heartbeatRound = 0;
     Placement placement; ///< As of the last look at the membership.
     bool stopping = false;
-    bool left = false;
     bool configurationChanged = false;
     std::uint64_t vmListVersion = 0;
     Time vmListAt {0};
