Unused look-up of the router removed

Cause: nobody asked a router for a request's verdict; finish() applies it. Ruled out: callers (searched; none). Change: it is gone, behaviour the same.

--- a/src/process/router.cpp
+++ b/src/process/router.cpp
@@ -325,12 +325,6 @@
     return found == this->requests.end() ? nullptr : &found->second.info;
 }
 
-Verdict Router::verdictOf(std::uint64_t id) const
-{
-    const auto found = this->requests.find(id);
-    return found == this->requests.end() ? Verdict::MayHaveRun : found->second.worst;
-}
-
 connection::wire::FrameT &Router::frameFor(DaemonHandle daemon)
 {
     return this->frames[daemon];
--- a/src/process/router.h
+++ b/src/process/router.h
@@ -140,8 +140,6 @@
         return this->counters;
     }
     const request::RequestInfo *find(std::uint64_t request) const;
-    /** @returns the worst verdict of all attempts of a request so far. */
-    Verdict verdictOf(std::uint64_t request) const;
 
 private:
     enum class Phase {
