--- a/include/eelgrassnotch/verdict.h
+++ b/include/eelgrassnotch/verdict.h
@@ -37,6 +37,10 @@
     BackendFailed,
     AnswerInvalid,
     CallerGone,
+    UnknownRoute,
+    UnknownKey,
+    KeysUnconfirmed, ///< Whether keys still hold has not been confirmed for too long.
+    Overloaded,
     count,
 };
 
@@ -48,6 +52,7 @@
     TimedOut,
     InvalidAnswer,
     GrantStale,
+    BackendFailed, ///< The backend server answered that it failed.
     count,
 };
 
--- /dev/null
+++ b/src/connection/http/client_connection.cpp
@@ -0,0 +1,230 @@
+#include "connection/http/client_connection.h"
+
+#include <boost/asio/connect.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+
+namespace eelgrassnotch::connection::http
+{
+
+namespace beast = boost::beast;
+
+namespace
+{
+
+/** Answers to other requests that are read past before the connection is given up. */
+constexpr std::uint32_t maxDroppedAnswers = 3;
+
+bool isHttpError(const boost::system::error_code &error)
+{
+    return error.category() == beast::http::make_error_code(beast::http::error::end_of_stream).category()
+        && error != beast::http::error::end_of_stream && error != beast::http::error::partial_message;
+}
+
+}
+
+ClientConnection::ClientConnection(boost::asio::any_io_executor executor, Endpoint serverEndpoint)
+    : server(std::move(serverEndpoint))
+    , socket(executor)
+    , connectTimer(executor)
+{
+}
+
+void ClientConnection::send(std::shared_ptr<const Request> nextRequest, Duration connectTimeout, ExchangeHooks exchangeHooks)
+{
+    ++this->generation;
+    ++this->exchanges;
+    this->request = std::move(nextRequest);
+    this->hooks = std::move(exchangeHooks);
+    this->onIdleClosed = nullptr;
+    this->isBusy = true;
+    this->isWritten = false;
+    this->droppedAnswers = 0;
+    if (this->isOpen) {
+        boost::system::error_code ignored; // Cancelling the idle watch can't fail on an open socket.
+        this->socket.cancel(ignored);
+        this->writeRequest();
+        this->readHeader();
+        return;
+    }
+    this->connect(connectTimeout);
+}
+
+void ClientConnection::connect(Duration timeout)
+{
+    this->connectTimer.expires_after(timeout);
+    this->connectTimer.async_wait([self = this->shared_from_this(), number = this->generation](boost::system::error_code error) {
+        if (!error && number == self->generation && !self->isOpen) {
+            self->end(EndKind::ConnectFailed, "connect timed out");
+        }
+    });
+    this->socket.async_connect(this->server, [self = this->shared_from_this(), number = this->generation](boost::system::error_code error) {
+        if (number != self->generation) {
+            return;
+        }
+        self->connectTimer.cancel();
+        if (error) {
+            self->end(EndKind::ConnectFailed, error.message());
+            return;
+        }
+        self->isOpen = true;
+        configureSocket(self->socket);
+        self->writeRequest();
+        self->readHeader();
+    });
+}
+
+void ClientConnection::writeRequest()
+{
+    const auto sent = this->request;
+    beast::http::async_write(this->socket, *sent,
+                             [self = this->shared_from_this(), number = this->generation, sent](boost::system::error_code error, std::size_t) {
+                                 // A failed write shows as a failed read, which may still find an early answer.
+                                 if (number == self->generation && !error) {
+                                     self->isWritten = true;
+                                 }
+                             });
+}
+
+void ClientConnection::readHeader()
+{
+    this->parser.emplace();
+    this->parser->header_limit(maxAnswerHeaderBytes);
+    this->parser->body_limit(boost::none);
+    this->parser->skip(this->request->method() == beast::http::verb::head);
+    beast::http::async_read_header(this->socket, this->buffer, *this->parser,
+                                   [self = this->shared_from_this(), number = this->generation](boost::system::error_code error, std::size_t) {
+                                       if (number == self->generation) {
+                                           self->onHeaderRead(error);
+                                       }
+                                   });
+}
+
+void ClientConnection::onHeaderRead(boost::system::error_code error)
+{
+    if (error) {
+        const bool hasBegun = this->parser->got_some();
+        this->end(isHttpError(error) ? EndKind::Malformed : (hasBegun ? EndKind::BrokenOff : EndKind::Lost), error.message());
+        return;
+    }
+    const AnswerHeader &header = this->parser->get().base();
+    if (header.result_int() < 200) {
+        this->readHeader();
+        return;
+    }
+    this->keepsAlive = this->parser->keep_alive() && !this->parser->need_eof();
+    const auto number = this->generation;
+    this->isWanted = this->hooks.onHeader(header);
+    if (number != this->generation) {
+        return;
+    }
+    if (!this->isWanted && (++this->droppedAnswers > maxDroppedAnswers || !this->keepsAlive)) {
+        this->end(EndKind::Malformed, "answers to other requests");
+        return;
+    }
+    if (this->parser->is_done()) {
+        this->finishAnswer();
+        return;
+    }
+    this->readBody();
+}
+
+void ClientConnection::readBody()
+{
+    auto &body = this->parser->get().body();
+    body.data = this->chunk.data();
+    body.size = this->chunk.size();
+    body.more = true;
+    beast::http::async_read_some(this->socket, this->buffer, *this->parser,
+                                 [self = this->shared_from_this(), number = this->generation](boost::system::error_code error, std::size_t) {
+                                     if (number == self->generation) {
+                                         self->onBodyRead(error);
+                                     }
+                                 });
+}
+
+void ClientConnection::onBodyRead(boost::system::error_code error)
+{
+    if (error == beast::http::error::need_buffer) {
+        error = {};
+    }
+    const std::size_t size = this->chunk.size() - this->parser->get().body().size;
+    if (size > 0 && this->isWanted) {
+        const auto number = this->generation;
+        this->hooks.onBody(std::string_view(this->chunk.data(), size));
+        if (number != this->generation) {
+            return;
+        }
+    }
+    if (error) {
+        this->end(isHttpError(error) ? EndKind::Malformed : EndKind::BrokenOff, error.message());
+        return;
+    }
+    if (this->parser->is_done()) {
+        this->finishAnswer();
+        return;
+    }
+    this->readBody();
+}
+
+void ClientConnection::finishAnswer()
+{
+    if (!this->isWanted) {
+        this->readHeader();
+        return;
+    }
+    this->end(EndKind::Complete, "");
+}
+
+void ClientConnection::end(EndKind kind, const std::string &detail)
+{
+    ++this->generation;
+    this->isBusy = false;
+    this->connectTimer.cancel();
+    // A request that was answered before it was written in full leaves the server waiting for the rest.
+    const bool isClean = kind == EndKind::Complete && this->keepsAlive && this->isWritten && this->buffer.size() == 0;
+    if (!isClean) {
+        boost::system::error_code ignored; // The socket is given up either way.
+        this->socket.close(ignored);
+        this->isOpen = false;
+        this->buffer.clear();
+    }
+    const ExchangeHooks finished = std::exchange(this->hooks, {});
+    this->request.reset();
+    finished.onEnd({kind, detail});
+}
+
+void ClientConnection::cancel()
+{
+    ++this->generation;
+    this->isBusy = false;
+    this->isOpen = false;
+    this->hooks = {};
+    this->onIdleClosed = nullptr;
+    this->request.reset();
+    this->connectTimer.cancel();
+    boost::system::error_code ignored; // The socket is given up either way.
+    this->socket.close(ignored);
+}
+
+void ClientConnection::watchIdle(std::function<void()> onClosed)
+{
+    this->onIdleClosed = std::move(onClosed);
+    this->socket.async_wait(Socket::wait_read, [self = this->shared_from_this(), number = this->generation](boost::system::error_code) {
+        if (number != self->generation || self->isBusy) {
+            return;
+        }
+        const auto notify = std::exchange(self->onIdleClosed, nullptr);
+        self->cancel();
+        if (notify) {
+            notify();
+        }
+    });
+}
+
+bool ClientConnection::isReusable() const
+{
+    return this->isOpen && !this->isBusy;
+}
+
+}
--- /dev/null
+++ b/src/connection/http/limits.h
@@ -0,0 +1,36 @@
+#pragma once
+
+/** @file Limits of HTTP connections, with their units. */
+
+#include <chrono>
+#include <cstddef>
+
+namespace eelgrassnotch::connection::http
+{
+
+using namespace std::chrono_literals;
+
+/** Bytes read at once from a backend server or the store. */
+constexpr std::size_t readChunkBytes = 8192;
+/** Largest header of an answer, in bytes. */
+constexpr std::size_t maxAnswerHeaderBytes = 64u << 10;
+/** Bytes queued for a caller that does not read, before its answer is broken off. */
+constexpr std::size_t maxQueuedAnswerBytes = 1u << 20;
+/** Bytes of a next request that a caller may send while its present one is served. */
+constexpr std::size_t maxPipelinedBytes = 64u << 10;
+/** Keep-alive probes find a silent peer after this idle time, ... */
+constexpr int keepAliveIdleSeconds = 1;
+/** ... this pause between probes ... */
+constexpr int keepAliveIntervalSeconds = 1;
+/** ... and this many probes without an answer. */
+constexpr int keepAliveProbes = 3;
+/** Sent bytes that a peer has not acknowledged for this long end the connection (TCP_USER_TIMEOUT). */
+constexpr auto unacknowledgedTimeout = 2500ms;
+/** A caller may take this long to close its side after a last answer. */
+constexpr auto lingerTimeout = 1s;
+/** Connections that the kernel queues before they are accepted. */
+constexpr int listenBacklog = 1024;
+/** Pause before accepting again when the process has run out of descriptors. */
+constexpr auto acceptPause = 100ms;
+
+}
--- /dev/null
+++ b/src/process/directory/backend_directory.cpp
@@ -0,0 +1,196 @@
+#include "process/directory/backend_directory.h"
+
+#include <algorithm>
+
+namespace eelgrassnotch::process::directory
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+
+/** Entries of living backend servers are back this long after the store is. Source: the store's operators. */
+constexpr Duration entryReturnTime = 2s;
+/** A published cold period is this much older than its arrival at most. Source: the lag of published entries. */
+constexpr Duration coldReportLag = 500ms;
+
+}
+
+BackendDirectory::BackendDirectory(CacheSize cacheSizeOf, OnChange changeHook)
+    : cacheSize(std::move(cacheSizeOf))
+    , onChange(std::move(changeHook))
+{
+}
+
+void BackendDirectory::apply(const BackendRecord &record, Time now)
+{
+    const auto known = this->backends.find(record.id);
+    const bool isSameIncarnation = known != this->backends.end() && known->second->record.startedAt == record.startedAt
+        && known->second->record.address == record.address && known->second->record.service == record.service;
+    if (known != this->backends.end() && !isSameIncarnation) {
+        if (record.startedAt < known->second->record.startedAt) {
+            return; // An entry of an earlier incarnation that was written late.
+        }
+        this->forget(record.id, "restarted");
+    }
+    if (!isSameIncarnation) {
+        const auto backend = std::make_shared<BackendServer>(record, this->cacheSize(record.service));
+        this->backends[record.id] = backend;
+        this->index();
+    }
+    BackendServer &backend = *this->backends.at(record.id);
+    backend.record = record;
+    if (record.coldLeft > Duration(0)) {
+        backend.coldUntil = std::max(backend.coldUntil, now + record.coldLeft + coldReportLag);
+    }
+    if (record.isDraining) {
+        this->setAvailability(backend, Availability::Draining, "published");
+    } else if (backend.availability != Availability::Draining) {
+        this->setAvailability(backend, Availability::Ready, isSameIncarnation ? "published" : "new");
+    }
+}
+
+void BackendDirectory::remove(const std::string &id, Time now)
+{
+    const auto known = this->backends.find(id);
+    if (known == this->backends.end()) {
+        return;
+    }
+    BackendServer &backend = *known->second;
+    const bool mayComeBack = (this->isStoreAway || now < this->graceUntil) && backend.availability != Availability::Draining;
+    if (!mayComeBack) {
+        this->forget(id, "entry removed");
+        return;
+    }
+    if (backend.availability != Availability::Unconfirmed) {
+        backend.unconfirmedUntil = std::max(this->graceUntil, now);
+        this->setAvailability(backend, Availability::Unconfirmed, "entry vanished around an outage of the store");
+    }
+}
+
+void BackendDirectory::replaceAll(const std::vector<BackendRecord> &records, Time now)
+{
+    std::set<std::string> listed;
+    for (const BackendRecord &record : records) {
+        listed.insert(record.id);
+        this->apply(record, now);
+    }
+    std::vector<std::string> missing;
+    for (const auto &[id, backend] : this->backends) {
+        if (!listed.contains(id)) {
+            missing.push_back(id);
+        }
+    }
+    for (const std::string &id : missing) {
+        this->remove(id, now);
+    }
+}
+
+void BackendDirectory::applyUnreadable(const std::string &id, Time)
+{
+    if (const auto known = this->backends.find(id); known != this->backends.end()) {
+        this->forget(id, "entry can't be read");
+    }
+}
+
+void BackendDirectory::noteStoreLost()
+{
+    this->isStoreAway = true;
+}
+
+void BackendDirectory::noteStoreBack(Time now)
+{
+    if (!this->isStoreAway) {
+        return;
+    }
+    this->isStoreAway = false;
+    this->graceUntil = now + entryReturnTime;
+    for (const auto &[id, backend] : this->backends) {
+        if (backend->availability == Availability::Unconfirmed) {
+            backend->unconfirmedUntil = this->graceUntil;
+        }
+    }
+}
+
+void BackendDirectory::expire(Time now)
+{
+    if (this->isStoreAway) {
+        return;
+    }
+    std::vector<std::string> ended;
+    for (const auto &[id, backend] : this->backends) {
+        if (backend->availability == Availability::Unconfirmed && now >= backend->unconfirmedUntil) {
+            ended.push_back(id);
+        }
+    }
+    for (const std::string &id : ended) {
+        this->forget(id, "entry did not come back");
+    }
+}
+
+void BackendDirectory::noteWrongInstance(const BackendServerPtr &backend)
+{
+    const auto known = this->backends.find(backend->record.id);
+    if (known != this->backends.end() && known->second == backend) {
+        this->forget(known->first, "its address answers for another instance");
+    }
+}
+
+void BackendDirectory::setTakenOut(const std::set<std::string> &dataCentres, Duration coldAfterReturn, Time now)
+{
+    for (const auto &[id, backend] : this->backends) {
+        const std::string &dataCentre = backend->record.dataCentre;
+        if (this->takenOut.contains(dataCentre) && !dataCentres.contains(dataCentre)) {
+            backend->coldUntil = std::max(backend->coldUntil, now + coldAfterReturn);
+        }
+    }
+    this->takenOut = dataCentres;
+}
+
+const std::vector<BackendServerPtr> &BackendDirectory::ofService(const std::string &service) const
+{
+    static const std::vector<BackendServerPtr> none;
+    const auto found = this->byService.find(service);
+    return found == this->byService.end() ? none : found->second;
+}
+
+void BackendDirectory::forEach(const std::function<void(const BackendServerPtr &)> &function) const
+{
+    for (const auto &[id, backend] : this->backends) {
+        function(backend);
+    }
+}
+
+void BackendDirectory::setAvailability(BackendServer &backend, Availability availability, const std::string &cause)
+{
+    if (backend.availability == availability && cause != "new") {
+        return;
+    }
+    backend.availability = availability;
+    this->onChange({backend.record.id, availability, cause});
+}
+
+void BackendDirectory::forget(const std::string &id, const std::string &cause)
+{
+    const auto known = this->backends.find(id);
+    const BackendServerPtr backend = known->second;
+    this->setAvailability(*backend, Availability::Gone, cause);
+    for (const IdleConnection &idle : backend->idle) {
+        idle.connection->cancel();
+    }
+    backend->openConnections -= static_cast<std::uint32_t>(backend->idle.size());
+    backend->idle.clear();
+    this->backends.erase(known);
+    this->index();
+}
+
+void BackendDirectory::index()
+{
+    this->byService.clear();
+    for (const auto &[id, backend] : this->backends) {
+        this->byService[backend->record.service].push_back(backend);
+    }
+}
+
+}
--- /dev/null
+++ b/src/process/directory/backend_server.h
@@ -0,0 +1,100 @@
+#pragma once
+
+/** @file One incarnation of a backend server, with what this daemon knows of its load and health. */
+
+#include "connection/http/client_connection.h"
+#include "process/directory/backend_record.h"
+#include "process/dispatch/decaying_average.h"
+#include "process/dispatch/prefix_memory.h"
+#include "process/dispatch/sliding_window.h"
+
+#include <deque>
+#include <memory>
+#include <optional>
+#include <set>
+
+namespace eelgrassnotch::process::directory
+{
+
+/** @brief Whether new requests may go to a backend server. */
+enum class Availability {
+    Ready,
+    Draining, ///< It leaves, or its data centre is about to.
+    Unconfirmed, ///< Its entry vanished while the store was away; usable until the store has had time to hear of it again.
+    Gone,
+};
+
+/** @returns a name for logs. */
+const char *nameOf(Availability availability);
+
+/** @brief Load report that came with an answer. */
+struct LoadReport {
+    std::uint32_t running = 0;
+    std::uint32_t waiting = 0;
+    Time receivedAt {0};
+
+    bool operator==(const LoadReport &) const = default;
+};
+
+/** @brief A kept connection and since when it has been idle. */
+struct IdleConnection {
+    std::shared_ptr<connection::http::ClientConnection> connection;
+    Time since {0};
+};
+
+/** @brief Lives as long as one incarnation, or a request that was sent to it. */
+class BackendServer
+{
+public:
+    explicit BackendServer(BackendRecord firstRecord, std::uint64_t cacheTokens);
+
+    /** @returns whether a request may be tried: it has not failed lately, or the pause after failures is over. */
+    bool isTrialAllowed(Time now) const;
+    /** @returns whether it is cold, as far as known. */
+    bool isCold(Time now) const
+    {
+        return now < this->coldUntil;
+    }
+    /** @brief Notes an answer that a working backend server would give. */
+    void noteSuccess(Time now, Duration coldPeriod);
+    /** @brief Notes that it did not connect, was silent or broke off. */
+    void noteFailure(Time now);
+    /** @brief Notes an answer that tells of an error inside the backend server. */
+    void noteErrorAnswer(Time now);
+    /** @brief Notes a request that is being sent. */
+    void noteStart(Time now);
+    /** @brief Notes that the answer to the request sent then has begun, or that nobody waits for it any more. */
+    void noteEndOfWait(Time sentAt, bool hasAnswered, Time now);
+    /** @returns whether requests wait there and nothing has come back for longer than a working backend server takes. */
+    bool isSilent(Time now) const;
+    /** @brief Notes how much later than predicted a first event came. */
+    void noteExcessDelay(Duration excess, Time now);
+    /** @returns predicted wait of a new request. */
+    Duration queueDelay(Time now) const;
+
+    BackendRecord record;
+    Availability availability = Availability::Ready;
+    Time unconfirmedUntil {0}; ///< End of Availability::Unconfirmed.
+    Time coldUntil {0};
+    std::uint32_t handle; ///< Hash of the id.
+    std::uint32_t inFlight = 0; ///< This daemon's requests there.
+    std::uint32_t openConnections = 0; ///< This daemon's connections there.
+    double unreadTokens = 0; ///< Prompt tokens sent by this daemon, whose first event is not here yet.
+    std::optional<LoadReport> report;
+    dispatch::DecayingAverage excessDelay; ///< Microseconds beyond the prediction.
+    dispatch::DecayingAverage answerTime; ///< Microseconds to a whole answer of a plain service.
+    dispatch::DecayingAverage failureShare;
+    dispatch::SlidingWindow starts; ///< Requests sent in the last second.
+    dispatch::PrefixMemory prefixes;
+    std::deque<IdleConnection> idle; ///< Least recently used first.
+
+private:
+    std::uint32_t failuresInARow = 0;
+    Time trialAt {0};
+    Time lastAnswerAt {0};
+    std::multiset<Time> unanswered; ///< When requests were sent whose answers have not begun.
+};
+
+using BackendServerPtr = std::shared_ptr<BackendServer>;
+
+}
--- /dev/null
+++ b/src/process/dispatch/decaying_average.h
@@ -0,0 +1,72 @@
+#pragma once
+
+/** @file Averages whose old samples lose weight with time. */
+
+#include "eelgrassnotch/types.h"
+
+#include <cmath>
+
+namespace eelgrassnotch::process::dispatch
+{
+
+/** @brief Sum that halves once per half-life; a rate when it is divided by the mean life. */
+class DecayingSum
+{
+public:
+    explicit DecayingSum(Duration sumHalfLife)
+        : halfLife(sumHalfLife)
+    {
+    }
+
+    void add(double amount, Time now)
+    {
+        this->sum = this->value(now) + amount;
+        this->updated = now;
+    }
+    double value(Time now) const
+    {
+        if (now <= this->updated) {
+            return this->sum;
+        }
+        return this->sum * std::exp2(-static_cast<double>((now - this->updated).count()) / static_cast<double>(this->halfLife.count()));
+    }
+    /** @returns amount per second. */
+    double rate(Time now) const
+    {
+        constexpr double microsecondsPerSecond = 1e6;
+        const double meanLife = static_cast<double>(this->halfLife.count()) / std::log(2.0);
+        return this->value(now) / meanLife * microsecondsPerSecond;
+    }
+
+private:
+    Duration halfLife;
+    double sum = 0;
+    Time updated {0};
+};
+
+/** @brief Exponentially weighted average that returns to zero when there are no samples. */
+class DecayingAverage
+{
+public:
+    DecayingAverage(double sampleWeight, Duration averageHalfLife)
+        : weight(sampleWeight)
+        , average(averageHalfLife)
+    {
+    }
+
+    void add(double sample, Time now)
+    {
+        const double before = this->average.value(now);
+        this->average.add((sample - before) * this->weight, now);
+    }
+    double value(Time now) const
+    {
+        return this->average.value(now);
+    }
+
+private:
+    double weight;
+    DecayingSum average;
+};
+
+}
--- /dev/null
+++ b/src/process/dispatch/placement.cpp
@@ -0,0 +1,97 @@
+#include "process/dispatch/placement.h"
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+
+namespace eelgrassnotch::process::dispatch
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+
+/** Shared prefixes from this length on have one home in the fleet: reading them costs more than moving the request. */
+constexpr std::uint32_t fleetHomeTokens = 2000;
+/** Price of bytes moved between regions and between data centres, in predicted time per kilobyte. Source: the sites' price lists. */
+constexpr Duration regionCrossingPerKilobyte = 700us;
+constexpr Duration dataCentreCrossingPerKilobyte = 200us;
+/** Time that a failed answer costs, weighed by the share of answers that fail. */
+constexpr Duration failurePenalty = 800ms;
+constexpr double bytesPerKilobyte = 1024.0;
+
+std::uint64_t mix(std::uint64_t value)
+{
+    value ^= value >> 30;
+    value *= 0xbf58476d1ce4e5b9ull;
+    value ^= value >> 27;
+    value *= 0x94d049bb133111ebull;
+    return value ^ (value >> 31);
+}
+
+constexpr std::size_t noHome = std::numeric_limits<std::size_t>::max();
+
+/** Index of the session's home among the candidates. */
+std::size_t homeOf(const PlacementRequest &request, std::span<const Candidate> candidates)
+{
+    if (request.session == 0) {
+        return noHome;
+    }
+    const bool isFleetWide = request.sharedTokens >= fleetHomeTokens;
+    std::size_t home = noHome;
+    std::uint64_t highest = 0;
+    for (std::size_t index = 0; index < candidates.size(); ++index) {
+        if (!isFleetWide && !candidates[index].isInRegion) {
+            continue;
+        }
+        const std::uint64_t weight = mix(request.session ^ (static_cast<std::uint64_t>(candidates[index].backend) << 32 | candidates[index].backend));
+        if (home == noHome || weight > highest) {
+            home = index;
+            highest = weight;
+        }
+    }
+    return home;
+}
+
+Duration crossingCost(const Candidate &candidate, std::size_t bodyBytes)
+{
+    const double kilobytes = static_cast<double>(bodyBytes) / bytesPerKilobyte;
+    const Duration perKilobyte
+        = candidate.isNear ? 0us : (candidate.isInRegion ? dataCentreCrossingPerKilobyte : regionCrossingPerKilobyte);
+    return Duration(static_cast<std::int64_t>(static_cast<double>(perKilobyte.count()) * kilobytes));
+}
+
+}
+
+Duration prefillTime(double tokens)
+{
+    constexpr double microsecondsPerMillisecond = 1000.0;
+    return Duration(std::llround(tokens / prefillTokensPerMs * microsecondsPerMillisecond));
+}
+
+std::optional<Placement> place(const PlacementRequest &request, std::span<const Candidate> candidates)
+{
+    const std::size_t home = homeOf(request, candidates);
+    std::optional<Placement> best;
+    Duration lowestCost = Duration::max();
+    for (std::size_t index = 0; index < candidates.size(); ++index) {
+        const Candidate &candidate = candidates[index];
+        if (!candidate.isUsable) {
+            continue;
+        }
+        const std::uint32_t expectedAtHome = index == home ? request.sharedTokens : 0;
+        const std::uint32_t cached = std::min(std::max(candidate.cachedTokens, expectedAtHome), request.promptTokens);
+        const std::uint32_t uncached = request.promptTokens - cached;
+        const Duration served = candidate.queueDelay + candidate.roundTrip + prefillTime(uncached);
+        const auto failures = Duration(static_cast<std::int64_t>(static_cast<double>(failurePenalty.count()) * candidate.failureShare));
+        const Duration cost = served + crossingCost(candidate, request.bodyBytes) + failures;
+        if (cost < lowestCost) {
+            lowestCost = cost;
+            best = Placement {index, candidate.queueDelay, served + firstEventOverhead, uncached, index == home};
+        }
+    }
+    return best;
+}
+
+}
--- /dev/null
+++ b/src/process/dispatch/placement.h
@@ -0,0 +1,71 @@
+#pragma once
+
+/** @file Which backend server gets a request. */
+
+#include "eelgrassnotch/types.h"
+
+#include <cstdint>
+#include <optional>
+#include <span>
+#include <vector>
+
+namespace eelgrassnotch::process::dispatch
+{
+
+/** @brief What is known of one backend server when a request is placed. */
+struct Candidate {
+    std::uint32_t backend = 0; ///< Hash of its id.
+    bool isUsable = true; ///< It is ready, its data centre is in use, and its bounds leave room.
+    bool isNear = true; ///< In this daemon's data centre.
+    bool isInRegion = true;
+    Duration queueDelay {0}; ///< Predicted wait before it begins with the prompt.
+    Duration roundTrip {0}; ///< Network time to it and back.
+    std::uint32_t cachedTokens = 0; ///< Leading tokens of the prompt that it is known to keep.
+    double failureShare = 0; ///< Part of its recent answers that failed.
+
+    bool operator==(const Candidate &) const = default;
+};
+
+/** @brief What is known of the request. */
+struct PlacementRequest {
+    std::uint32_t promptTokens = 0; ///< Zero for a plain service.
+    std::uint32_t sharedTokens = 0;
+    std::uint64_t session = 0; ///< Last shared part; zero without one.
+    std::size_t bodyBytes = 0;
+
+    bool operator==(const PlacementRequest &) const = default;
+};
+
+/** @brief Where a request goes. */
+struct Placement {
+    std::size_t index = 0; ///< Into the candidates.
+    Duration queueDelay {0}; ///< Predicted wait before the prompt is read.
+    Duration firstEvent {0}; ///< Predicted time to the first event.
+    std::uint32_t uncachedTokens = 0; ///< Tokens that it will probably have to read.
+    bool isHome = false; ///< It is the session's home.
+
+    bool operator==(const Placement &) const = default;
+};
+
+/** @brief Tokens that a model engine reads in a millisecond. Source: the deployments' data sheets. */
+constexpr double prefillTokensPerMs = 91.8;
+/** @brief Time to a first event beyond queue and prompt, in an idle engine. Source: the deployments' data sheets. */
+constexpr Duration firstEventOverhead = std::chrono::milliseconds(55);
+
+/** @returns the time in which an engine reads this many tokens. */
+Duration prefillTime(double tokens);
+
+/**
+ * @brief Picks the backend server with the lowest predicted cost.
+ *
+ * Sessions with a long shared prefix have one home in the fleet, chosen by
+ * rendezvous hashing, so that all daemons come to the same choice without
+ * asking; short ones have a home in each region. Queue, network and bytes
+ * moved between regions are weighed against the tokens that need not be read.
+ *
+ * @param candidates All backend servers of the service, usable or not: homes don't move with short troubles.
+ * @returns nothing when no candidate is usable.
+ */
+std::optional<Placement> place(const PlacementRequest &request, std::span<const Candidate> candidates);
+
+}
--- /dev/null
+++ b/src/process/dispatch/prefix_memory.cpp
@@ -0,0 +1,49 @@
+#include "process/dispatch/prefix_memory.h"
+
+namespace eelgrassnotch::process::dispatch
+{
+
+PrefixMemory::PrefixMemory(std::uint64_t mostTokens)
+    : maxTokens(mostTokens)
+{
+}
+
+void PrefixMemory::note(const request::Prompt &prompt)
+{
+    // The leading part is touched last: a part counts only while all parts before it are kept.
+    for (auto part = prompt.parts.rbegin(); part != prompt.parts.rend(); ++part) {
+        if (const auto known = this->parts.find(part->id); known != this->parts.end()) {
+            this->order.splice(this->order.begin(), this->order, known->second);
+            continue;
+        }
+        this->order.push_front(*part);
+        this->parts.emplace(part->id, this->order.begin());
+        this->tokens += part->tokens;
+    }
+    while (this->tokens > this->maxTokens && !this->order.empty()) {
+        this->tokens -= this->order.back().tokens;
+        this->parts.erase(this->order.back().id);
+        this->order.pop_back();
+    }
+}
+
+std::uint32_t PrefixMemory::cachedTokens(const request::Prompt &prompt) const
+{
+    std::uint32_t cached = 0;
+    for (const request::PromptPart &part : prompt.parts) {
+        if (!this->parts.contains(part.id)) {
+            break;
+        }
+        cached += part.tokens;
+    }
+    return cached;
+}
+
+void PrefixMemory::clear()
+{
+    this->tokens = 0;
+    this->order.clear();
+    this->parts.clear();
+}
+
+}
--- /dev/null
+++ b/src/process/edge_daemon.cpp
@@ -0,0 +1,425 @@
+#include "process/edge_daemon.h"
+
+#include "connection/http/listener.h"
+#include "process/clock.h"
+#include "process/event_log.h"
+#include "process/proxy/proxy.h"
+#include "process/store/object_writer.h"
+#include "process/timer_service.h"
+
+#include <boost/asio/signal_set.hpp>
+
+#include <csignal>
+
+namespace eelgrassnotch::process
+{
+
+namespace http = connection::http;
+using store::Collection;
+
+namespace
+{
+
+using namespace std::chrono_literals;
+
+/** Longest waits of the watches: the first bounds the age of what is known of keys, the next that of leaving backend servers. */
+constexpr Duration configurationWait = 1000ms;
+constexpr Duration backendsWait = 1500ms;
+constexpr Duration takenOutWait = 2000ms;
+constexpr Duration daemonsWait = 15s;
+/** Period of the timer service. */
+constexpr Duration tickPeriod = 100ms;
+constexpr Duration idleSweepPeriod = 1s;
+constexpr Duration settingsCheckPeriod = 2s;
+/** A daemon whose configuration is older is not ready: others can confirm keys. */
+constexpr Duration readyConfigurationAge = 3s;
+/** After SIGTERM, idle connections stay open until callers have been sent elsewhere: two missed probes, a second apart, and a margin. */
+constexpr Duration idleCloseAfterStop = 3s;
+/** The process ends this long before it would be killed. */
+constexpr Duration stopMargin = 300ms;
+/** Descriptors that are kept for listeners, the store and backend servers. */
+constexpr std::uint32_t reservedDescriptors = 1200;
+constexpr unsigned statusOk = 200;
+constexpr unsigned statusUnavailable = 503;
+constexpr unsigned statusNotFound = 404;
+/** Bounds on requests before a configuration is known, and on probes. */
+constexpr std::uint32_t probeHeaderBytes = 16384;
+constexpr std::uint64_t probeBodyBytes = 65536;
+
+http::SessionLimits limitsOf(const version::CallerLimits &limits)
+{
+    return {limits.maxHeaderBytes, limits.maxBodyBytes, limits.headerTimeout, limits.idleTimeout};
+}
+
+void answerText(const http::ServerSessionPtr &session, unsigned status, const std::string &text)
+{
+    http::Answer answer(static_cast<boost::beast::http::status>(status), 11);
+    answer.set(boost::beast::http::field::content_type, "text/plain");
+    answer.body() = text;
+    session->sendAnswer(std::move(answer));
+}
+
+}
+
+class EdgeDaemon::Parts
+{
+public:
+    Parts(const EdgeSettings &edgeSettings, std::shared_ptr<const ProxyDialect> proxyDialect, ReadSettings settingsReader)
+        : settings(edgeSettings)
+        , dialect(std::move(proxyDialect))
+        , readSettings(std::move(settingsReader))
+        , proxy(this->context, this->settings, this->dialect, this->metrics)
+        , signals(this->context, SIGTERM, SIGINT, SIGHUP)
+        , tick(this->context)
+        , writer(this->context, http::parseEndpoint(this->settings.storeAddress), this->dialect, Collection::Daemons, this->settings.name,
+                 [this](unsigned status) { this->metrics.countStoreCall(store::nameOf(Collection::Daemons), status); })
+        , callers(this->context, http::parseEndpoint(this->settings.callersAddress), this->callerHooks(), this->settings.maxDescriptors - std::min(this->settings.maxDescriptors / 2, reservedDescriptors))
+        , probes(this->context, http::parseEndpoint(this->settings.readyAddress), this->probeHooks(), probeConnections)
+        , metricsListener(this->context, http::parseEndpoint(this->settings.metricsAddress), this->metricsHooks(), probeConnections)
+    {
+        this->watchers.push_back(this->makeWatcher(Collection::Configuration, configurationWait, this->configurationHooks()));
+        this->watchers.push_back(this->makeWatcher(Collection::Backends, backendsWait, this->backendHooks()));
+        this->watchers.push_back(this->makeWatcher(Collection::TakenOutDataCentres, takenOutWait, this->takenOutHooks()));
+        this->watchers.push_back(this->makeWatcher(Collection::Daemons, daemonsWait, this->daemonHooks()));
+    }
+
+    void run()
+    {
+        logEvent("started", {{"data_centre", this->settings.dataCentre}, {"callers", this->settings.callersAddress}, {"store", this->settings.storeAddress}});
+        this->subscribeTimers();
+        this->waitForSignal();
+        this->onTick();
+        this->writer.create(this->dialect->writeDaemon({this->settings.name, this->settings.ip, this->settings.dataCentre}));
+        for (const auto &watcher : this->watchers) {
+            watcher->start();
+        }
+        this->context.run();
+        logEvent("stopped", {{"requests_cut", std::to_string(this->callers.servingCount())}});
+    }
+
+private:
+    static constexpr std::size_t probeConnections = 32;
+    using WatcherPtr = std::unique_ptr<store::CollectionWatcher>;
+
+    bool isReady(Time now)
+    {
+        return !this->proxy.isStopping() && this->hasBackends && this->hasDaemons && this->hasTakenOut && this->proxy.routeTable() != nullptr
+            && this->proxy.configurationAge(now) < readyConfigurationAge;
+    }
+
+    http::SessionHooks callerHooks()
+    {
+        http::SessionHooks hooks;
+        hooks.limits = [this] {
+            const auto table = this->proxy.routeTable();
+            return limitsOf(table ? table->limits() : version::CallerLimits());
+        };
+        hooks.onRequest = [this](const http::ServerSessionPtr &session, http::Request request) { this->proxy.handle(session, std::move(request)); };
+        hooks.onRejected = [this](unsigned status, const std::string &reason) {
+            this->metrics.countAnswer("", status);
+            logEvent("request_rejected", {{"status", std::to_string(status)}, {"reason", reason}});
+        };
+        hooks.isClosing = [this] { return this->proxy.isStopping(); };
+        return hooks;
+    }
+
+    http::SessionHooks plainHooks()
+    {
+        http::SessionHooks hooks;
+        hooks.limits = [] {
+            const version::CallerLimits limits;
+            return http::SessionLimits {probeHeaderBytes, probeBodyBytes, limits.headerTimeout, limits.idleTimeout};
+        };
+        hooks.onRejected = [](unsigned status, const std::string &reason) {
+            logEvent("probe_rejected", {{"status", std::to_string(status)}, {"reason", reason}});
+        };
+        hooks.isClosing = [] { return false; };
+        return hooks;
+    }
+
+    http::SessionHooks probeHooks()
+    {
+        http::SessionHooks hooks = this->plainHooks();
+        hooks.onRequest = [this](const http::ServerSessionPtr &session, const http::Request &request) {
+            if (!this->dialect->isReadinessProbe(request)) {
+                answerText(session, statusNotFound, "not found\n");
+                return;
+            }
+            const bool ready = this->isReady(readClock());
+            if (ready != this->wasReady) {
+                this->wasReady = ready;
+                logEvent("readiness_changed", {{"ready", ready ? "true" : "false"}});
+            }
+            answerText(session, ready ? statusOk : statusUnavailable, ready ? "ready\n" : "not ready\n");
+        };
+        return hooks;
+    }
+
+    http::SessionHooks metricsHooks()
+    {
+        http::SessionHooks hooks = this->plainHooks();
+        hooks.onRequest = [this](const http::ServerSessionPtr &session, const http::Request &) {
+            const auto table = this->proxy.routeTable();
+            this->metrics.setConnections(this->callers.connectionCount());
+            this->metrics.setConfiguration(table ? table->version() : 0, this->proxy.configurationAge(readClock()));
+            this->metrics.setDroppedLogLines(droppedLogLines());
+            answerText(session, statusOk, this->metrics.serialize());
+        };
+        return hooks;
+    }
+
+    WatcherPtr makeWatcher(Collection collection, Duration wait, store::WatcherHooks hooks)
+    {
+        const std::string name = store::nameOf(collection);
+        hooks.onCall = [this, name](unsigned status) { this->metrics.countStoreCall(name, status); };
+        const auto onReachability = std::move(hooks.onReachability);
+        hooks.onReachability = [name, onReachability](bool isReachable, const std::string &cause) {
+            logEvent(isReachable ? "store_regained" : "store_lost", {{"collection", name}, {"cause", cause}});
+            if (onReachability) {
+                onReachability(isReachable, cause);
+            }
+        };
+        return std::make_unique<store::CollectionWatcher>(this->context, http::parseEndpoint(this->settings.storeAddress), this->dialect, collection, wait,
+                                                          std::move(hooks));
+    }
+
+    void applyConfiguration(const store::StoredObject &object)
+    {
+        try {
+            this->proxy.setRouteTable(std::make_shared<const version::RouteTable>(this->dialect->readConfiguration(object)));
+        } catch (const std::exception &error) {
+            logWarning("configuration_unreadable", {{"object", object.name}, {"revision", std::to_string(object.revision)}, {"cause", error.what()}});
+        }
+    }
+
+    store::WatcherHooks configurationHooks()
+    {
+        store::WatcherHooks hooks;
+        hooks.onList = [this](const std::vector<store::StoredObject> &objects) {
+            for (const auto &object : objects) {
+                this->applyConfiguration(object);
+            }
+        };
+        hooks.onChange = [this](const store::ObjectChange &change) {
+            if (!change.isRemoved) {
+                this->applyConfiguration(change.object);
+            }
+        };
+        hooks.onConfirmed = [this](Time asOf) { this->proxy.confirmConfiguration(asOf); };
+        return hooks;
+    }
+
+    void logUnreadableBackend(const store::StoredObject &object)
+    {
+        logWarning("backend_entry_unreadable", {{"backend", object.name}, {"revision", std::to_string(object.revision)}});
+    }
+
+    store::WatcherHooks backendHooks()
+    {
+        store::WatcherHooks hooks;
+        hooks.onList = [this](const std::vector<store::StoredObject> &objects) {
+            std::vector<directory::BackendRecord> records;
+            for (const auto &object : objects) {
+                if (auto record = this->dialect->readBackend(object)) {
+                    records.push_back(std::move(*record));
+                } else {
+                    this->logUnreadableBackend(object);
+                }
+            }
+            this->proxy.backends().replaceAll(records, readClock());
+            this->hasBackends = true;
+        };
+        hooks.onChange = [this](const store::ObjectChange &change) {
+            const Time now = readClock();
+            if (change.isRemoved) {
+                this->proxy.backends().remove(change.object.name, now);
+            } else if (const auto record = this->dialect->readBackend(change.object)) {
+                this->proxy.backends().apply(*record, now);
+            } else {
+                this->logUnreadableBackend(change.object);
+                this->proxy.backends().applyUnreadable(change.object.name, now);
+            }
+        };
+        hooks.onConfirmed = [](Time) {};
+        hooks.onReachability = [this](bool isReachable, const std::string &) {
+            if (isReachable) {
+                this->proxy.backends().noteStoreBack(readClock());
+            } else {
+                this->proxy.backends().noteStoreLost();
+            }
+        };
+        return hooks;
+    }
+
+    void applyTakenOut()
+    {
+        for (const std::string &dataCentre : this->takenOut) {
+            logEvent("data_centre_taken_out", {{"data_centre", dataCentre}});
+        }
+        this->proxy.backends().setTakenOut(this->takenOut, coldAfterReturn, readClock());
+    }
+
+    store::WatcherHooks takenOutHooks()
+    {
+        store::WatcherHooks hooks;
+        hooks.onList = [this](const std::vector<store::StoredObject> &objects) {
+            this->takenOut.clear();
+            for (const auto &object : objects) {
+                this->takenOut.insert(object.name);
+            }
+            this->hasTakenOut = true;
+            this->applyTakenOut();
+        };
+        hooks.onChange = [this](const store::ObjectChange &change) {
+            if (change.isRemoved) {
+                this->takenOut.erase(change.object.name);
+            } else {
+                this->takenOut.insert(change.object.name);
+            }
+            this->applyTakenOut();
+        };
+        hooks.onConfirmed = [](Time) {};
+        return hooks;
+    }
+
+    void applyDaemons()
+    {
+        std::vector<DaemonHandle> handles;
+        for (const std::string &name : this->daemons) {
+            handles.push_back(handleOf<DaemonHandle>(name));
+        }
+        logEvent("daemons_changed", {{"count", std::to_string(handles.size())}});
+        this->proxy.setDaemons(std::move(handles));
+    }
+
+    store::WatcherHooks daemonHooks()
+    {
+        store::WatcherHooks hooks;
+        hooks.onList = [this](const std::vector<store::StoredObject> &objects) {
+            this->daemons.clear();
+            for (const auto &object : objects) {
+                this->daemons.insert(object.name);
+            }
+            this->hasDaemons = true;
+            this->applyDaemons();
+        };
+        hooks.onChange = [this](const store::ObjectChange &change) {
+            if (change.isRemoved) {
+                this->daemons.erase(change.object.name);
+            } else {
+                this->daemons.insert(change.object.name);
+            }
+            this->applyDaemons();
+        };
+        hooks.onConfirmed = [](Time) {};
+        return hooks;
+    }
+
+    void subscribeTimers()
+    {
+        this->subscriptions.push_back(this->timers.subscribe([] { return tickPeriod; }, [this](Time now) { this->proxy.backends().expire(now); }));
+        this->subscriptions.push_back(this->timers.subscribe([] { return tickPeriod; }, [this](Time now) { this->continueStop(now); }));
+        this->subscriptions.push_back(this->timers.subscribe([] { return idleSweepPeriod; }, [this](Time now) {
+            this->callers.connectionCount();
+            this->proxy.backends().forEach([now](const directory::BackendServerPtr &backend) { proxy::BackendPool::closeIdle(backend, now); });
+        }));
+        this->subscriptions.push_back(this->timers.subscribe([] { return settingsCheckPeriod; }, [this](Time) { this->reloadSettings(); }));
+    }
+
+    void onTick()
+    {
+        this->timers.advance(readClock());
+        this->tick.expires_after(tickPeriod);
+        this->tick.async_wait([this](boost::system::error_code error) {
+            if (!error) {
+                this->onTick();
+            }
+        });
+    }
+
+    void waitForSignal()
+    {
+        this->signals.async_wait([this](boost::system::error_code error, int signal) {
+            if (error) {
+                return;
+            }
+            if (signal == SIGHUP) {
+                this->reloadSettings();
+            } else if (!this->proxy.isStopping()) {
+                logEvent("stop_requested", {{"signal", std::to_string(signal)}, {"serving", std::to_string(this->callers.servingCount())}});
+                this->proxy.setStopping(readClock());
+                this->writer.remove([] {});
+            }
+            this->waitForSignal();
+        });
+    }
+
+    void reloadSettings()
+    {
+        try {
+            const EdgeSettings read = this->readSettings();
+            if (read == this->settings) {
+                return;
+            }
+            this->settings = read;
+            this->proxy.setSettings(read);
+            logEvent("settings_reloaded", {{"data_centre", read.dataCentre}});
+        } catch (const std::exception &error) {
+            logWarning("settings_not_reloaded", {{"cause", error.what()}});
+        }
+    }
+
+    void continueStop(Time now)
+    {
+        if (!this->proxy.isStopping()) {
+            return;
+        }
+        const Duration since = this->proxy.stoppingFor(now);
+        const bool isGraceOver = since >= this->settings.bounds.stopGrace - stopMargin;
+        if (since >= idleCloseAfterStop) {
+            this->callers.closeIdle();
+        }
+        if (isGraceOver || (since >= idleCloseAfterStop && this->callers.connectionCount() == 0)) {
+            this->context.stop();
+        }
+    }
+
+    /** Backend servers of a data centre that comes back are taken as cold for this long. Source: cold periods of the deployments. */
+    static constexpr Duration coldAfterReturn = std::chrono::seconds(3);
+
+    EdgeSettings settings;
+    std::shared_ptr<const ProxyDialect> dialect;
+    ReadSettings readSettings;
+    boost::asio::io_context context {1};
+    proxy::ProxyMetrics metrics;
+    proxy::Proxy proxy;
+    boost::asio::signal_set signals;
+    boost::asio::steady_timer tick;
+    TimerService timers;
+    std::vector<TimerService::Subscription> subscriptions;
+    std::vector<WatcherPtr> watchers;
+    store::ObjectWriter writer;
+    http::Listener callers;
+    http::Listener probes;
+    http::Listener metricsListener;
+    std::set<std::string> takenOut;
+    std::set<std::string> daemons;
+    bool hasBackends = false;
+    bool hasTakenOut = false;
+    bool hasDaemons = false;
+    bool wasReady = false;
+};
+
+EdgeDaemon::EdgeDaemon(const EdgeSettings &settings, std::shared_ptr<const ProxyDialect> dialect, ReadSettings readSettings)
+    : parts(std::make_unique<Parts>(settings, std::move(dialect), std::move(readSettings)))
+{
+}
+
+EdgeDaemon::~EdgeDaemon() = default;
+
+void EdgeDaemon::run()
+{
+    this->parts->run();
+}
+
+}
--- /dev/null
+++ b/src/process/edge_settings.h
@@ -0,0 +1,43 @@
+#pragma once
+
+/** @file Settings of a daemon that runs between callers and backend servers of a platform. */
+
+#include "eelgrassnotch/types.h"
+
+#include <cstdint>
+#include <map>
+#include <string>
+
+namespace eelgrassnotch::process
+{
+
+/** @brief Bounds that the platform's operators set. */
+struct OperatorBounds {
+    Duration keyRevocation {0}; ///< A key that was taken away may not be used any more after this.
+    Duration stopGrace {0}; ///< From SIGTERM to SIGKILL.
+    double retryRatio = 0; ///< Repeated sends per request, over all daemons.
+    double retryBurst = 0; ///< Repeated sends beyond that in one window.
+    Duration retryWindow {0};
+    double coldOvershoot = 1; ///< Factor on the rate that a cold backend server bears, over all daemons.
+    double coldSlack = 0; ///< Requests beyond that in one second.
+
+    bool operator==(const OperatorBounds &) const = default;
+};
+
+/** @brief Where a daemon runs and whom it talks to. */
+struct EdgeSettings {
+    std::string name;
+    std::string ip;
+    std::string dataCentre;
+    std::map<std::string, std::string> regions; ///< Region of each data centre.
+    std::string callersAddress; ///< IP:PORT for callers.
+    std::string readyAddress; ///< IP:PORT for readiness probes.
+    std::string metricsAddress; ///< IP:PORT for metrics.
+    std::string storeAddress; ///< IP:PORT of the platform's store.
+    std::uint32_t maxDescriptors = 1024;
+    OperatorBounds bounds;
+
+    bool operator==(const EdgeSettings &) const = default;
+};
+
+}
--- a/src/process/event_log.cpp
+++ b/src/process/event_log.cpp
@@ -1,8 +1,9 @@
 #include "process/event_log.h"
 
-#include <easylogging++.h>
-
-INITIALIZE_EASYLOGGINGPP
+#include <spdlog/async.h>
+#include <spdlog/sinks/basic_file_sink.h>
+#include <spdlog/sinks/stdout_sinks.h>
+#include <spdlog/spdlog.h>
 
 namespace eelgrassnotch::process
 {
@@ -10,6 +11,11 @@
 namespace
 {
 
+/** Lines that wait for the writer; the oldest are dropped, and counted, when there are more. */
+constexpr std::size_t queuedLines = 2048;
+constexpr std::size_t writerThreads = 1;
+constexpr const char *loggerName = "events";
+
 std::string quote(const std::string &value)
 {
     const bool plain = !value.empty() && value.find_first_of(" \"=\n\t") == std::string::npos;
@@ -32,20 +38,37 @@
     return name;
 }
 
+void write(spdlog::level::level_enum level, const std::string &line)
+{
+    const auto logger = spdlog::get(loggerName);
+    (logger ? logger : spdlog::default_logger())->log(level, line);
+}
+
 }
 
 void startLog(const std::string &daemon, const std::string &file)
 {
     daemonName() = daemon;
-    el::Configurations configurations;
-    configurations.setToDefault();
-    configurations.setGlobally(el::ConfigurationType::Format, "time=%datetime{%Y-%M-%dT%H:%m:%s.%g} level=%levshort %msg");
-    configurations.setGlobally(el::ConfigurationType::ToStandardOutput, file.empty() ? "true" : "false");
-    configurations.setGlobally(el::ConfigurationType::ToFile, file.empty() ? "false" : "true");
-    if (!file.empty()) {
-        configurations.setGlobally(el::ConfigurationType::Filename, file);
-    }
-    el::Loggers::reconfigureLogger("default", configurations);
+    spdlog::drop(loggerName);
+    spdlog::init_thread_pool(queuedLines, writerThreads);
+    const spdlog::sink_ptr sink = file.empty() ? spdlog::sink_ptr(std::make_shared<spdlog::sinks::stdout_sink_mt>())
+                                               : spdlog::sink_ptr(std::make_shared<spdlog::sinks::basic_file_sink_mt>(file));
+    const auto logger
+        = std::make_shared<spdlog::async_logger>(loggerName, sink, spdlog::thread_pool(), spdlog::async_overflow_policy::overrun_oldest);
+    logger->set_pattern("time=%Y-%m-%dT%H:%M:%S.%e level=%L %v");
+    logger->flush_on(spdlog::level::warn);
+    spdlog::register_logger(logger);
+}
+
+void stopLog()
+{
+    spdlog::shutdown();
+}
+
+std::size_t droppedLogLines()
+{
+    const auto pool = spdlog::thread_pool();
+    return pool ? pool->overrun_counter() : 0;
 }
 
 std::string formatEvent(const std::string &event, const LogFields &fields)
@@ -62,12 +85,12 @@
 
 void logEvent(const std::string &event, const LogFields &fields)
 {
-    LOG(INFO) << formatEvent(event, fields);
+    write(spdlog::level::info, formatEvent(event, fields));
 }
 
 void logWarning(const std::string &event, const LogFields &fields)
 {
-    LOG(WARNING) << formatEvent(event, fields);
+    write(spdlog::level::warn, formatEvent(event, fields));
 }
 
 }
--- a/src/process/event_log.h
+++ b/src/process/event_log.h
@@ -2,6 +2,7 @@
 
 /** @file Log of events: one line of key=value pairs each. */
 
+#include <cstddef>
 #include <string>
 #include <utility>
 #include <vector>
@@ -11,8 +12,12 @@
 
 using LogFields = std::vector<std::pair<std::string, std::string>>;
 
-/** @brief Sets up the log. @param file Path of the log file; empty for standard error only. */
+/** @brief Sets up the log; lines are written by a thread of its own. @param file Path of the log file; empty for standard output. */
 void startLog(const std::string &daemon, const std::string &file);
+/** @brief Writes the lines that wait, and ends the writer. */
+void stopLog();
+/** @returns lines that were dropped because the writer could not keep up. */
+std::size_t droppedLogLines();
 /** @brief Writes one event; values with spaces or quotes are quoted. */
 void logEvent(const std::string &event, const LogFields &fields);
 /** @brief Writes one event that needs an operator's look. */
--- /dev/null
+++ b/src/process/proxy/admission.cpp
@@ -0,0 +1,38 @@
+#include "process/proxy/admission.h"
+
+#include <algorithm>
+
+namespace eelgrassnotch::process::proxy
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+
+/** Parts of the latency target that the queue may take; the rest is for the prompt and the network. */
+constexpr double queuePart = 0.6;
+constexpr double queuePartOverShare = 0.25;
+/** Shortest time after which a refused caller is asked back. */
+constexpr Duration shortestReturn = 150ms;
+constexpr std::uint64_t spreadSteps = 1024;
+
+}
+
+AdmissionDecision decideAdmission(const AdmissionInput &input)
+{
+    const double part = input.isOverShare ? queuePartOverShare : queuePart;
+    const auto limit = Duration(static_cast<std::int64_t>(static_cast<double>(input.latencyTarget.count()) * part));
+    if (input.isRepeat || input.latencyTarget == Duration(0) || input.queueDelay <= limit) {
+        return {};
+    }
+    return {false, std::max(input.queueDelay - limit, shortestReturn)};
+}
+
+Duration spreadReturn(Duration comeBackAfter, std::uint64_t draw)
+{
+    const Duration least = std::max(comeBackAfter, shortestReturn);
+    return least + Duration(least.count() * static_cast<std::int64_t>(draw % spreadSteps) / static_cast<std::int64_t>(spreadSteps));
+}
+
+}
--- /dev/null
+++ b/src/process/proxy/admission.h
@@ -0,0 +1,48 @@
+#pragma once
+
+/** @file Whether a request is sent now, or refused with a time to come back. */
+
+#include "eelgrassnotch/types.h"
+
+#include <cstdint>
+
+namespace eelgrassnotch::process::proxy
+{
+
+/** @brief What decides on a request for a model engine. */
+struct AdmissionInput {
+    Duration queueDelay {0}; ///< Predicted at the best backend server.
+    Duration latencyTarget {0};
+    bool isOverShare = false; ///< Its workspace has been served more than its fair share.
+    bool isRepeat = false; ///< It has been sent before.
+
+    bool operator==(const AdmissionInput &) const = default;
+};
+
+/** @brief Outcome; a refusal names the time until there will be room. */
+struct AdmissionDecision {
+    bool isAdmitted = true;
+    Duration comeBackAfter {0};
+
+    bool operator==(const AdmissionDecision &) const = default;
+};
+
+/**
+ * @brief Compares the predicted queue with a part of the latency target.
+ *
+ * The limit is on the queue, not on the request's own prompt, so that long
+ * prompts are turned away no more often than short ones. Workspaces over
+ * their share are turned away from a shorter queue on.
+ *
+ * @remarks Load pattern: more prompt tokens arrive than the engines can read; without a limit all answers come late.
+ */
+AdmissionDecision decideAdmission(const AdmissionInput &input);
+
+/**
+ * @brief Spreads the times at which refused callers come back.
+ * @param comeBackAfter Time until there will be room.
+ * @param draw Uniform number, such as a hash of the request's id.
+ */
+Duration spreadReturn(Duration comeBackAfter, std::uint64_t draw);
+
+}
--- /dev/null
+++ b/src/process/proxy/forwarding.cpp
@@ -0,0 +1,627 @@
+#include "process/proxy/forwarding.h"
+
+#include "process/clock.h"
+#include "process/event_log.h"
+#include "process/proxy/admission.h"
+
+#include <algorithm>
+#include <iomanip>
+#include <sstream>
+
+namespace eelgrassnotch::process::proxy
+{
+
+namespace http = connection::http;
+using boost::beast::http::field;
+using directory::Availability;
+using http::EndKind;
+
+namespace
+{
+
+using namespace std::chrono_literals;
+
+constexpr unsigned statusOk = 200;
+constexpr unsigned firstErrorStatus = 500;
+constexpr unsigned firstFailureStatus = 300;
+constexpr unsigned statusTooManyRequests = 429;
+constexpr unsigned statusUnavailable = 503;
+constexpr unsigned statusRequestTimeout = 408;
+
+/** Time for a connection: several round trips between regions. */
+constexpr Duration connectTimeout = 400ms;
+/** A request that can't be repeated goes only over a connection that was in use this recently. */
+constexpr Duration longestIdleUnrepeatable = 1500ms;
+constexpr Duration longestIdleRepeatable = 5s;
+/** Part of the latency target for which a request may wait for a backend server to become usable. */
+constexpr int waitingPart = 8;
+constexpr Duration shortestRoomWait = 10ms;
+constexpr Duration roomCheckPeriod = 10ms;
+/** A repeatable request is tried elsewhere when its answer takes this many times its latency target. */
+constexpr int attemptTargets = 3;
+/** Sends of one request, those that were refused as not run included. */
+constexpr std::uint32_t mostSends = 4;
+/** Time limit of requests that name none, on routes without a timeout. */
+constexpr Duration defaultLimit = 30s;
+/** Callers are asked back after this long when knowledge of keys or backend servers is missing. */
+constexpr Duration returnWithoutKnowledge = 500ms;
+/** Largest answer that is kept in memory until it is whole, in bytes. */
+constexpr std::size_t mostBufferedBytes = 8u << 20;
+/** Largest event of a stream, in bytes. */
+constexpr std::size_t mostEventBytes = 256u << 10;
+/** Generated tokens count twice in the cost of a request. Source: the platform's measure of throughput. */
+constexpr double generatedTokenCost = 2.0;
+
+std::string milliseconds(Duration duration)
+{
+    return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
+}
+
+std::string retryAfterText(Duration duration)
+{
+    std::ostringstream text;
+    text << std::fixed << std::setprecision(3) << std::chrono::duration<double>(duration).count();
+    return text.str();
+}
+
+std::string_view hostWithoutPort(std::string_view host)
+{
+    return host.substr(0, std::min(host.find(':'), host.size()));
+}
+
+std::string_view viewOf(boost::beast::string_view text)
+{
+    return {text.data(), text.size()};
+}
+
+}
+
+Forwarding::Forwarding(Proxy &owner, http::ServerSessionPtr callerSession, http::Request callerRequest)
+    : proxy(owner)
+    , session(std::move(callerSession))
+    , request(std::move(callerRequest))
+    , table(owner.routeTable())
+    , limitTimer(owner.context())
+    , attemptTimer(owner.context())
+    , roomTimer(owner.context())
+    , receivedAt(readClock())
+{
+}
+
+void Forwarding::start()
+{
+    const Time now = this->receivedAt;
+    this->attributes = this->proxy.dialect().readRequest(this->request);
+    if (!this->table) {
+        this->refuse(RefusalReason::NoConfiguration, returnWithoutKnowledge, "no configuration is known yet");
+        return;
+    }
+    if (!this->findRoute() || !this->checkKey(now)) {
+        return;
+    }
+    const Duration patience = this->attributes.patience.value_or(defaultLimit);
+    this->limit = now + (this->route->timeout > Duration(0) ? std::min(patience, this->route->timeout) : patience);
+    this->roomUntil = now + std::max(this->route->latencyTarget / waitingPart, shortestRoomWait);
+    const std::uint64_t draw = hashName(this->attributes.id);
+    const std::string &serviceName = this->route->serviceFor(draw);
+    this->service = this->table->service(serviceName);
+    if (this->service == nullptr) {
+        this->undescribed.name = serviceName;
+        this->service = &this->undescribed;
+    }
+    if (this->isEngine()) {
+        this->proxy.shares().noteAsked(this->workspaceName(), this->cost(), now);
+    }
+    this->session->watchCaller([weak = this->weak_from_this()] {
+        if (const auto self = weak.lock()) {
+            self->onCallerLeft();
+        }
+    });
+    this->limitTimer.expires_after(this->limit - now);
+    this->limitTimer.async_wait([self = this->shared_from_this()](boost::system::error_code error) {
+        if (!error && !self->isFinished) {
+            self->onTimeLimit();
+        }
+    });
+    this->place();
+}
+
+bool Forwarding::findRoute()
+{
+    const std::string_view target = viewOf(this->request.target());
+    const std::string_view path = target.substr(0, std::min(target.find('?'), target.size()));
+    this->route = this->table->match(hostWithoutPort(viewOf(this->request[field::host])), path);
+    if (this->route == nullptr) {
+        this->refuse(RefusalReason::UnknownRoute, Duration(0), "no route matches host and path");
+        return false;
+    }
+    return true;
+}
+
+bool Forwarding::checkKey(Time now)
+{
+    if (this->route->isPublic || !this->table->hasWorkspaces()) {
+        return true;
+    }
+    if (!this->proxy.areKeysFresh(now)) {
+        this->refuse(RefusalReason::KeysUnconfirmed, returnWithoutKnowledge, "keys were confirmed too long ago");
+        return false;
+    }
+    this->workspace = this->table->workspaceOf(this->attributes.key);
+    if (this->workspace == nullptr) {
+        this->refuse(RefusalReason::UnknownKey, Duration(0), "no workspace holds this key");
+        return false;
+    }
+    return true;
+}
+
+bool Forwarding::isStream() const
+{
+    return this->route->kind == version::RouteKind::Streaming;
+}
+
+bool Forwarding::isEngine() const
+{
+    return this->service->engine.has_value();
+}
+
+bool Forwarding::isRepeatable() const
+{
+    return this->route->kind == version::RouteKind::Idempotent || (this->isStream() && this->route->isResumable);
+}
+
+Duration Forwarding::timeLeft(Time now) const
+{
+    return std::max(this->limit - now, Duration(0));
+}
+
+std::string Forwarding::workspaceName() const
+{
+    return this->workspace == nullptr ? std::string() : this->workspace->name;
+}
+
+double Forwarding::cost() const
+{
+    return this->attributes.prompt.tokens + generatedTokenCost * this->attributes.prompt.outputTokens;
+}
+
+void Forwarding::place()
+{
+    const Time now = readClock();
+    const PlacementQuery query {this->route, this->service, this->workspace, &this->attributes.prompt, this->request.body().size(), &this->tried};
+    const PlacedBackend placed = this->proxy.choose(query, now);
+    if (!placed.backend) {
+        this->waitForRoom(placed, now);
+        return;
+    }
+    if (this->isEngine() && !this->isAdmitted(placed, now)) {
+        return;
+    }
+    this->send(placed, now);
+}
+
+void Forwarding::waitForRoom(const PlacedBackend &placed, Time now)
+{
+    if (now >= this->roomUntil) {
+        const std::string detail = "none of " + std::to_string(placed.candidates) + " backend servers is usable";
+        this->refuse(RefusalReason::NoBackend, spreadReturn(returnWithoutKnowledge, hashName(this->attributes.id)), detail);
+        return;
+    }
+    this->roomTimer.expires_after(roomCheckPeriod);
+    this->roomTimer.async_wait([self = this->shared_from_this()](boost::system::error_code error) {
+        if (!error && !self->isFinished) {
+            self->place();
+        }
+    });
+}
+
+bool Forwarding::isAdmitted(const PlacedBackend &placed, Time now)
+{
+    AdmissionInput input;
+    input.queueDelay = placed.prediction.queueDelay;
+    input.latencyTarget = this->route->latencyTarget;
+    input.isOverShare = this->proxy.isOverShare(this->workspaceName(), now);
+    input.isRepeat = this->sends > 0;
+    const AdmissionDecision decision = decideAdmission(input);
+    if (!decision.isAdmitted) {
+        const std::string detail = "queue_ms " + milliseconds(input.queueDelay) + (input.isOverShare ? " workspace over its share" : "");
+        this->refuse(RefusalReason::Overloaded, spreadReturn(decision.comeBackAfter, hashName(this->attributes.id)), detail);
+    }
+    return decision.isAdmitted;
+}
+
+void Forwarding::send(const PlacedBackend &placed, Time now)
+{
+    if (!this->wasCounted) {
+        this->wasCounted = true;
+        this->proxy.countRequest(this->service->name, now);
+        if (this->isEngine()) {
+            this->proxy.shares().noteServed(this->workspaceName(), this->cost(), now);
+        }
+    }
+    ++this->sends;
+    this->tried.push_back(placed.backend);
+    this->current = std::make_unique<Send>();
+    Send &sent = *this->current;
+    sent.backend = placed.backend;
+    sent.prediction = placed.prediction;
+    sent.at = now;
+    ++sent.backend->inFlight;
+    sent.backend->noteStart(now);
+    sent.backend->unreadTokens += sent.prediction.uncachedTokens;
+    sent.backend->prefixes.note(this->attributes.prompt);
+
+    BackendCall call;
+    call.expectedInstance = sent.backend->record.id;
+    call.workspace = this->workspaceName();
+    call.timeLeft = this->timeLeft(now);
+    call.resumeAfter = this->splitter.lastEventId();
+    const auto outgoing = std::make_shared<const http::Request>(this->proxy.dialect().toBackend(this->request, call));
+
+    const Duration longestIdle = this->isRepeatable() ? longestIdleRepeatable : longestIdleUnrepeatable;
+    sent.connection = this->proxy.pool().acquire(sent.backend, longestIdle, now);
+    http::ExchangeHooks hooks;
+    hooks.onHeader = [self = this->shared_from_this()](const http::AnswerHeader &header) { return self->onHeader(header); };
+    hooks.onBody = [self = this->shared_from_this()](std::string_view part) { self->onBody(part); };
+    hooks.onEnd = [self = this->shared_from_this()](const http::ExchangeEnd &end) { self->onEnd(end); };
+    this->armAttemptTimer();
+    sent.connection->send(outgoing, connectTimeout, std::move(hooks));
+}
+
+void Forwarding::armAttemptTimer()
+{
+    if (!this->isRepeatable() || this->route->latencyTarget == Duration(0)) {
+        return;
+    }
+    this->attemptTimer.expires_after(this->route->latencyTarget * attemptTargets);
+    this->attemptTimer.async_wait([self = this->shared_from_this(), sent = this->sends](boost::system::error_code error) {
+        if (!error && !self->isFinished && self->current && sent == self->sends && !self->current->hasAnswered) {
+            self->onAttemptTimeout();
+        }
+    });
+}
+
+bool Forwarding::onHeader(const http::AnswerHeader &header)
+{
+    Send &sent = *this->current;
+    const request::AnswerAttributes answer = this->proxy.dialect().readAnswer(header);
+    if (!answer.id.empty() && answer.id != this->attributes.id) {
+        logEvent("foreign_answer", {{"request", this->attributes.id}, {"backend", sent.backend->record.id}, {"answers", answer.id}});
+        return false;
+    }
+    const Time now = readClock();
+    sent.header = header;
+    sent.answer = answer;
+    sent.hasAnswered = true;
+    this->attemptTimer.cancel();
+    sent.backend->noteEndOfWait(sent.at, true, now);
+    if (answer.running) {
+        sent.backend->report = directory::LoadReport {*answer.running, answer.waiting.value_or(0), now};
+    }
+    if (answer.coldLeft && *answer.coldLeft > Duration(0)) {
+        sent.backend->coldUntil = std::max(sent.backend->coldUntil, now + *answer.coldLeft);
+    }
+    return true;
+}
+
+void Forwarding::onBody(std::string_view part)
+{
+    Send &sent = *this->current;
+    const bool isForwarded = sent.answer.isEventStream && sent.header.result_int() == statusOk && sent.answer.isSigned && !sent.answer.isEncoded;
+    if (!isForwarded) {
+        sent.body += part;
+        if (sent.body.size() > mostBufferedBytes) {
+            sent.connection->cancel();
+            this->onFailedSend({EndKind::Malformed, "answer is too large"}, readClock());
+        }
+        return;
+    }
+    const std::string_view events = this->splitter.add(part);
+    if (!events.empty()) {
+        this->forwardEvents(events, readClock());
+    } else if (this->splitter.heldBytes() > mostEventBytes) {
+        sent.connection->cancel();
+        this->onFailedSend({EndKind::Malformed, "event is too large"}, readClock());
+    }
+}
+
+void Forwarding::forwardEvents(std::string_view events, Time now)
+{
+    Send &sent = *this->current;
+    if (!sent.hasEvent) {
+        sent.hasEvent = true;
+        sent.backend->unreadTokens = std::max(0.0, sent.backend->unreadTokens - sent.prediction.uncachedTokens);
+        const Duration undelayed = sent.prediction.firstEvent - sent.prediction.queueDelay;
+        sent.backend->noteExcessDelay(now - sent.at - undelayed, now);
+        this->proxy.metrics().observePredictionError(this->route->name, now - sent.at - sent.prediction.firstEvent);
+    }
+    if (!this->hasStarted) {
+        this->hasStarted = true;
+        this->firstEventAfter = now - this->receivedAt;
+        this->proxy.metrics().observeFirstEvent(this->route->name, this->firstEventAfter);
+        this->session->startStream(this->proxy.dialect().toCaller(sent.header));
+    }
+    this->session->sendPart(events);
+}
+
+void Forwarding::onEnd(const http::ExchangeEnd &end)
+{
+    const Time now = readClock();
+    if (end.kind != EndKind::Complete) {
+        this->onFailedSend(end, now);
+        return;
+    }
+    if (this->current->answer.isNotRun) {
+        this->onNotRun(end, now);
+        return;
+    }
+    const bool isForwarded = this->current->answer.isEventStream && this->current->header.result_int() == statusOk && this->current->answer.isSigned
+        && !this->current->answer.isEncoded;
+    if (isForwarded) {
+        this->onStreamEnd(now);
+        return;
+    }
+    this->onWholeAnswer(now);
+}
+
+void Forwarding::onStreamEnd(Time now)
+{
+    const std::string rest(this->splitter.rest());
+    this->splitter.dropRest();
+    if (!rest.empty() || !this->current->hasEvent) {
+        this->forwardEvents(rest, now);
+    }
+    this->verdict = Verdict::Ran;
+    this->current->backend->noteSuccess(now, this->service->coldPeriod);
+    this->endSend(now, false);
+    this->session->finishStream();
+    this->finish("served", statusOk);
+}
+
+void Forwarding::onWholeAnswer(Time now)
+{
+    Send &sent = *this->current;
+    const unsigned status = sent.header.result_int();
+    const bool isSuccess = status < firstFailureStatus;
+    if (isSuccess && (!sent.answer.isSigned || sent.answer.isEncoded)) {
+        this->onFailedSend({EndKind::Malformed, sent.answer.isEncoded ? "encoded body" : "unsigned answer"}, now);
+        return;
+    }
+    ++this->arrivals;
+    this->verdict = Verdict::Ran;
+    if (status >= firstErrorStatus) {
+        sent.backend->noteErrorAnswer(now);
+        const bool hadTime = this->timeLeft(now) > this->route->latencyTarget / 2;
+        if (this->isRepeatable() && hadTime && this->arrivals < this->route->maxAttempts && this->tryAgain(RetryReason::BackendFailed, Verdict::Ran, now)) {
+            return;
+        }
+    } else {
+        sent.backend->noteSuccess(now, this->service->coldPeriod);
+        sent.backend->answerTime.add(static_cast<double>((now - sent.at).count()), now);
+    }
+    this->passAnswer();
+}
+
+void Forwarding::passAnswer()
+{
+    const Time now = readClock();
+    const unsigned status = this->current->header.result_int();
+    const bool promisesNotRun = status == statusTooManyRequests || status == statusUnavailable || status == statusRequestTimeout;
+    if (this->hasStarted) {
+        this->endSend(now, false);
+        this->breakOff("resumed stream answered with status " + std::to_string(status));
+        return;
+    }
+    if (promisesNotRun) {
+        // The status would promise that the request has not run, which its backend server did not say.
+        this->endSend(now, false);
+        this->refuse(RefusalReason::BackendFailed, Duration(0), "backend server answered " + std::to_string(status));
+        return;
+    }
+    http::Answer answer(this->proxy.dialect().toCaller(this->current->header));
+    answer.body() = std::move(this->current->body);
+    this->endSend(now, false);
+    this->proxy.metrics().observeAnswer(this->route->name, now - this->receivedAt);
+    this->session->sendAnswer(std::move(answer));
+    this->finish(status < firstFailureStatus ? "served" : "backend_status", status);
+}
+
+void Forwarding::onNotRun(const http::ExchangeEnd &, Time now)
+{
+    Send &sent = *this->current;
+    if (sent.answer.isWrongInstance) {
+        this->proxy.backends().noteWrongInstance(sent.backend);
+    } else {
+        sent.backend->noteErrorAnswer(now);
+    }
+    const unsigned status = sent.header.result_int();
+    const bool mayBeTakenElsewhere = sent.answer.isWrongInstance || status == statusUnavailable || status == statusTooManyRequests;
+    if (mayBeTakenElsewhere && this->tryAgain(RetryReason::BackendRefused, Verdict::NotRun, now)) {
+        return;
+    }
+    if (this->hasStarted) {
+        this->endSend(now, false);
+        this->breakOff("no backend server resumed the stream");
+        return;
+    }
+    const bool isQueueTimeout = this->timeLeft(now) <= Duration(0);
+    if (!mayBeTakenElsewhere && !isQueueTimeout) {
+        this->passAnswer();
+        return;
+    }
+    this->endSend(now, false);
+    const bool neverRan = this->verdict == Verdict::NotRun;
+    this->refuse(neverRan ? RefusalReason::Overloaded : RefusalReason::BackendFailed, neverRan ? returnWithoutKnowledge : Duration(0),
+                 "backend server refused with status " + std::to_string(status));
+}
+
+void Forwarding::onFailedSend(const http::ExchangeEnd &end, Time now)
+{
+    const bool isUnsent = end.kind == EndKind::ConnectFailed;
+    if (!isUnsent) {
+        ++this->arrivals;
+        this->verdict = std::max(this->verdict, Verdict::MayHaveRun);
+    }
+    this->current->backend->noteFailure(now);
+    logEvent("send_failed", {{"request", this->attributes.id},
+                             {"backend", this->current->backend->record.id},
+                             {"cause", end.detail},
+                             {"verdict", std::string(nameOf(isUnsent ? Verdict::NotRun : Verdict::MayHaveRun))},
+                             {"after_ms", milliseconds(now - this->current->at)},
+                             {"kept_connection", this->current->connection->wasUsed() ? "true" : "false"}});
+    const RetryReason reason = isUnsent ? RetryReason::ConnectFailed : (end.kind == EndKind::Malformed ? RetryReason::InvalidAnswer : RetryReason::ConnectionLost);
+    const bool mayRepeat = isUnsent || (this->isRepeatable() && this->arrivals < this->route->maxAttempts);
+    if (mayRepeat && this->tryAgain(reason, isUnsent ? Verdict::NotRun : Verdict::MayHaveRun, now)) {
+        return;
+    }
+    this->endSend(now, true);
+    if (this->hasStarted) {
+        this->breakOff(end.detail);
+        return;
+    }
+    const bool neverRan = this->verdict == Verdict::NotRun;
+    this->refuse(neverRan ? RefusalReason::NoBackend : RefusalReason::BackendFailed, neverRan ? returnWithoutKnowledge : Duration(0), end.detail);
+}
+
+bool Forwarding::tryAgain(RetryReason reason, Verdict sendVerdict, Time now)
+{
+    if (this->sends >= mostSends || this->timeLeft(now) <= Duration(0)) {
+        return false;
+    }
+    if (this->hasStarted && !this->splitter.lastEventId()) {
+        return false; // Without event ids the stream can't go on elsewhere.
+    }
+    const PlacementQuery query {this->route, this->service, this->workspace, &this->attributes.prompt, this->request.body().size(), &this->tried};
+    const PlacedBackend placed = this->proxy.choose(query, now);
+    if (!placed.backend) {
+        return false;
+    }
+    // A send that never left costs no backend server anything.
+    if (reason != RetryReason::ConnectFailed && !this->proxy.mayRepeat(this->service->name, now)) {
+        return false;
+    }
+    this->proxy.metrics().countRetry(reason);
+    logEvent("retry", {{"request", this->attributes.id},
+                       {"reason", std::string(nameOf(reason))},
+                       {"verdict", std::string(nameOf(sendVerdict))},
+                       {"from", this->current->backend->record.id},
+                       {"to", placed.backend->record.id},
+                       {"send", std::to_string(this->sends + 1)}});
+    this->endSend(now, sendVerdict != Verdict::NotRun);
+    this->splitter.dropRest();
+    this->send(placed, now);
+    return true;
+}
+
+void Forwarding::endSend(Time now, bool isCancelled)
+{
+    if (!this->current) {
+        return;
+    }
+    const std::unique_ptr<Send> sent = std::move(this->current);
+    this->attemptTimer.cancel();
+    --sent->backend->inFlight;
+    if (!sent->hasEvent) {
+        sent->backend->unreadTokens = std::max(0.0, sent->backend->unreadTokens - sent->prediction.uncachedTokens);
+    }
+    sent->backend->noteEndOfWait(sent->at, sent->hasAnswered, now);
+    if (isCancelled) {
+        sent->connection->cancel();
+    }
+    this->proxy.pool().release(sent->backend, sent->connection, now);
+}
+
+void Forwarding::onAttemptTimeout()
+{
+    const Time now = readClock();
+    const directory::BackendServerPtr backend = this->current->backend;
+    if (this->arrivals + 1 >= this->route->maxAttempts) {
+        return;
+    }
+    if (this->tryAgain(RetryReason::TimedOut, Verdict::MayHaveRun, now)) {
+        ++this->arrivals;
+        this->verdict = std::max(this->verdict, Verdict::MayHaveRun);
+        backend->noteFailure(now);
+    }
+}
+
+void Forwarding::onTimeLimit()
+{
+    const Time now = readClock();
+    if (!this->current) {
+        this->refuse(RefusalReason::DeadlineExpired, Duration(0), "time limit reached before a send");
+        return;
+    }
+    if (!this->current->hasAnswered && this->current->backend->isSilent(now)) {
+        this->current->backend->noteFailure(now);
+    }
+    this->verdict = std::max(this->verdict, Verdict::MayHaveRun);
+    this->endSend(now, true);
+    if (this->hasStarted) {
+        this->breakOff("time limit reached");
+        return;
+    }
+    this->refuse(RefusalReason::DeadlineExpired, Duration(0), "time limit reached");
+}
+
+void Forwarding::onCallerLeft()
+{
+    if (this->isFinished) {
+        return;
+    }
+    const Time now = readClock();
+    if (this->current && !this->current->hasAnswered && this->current->backend->isSilent(now)) {
+        this->current->backend->noteFailure(now);
+    }
+    this->endSend(now, true);
+    this->finish("caller_left", 0);
+}
+
+void Forwarding::breakOff(const std::string &cause)
+{
+    this->session->abort();
+    this->finish("broken_off: " + cause, 0);
+}
+
+void Forwarding::refuse(RefusalReason reason, Duration comeBackAfter, const std::string &detail)
+{
+    const unsigned status = static_cast<unsigned>(statusOf(reason));
+    http::Answer answer(static_cast<boost::beast::http::status>(status), 11);
+    this->proxy.dialect().markOwnAnswer(answer, this->attributes.id);
+    answer.set(field::content_type, "text/plain");
+    if (comeBackAfter > Duration(0)) {
+        answer.set(field::retry_after, retryAfterText(comeBackAfter));
+    }
+    answer.body() = std::string(nameOf(reason)) + ": " + detail + "\n";
+    this->proxy.metrics().countRefusal(reason);
+    this->session->sendAnswer(std::move(answer));
+    this->finish("refused: " + std::string(nameOf(reason)) + ": " + detail, status);
+}
+
+void Forwarding::finish(const std::string &outcome, unsigned status)
+{
+    if (this->isFinished) {
+        return;
+    }
+    this->isFinished = true;
+    this->limitTimer.cancel();
+    this->attemptTimer.cancel();
+    this->roomTimer.cancel();
+    const Time now = readClock();
+    const std::string routeName = this->route == nullptr ? "" : this->route->name;
+    this->proxy.metrics().countAnswer(routeName, status);
+    logEvent("request", {{"request", this->attributes.id},
+                         {"route", routeName},
+                         {"workspace", this->workspaceName()},
+                         {"outcome", outcome},
+                         {"status", std::to_string(status)},
+                         {"verdict", std::string(nameOf(this->verdict))},
+                         {"backend", this->tried.empty() ? "" : this->tried.back()->record.id},
+                         {"sends", std::to_string(this->sends)},
+                         {"first_ms", milliseconds(this->firstEventAfter)},
+                         {"total_ms", milliseconds(now - this->receivedAt)},
+                         {"version", this->table ? std::to_string(this->table->version()) : "none"},
+                         {"version_age_ms", milliseconds(this->proxy.configurationAge(now))}});
+}
+
+}
--- /dev/null
+++ b/src/process/proxy/proxy.cpp
@@ -0,0 +1,227 @@
+#include "process/proxy/proxy.h"
+
+#include "process/clock.h"
+#include "process/dispatch/cold_allotment.h"
+#include "process/event_log.h"
+#include "process/proxy/forwarding.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace eelgrassnotch::process::proxy
+{
+
+using directory::Availability;
+using directory::BackendServer;
+using directory::BackendServerPtr;
+
+namespace
+{
+
+using namespace std::chrono_literals;
+
+/** Network times to a backend server and back. Source: the deployments' data sheets. */
+constexpr Duration roundTripNear = 500us;
+constexpr Duration roundTripInRegion = 2ms;
+constexpr Duration roundTripFar = 17ms;
+/** Keys are refused this long before the bound on their revocation, for requests that are already on their way. */
+constexpr Duration keyMargin = 700ms;
+/** A load report that is older says nothing. */
+constexpr Duration reportFreshFor = 400ms;
+/** Part of an engine's cache that is taken as kept; running requests use the rest. */
+constexpr double keptCachePart = 0.8;
+/** Part of a backend server's connections that all daemons together open. */
+constexpr double connectionPart = 0.9;
+/** Window of the bound on cold backend servers, in seconds. */
+constexpr double coldWindowSeconds = 1.0;
+
+bool isAllowedIn(const std::vector<std::string> &homeRegions, const std::string &region)
+{
+    return homeRegions.empty() || std::find(homeRegions.begin(), homeRegions.end(), region) != homeRegions.end();
+}
+
+}
+
+Proxy::Proxy(boost::asio::io_context &ioContext, EdgeSettings edgeSettings, std::shared_ptr<const ProxyDialect> proxyDialect, ProxyMetrics &proxyMetrics)
+    : io(ioContext)
+    , edge(std::move(edgeSettings))
+    , wire(std::move(proxyDialect))
+    , counters(proxyMetrics)
+    , directory(
+          [this](const std::string &service) -> std::uint64_t {
+              const auto routes = this->routeTable();
+              const version::Service *known = routes ? routes->service(service) : nullptr;
+              return known != nullptr && known->engine ? static_cast<std::uint64_t>(static_cast<double>(known->engine->cacheTokens) * keptCachePart) : 0;
+          },
+          [](const directory::BackendChange &change) {
+              logEvent("backend_changed", {{"backend", change.id}, {"availability", nameOf(change.availability)}, {"cause", change.cause}});
+          })
+    , backendPool(ioContext)
+    , self(handleOf<DaemonHandle>(this->edge.name))
+{
+}
+
+void Proxy::handle(const connection::http::ServerSessionPtr &session, connection::http::Request request)
+{
+    std::make_shared<Forwarding>(*this, session, std::move(request))->start();
+}
+
+version::RouteTablePtr Proxy::routeTable() const
+{
+    return this->table.read([](const version::RouteTablePtr *current) { return current == nullptr ? nullptr : *current; });
+}
+
+void Proxy::setRouteTable(version::RouteTablePtr newTable)
+{
+    const auto current = this->routeTable();
+    if (current && newTable->version() <= current->version()) {
+        return;
+    }
+    logEvent("configuration_applied", {{"version", std::to_string(newTable->version())},
+                                       {"before", current ? std::to_string(current->version()) : "none"},
+                                       {"routes", std::to_string(newTable->routeCount())}});
+    this->table.publish(std::make_unique<version::RouteTablePtr>(std::move(newTable)));
+}
+
+void Proxy::confirmConfiguration(Time asOf)
+{
+    this->configurationAsOf = std::max(this->configurationAsOf, asOf);
+}
+
+Duration Proxy::configurationAge(Time now) const
+{
+    return this->configurationAsOf == Time::min() ? Duration::max() : now - this->configurationAsOf;
+}
+
+bool Proxy::areKeysFresh(Time now) const
+{
+    return this->configurationAge(now) < this->edge.bounds.keyRevocation - keyMargin;
+}
+
+void Proxy::setDaemons(std::vector<DaemonHandle> daemonHandles)
+{
+    this->daemons = std::move(daemonHandles);
+}
+
+void Proxy::setSettings(const EdgeSettings &newSettings)
+{
+    this->edge = newSettings;
+    this->allowances.clear();
+}
+
+void Proxy::setStopping(Time since)
+{
+    this->stopping = true;
+    this->stoppingSince = since;
+}
+
+const std::string &Proxy::regionOf(const std::string &dataCentre) const
+{
+    const auto found = this->edge.regions.find(dataCentre);
+    return found == this->edge.regions.end() ? dataCentre : found->second;
+}
+
+std::uint32_t Proxy::coldAllotmentOf(const BackendServer &backend, const version::Service *service) const
+{
+    const double rate = service == nullptr ? 0 : service->coldRate;
+    const double bound = rate * coldWindowSeconds * this->edge.bounds.coldOvershoot + this->edge.bounds.coldSlack;
+    return dispatch::coldAllotment(static_cast<std::uint32_t>(std::floor(bound)), this->self, this->daemons, backend.handle);
+}
+
+bool Proxy::isUsable(BackendServer &backend, const PlacementQuery &query, Time now) const
+{
+    if (backend.availability != Availability::Ready && backend.availability != Availability::Unconfirmed) {
+        return false;
+    }
+    if (this->directory.isTakenOut(backend.record.dataCentre) || !backend.isTrialAllowed(now)) {
+        return false;
+    }
+    const std::string &region = this->regionOf(backend.record.dataCentre);
+    if (!isAllowedIn(query.route->homeRegions, region) || (query.workspace != nullptr && !isAllowedIn(query.workspace->homeRegions, region))) {
+        return false;
+    }
+    const bool hasColdBound = query.service != nullptr && query.service->coldRate > 0;
+    if (hasColdBound && backend.isCold(now) && backend.starts.count(now) >= this->coldAllotmentOf(backend, query.service)) {
+        return false;
+    }
+    if (query.service != nullptr && query.service->maxConnections > 0 && backend.idle.empty()) {
+        const double part = connectionPart * query.service->maxConnections / static_cast<double>(this->daemonCount());
+        if (static_cast<double>(backend.openConnections) >= std::max(1.0, std::floor(part))) {
+            return false;
+        }
+    }
+    return true;
+}
+
+dispatch::Candidate Proxy::describe(const BackendServer &backend, const PlacementQuery &query, Time now) const
+{
+    dispatch::Candidate candidate;
+    candidate.backend = backend.handle;
+    candidate.isNear = backend.record.dataCentre == this->edge.dataCentre;
+    candidate.isInRegion = this->regionOf(backend.record.dataCentre) == this->regionOf(this->edge.dataCentre);
+    candidate.roundTrip = candidate.isNear ? roundTripNear : (candidate.isInRegion ? roundTripInRegion : roundTripFar);
+    candidate.failureShare = backend.failureShare.value(now);
+    if (query.service != nullptr && query.service->engine) {
+        candidate.queueDelay = backend.queueDelay(now) + dispatch::prefillTime(backend.unreadTokens);
+        candidate.cachedTokens = backend.prefixes.cachedTokens(*query.prompt);
+        return candidate;
+    }
+    const bool hasReport = backend.report && now - backend.report->receivedAt < reportFreshFor;
+    const std::uint32_t reported = hasReport ? backend.report->running + backend.report->waiting : 0;
+    const double load = std::max(backend.inFlight, reported);
+    const double slots = std::max<std::uint32_t>(backend.record.slots, 1);
+    const double turns = 1.0 + std::max(0.0, load + 1.0 - slots) / slots + load / slots;
+    candidate.queueDelay = Duration(static_cast<std::int64_t>(backend.answerTime.value(now) * turns));
+    return candidate;
+}
+
+PlacedBackend Proxy::choose(const PlacementQuery &query, Time now)
+{
+    PlacedBackend placed;
+    const std::string &service = query.service == nullptr ? query.route->split.front().service : query.service->name;
+    const auto &backends = this->directory.ofService(service);
+    std::vector<dispatch::Candidate> candidates;
+    candidates.reserve(backends.size());
+    for (const BackendServerPtr &backend : backends) {
+        dispatch::Candidate candidate = this->describe(*backend, query, now);
+        const bool isTried = std::find(query.tried->begin(), query.tried->end(), backend) != query.tried->end();
+        candidate.isUsable = !isTried && this->isUsable(*backend, query, now);
+        placed.usable += candidate.isUsable ? 1 : 0;
+        candidates.push_back(candidate);
+    }
+    placed.candidates = candidates.size();
+    const dispatch::PlacementRequest request {query.prompt->tokens, query.prompt->sharedTokens(), query.prompt->session(), query.bodyBytes};
+    if (const auto placement = dispatch::place(request, candidates)) {
+        placed.backend = backends[placement->index];
+        placed.prediction = *placement;
+    }
+    return placed;
+}
+
+dispatch::RetryAllowance &Proxy::allowanceOf(const std::string &service)
+{
+    const OperatorBounds &bounds = this->edge.bounds;
+    const dispatch::RetryBound bound {bounds.retryRatio, bounds.retryBurst, bounds.retryWindow};
+    return this->allowances.try_emplace(service, bound).first->second;
+}
+
+bool Proxy::mayRepeat(const std::string &service, Time now)
+{
+    return this->allowanceOf(service).spend(now, this->daemonCount());
+}
+
+void Proxy::countRequest(const std::string &service, Time now)
+{
+    this->allowanceOf(service).countRequest(now);
+}
+
+bool Proxy::isOverShare(const std::string &workspace, Time now) const
+{
+    const auto routes = this->routeTable();
+    if (workspace.empty() || !routes || routes->tokensPerSecond() <= 0) {
+        return false;
+    }
+    return this->fairShare.isOverShare(workspace, routes->tokensPerSecond() / static_cast<double>(this->daemonCount()), now);
+}
+
+}
--- /dev/null
+++ b/src/process/proxy/proxy.h
@@ -0,0 +1,141 @@
+#pragma once
+
+/** @file Routes callers' requests to backend servers. */
+
+#include "connection/http/server_session.h"
+#include "process/directory/backend_directory.h"
+#include "process/dispatch/fair_share.h"
+#include "process/dispatch/placement.h"
+#include "process/dispatch/retry_allowance.h"
+#include "process/edge_settings.h"
+#include "process/proxy/backend_pool.h"
+#include "process/proxy/proxy_metrics.h"
+#include "process/proxy_dialect.h"
+#include "process/published.h"
+
+#include <boost/asio/io_context.hpp>
+
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace eelgrassnotch::process::proxy
+{
+
+/** @brief A request as placement sees it. */
+struct PlacementQuery {
+    const version::Route *route = nullptr;
+    const version::Service *service = nullptr; ///< Null when the configuration does not describe it.
+    const version::RoutedWorkspace *workspace = nullptr; ///< Null on public routes.
+    const request::Prompt *prompt = nullptr;
+    std::size_t bodyBytes = 0;
+    const std::vector<directory::BackendServerPtr> *tried = nullptr; ///< Backend servers that it has been sent to.
+};
+
+/** @brief A backend server for a request, with the prediction that chose it. */
+struct PlacedBackend {
+    directory::BackendServerPtr backend; ///< Null when none is usable.
+    dispatch::Placement prediction;
+    std::size_t candidates = 0; ///< Backend servers of the service.
+    std::size_t usable = 0;
+};
+
+/** @brief What the daemon knows, and the decisions on requests that follow from it. */
+class Proxy
+{
+public:
+    Proxy(boost::asio::io_context &ioContext, EdgeSettings edgeSettings, std::shared_ptr<const ProxyDialect> proxyDialect, ProxyMetrics &proxyMetrics);
+
+    /** @brief Serves one request of a caller. */
+    void handle(const connection::http::ServerSessionPtr &session, connection::http::Request request);
+
+    /** @brief Puts a newer configuration in force; older ones are ignored. */
+    void setRouteTable(version::RouteTablePtr table);
+    version::RouteTablePtr routeTable() const;
+    /** @brief Notes that the configuration in force was the newest at this time. */
+    void confirmConfiguration(Time asOf);
+    /** @returns how old the confirmation of the configuration is. */
+    Duration configurationAge(Time now) const;
+    /** @returns whether a key in the configuration may still be taken as valid. */
+    bool areKeysFresh(Time now) const;
+
+    void setDaemons(std::vector<DaemonHandle> daemonHandles);
+    /** @brief Takes other bounds or addresses after a change of the settings file. */
+    void setSettings(const EdgeSettings &newSettings);
+    void setStopping(Time since);
+    bool isStopping() const
+    {
+        return this->stopping;
+    }
+    /** @returns time since the stop was asked for. */
+    Duration stoppingFor(Time now) const
+    {
+        return this->stopping ? now - this->stoppingSince : Duration(0);
+    }
+
+    /** @returns the backend server with the lowest predicted cost. */
+    PlacedBackend choose(const PlacementQuery &query, Time now);
+    /** @returns whether another send of a request to this service fits the bound on retries. */
+    bool mayRepeat(const std::string &service, Time now);
+    void countRequest(const std::string &service, Time now);
+    /** @returns whether a workspace has had more than its share of this daemon's part of the capacity. */
+    bool isOverShare(const std::string &workspace, Time now) const;
+
+    directory::BackendDirectory &backends()
+    {
+        return this->directory;
+    }
+    dispatch::FairShare &shares()
+    {
+        return this->fairShare;
+    }
+    BackendPool &pool()
+    {
+        return this->backendPool;
+    }
+    const ProxyDialect &dialect() const
+    {
+        return *this->wire;
+    }
+    const EdgeSettings &settings() const
+    {
+        return this->edge;
+    }
+    ProxyMetrics &metrics()
+    {
+        return this->counters;
+    }
+    boost::asio::io_context &context()
+    {
+        return this->io;
+    }
+    std::size_t daemonCount() const
+    {
+        return std::max<std::size_t>(this->daemons.size(), 1);
+    }
+
+private:
+    dispatch::Candidate describe(const directory::BackendServer &backend, const PlacementQuery &query, Time now) const;
+    bool isUsable(directory::BackendServer &backend, const PlacementQuery &query, Time now) const;
+    std::uint32_t coldAllotmentOf(const directory::BackendServer &backend, const version::Service *service) const;
+    dispatch::RetryAllowance &allowanceOf(const std::string &service);
+    const std::string &regionOf(const std::string &dataCentre) const;
+
+    boost::asio::io_context &io;
+    EdgeSettings edge;
+    std::shared_ptr<const ProxyDialect> wire;
+    ProxyMetrics &counters;
+    Published<version::RouteTablePtr> table;
+    directory::BackendDirectory directory;
+    dispatch::FairShare fairShare;
+    BackendPool backendPool;
+    std::map<std::string, dispatch::RetryAllowance> allowances;
+    std::vector<DaemonHandle> daemons;
+    DaemonHandle self;
+    Time configurationAsOf = Time::min();
+    Time stoppingSince {0};
+    bool stopping = false;
+};
+
+}
--- /dev/null
+++ b/src/process/proxy/proxy_metrics.cpp
@@ -0,0 +1,114 @@
+#include "process/proxy/proxy_metrics.h"
+
+#include <prometheus/counter.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+#include <prometheus/text_serializer.h>
+
+#include <cmath>
+
+namespace eelgrassnotch::process::proxy
+{
+
+namespace
+{
+
+/** Upper bounds of the latency histograms, in seconds. */
+const prometheus::Histogram::BucketBoundaries latencyBuckets {0.01, 0.025, 0.05, 0.1, 0.15, 0.2, 0.3, 0.4, 0.5, 0.75, 1, 1.5, 2, 3, 5, 10};
+
+double toSeconds(Duration duration)
+{
+    return std::chrono::duration<double>(duration).count();
+}
+
+}
+
+struct ProxyMetrics::Families {
+    prometheus::Registry registry;
+    prometheus::Family<prometheus::Counter> &answers
+        = prometheus::BuildCounter().Name("eelgrassnotch_answers_total").Help("Answers to callers, by route and status").Register(this->registry);
+    prometheus::Family<prometheus::Counter> &refusals
+        = prometheus::BuildCounter().Name("eelgrassnotch_refusals_total").Help("Refused requests, by reason").Register(this->registry);
+    prometheus::Family<prometheus::Counter> &retries
+        = prometheus::BuildCounter().Name("eelgrassnotch_retries_total").Help("Requests sent again, by reason").Register(this->registry);
+    prometheus::Family<prometheus::Counter> &storeCalls
+        = prometheus::BuildCounter().Name("eelgrassnotch_store_calls_total").Help("Calls to the platform's store").Register(this->registry);
+    prometheus::Family<prometheus::Histogram> &firstEvents = prometheus::BuildHistogram()
+                                                                 .Name("eelgrassnotch_first_event_seconds")
+                                                                 .Help("Time to the first event of a stream")
+                                                                 .Register(this->registry);
+    prometheus::Family<prometheus::Histogram> &wholeAnswers
+        = prometheus::BuildHistogram().Name("eelgrassnotch_answer_seconds").Help("Time to the whole answer").Register(this->registry);
+    prometheus::Family<prometheus::Histogram> &predictionErrors = prometheus::BuildHistogram()
+                                                                      .Name("eelgrassnotch_prediction_error_seconds")
+                                                                      .Help("Absolute error of the predicted first event")
+                                                                      .Register(this->registry);
+    prometheus::Family<prometheus::Gauge> &gauges
+        = prometheus::BuildGauge().Name("eelgrassnotch_state").Help("State of the daemon").Register(this->registry);
+};
+
+ProxyMetrics::ProxyMetrics()
+    : families(std::make_unique<Families>())
+{
+}
+
+ProxyMetrics::~ProxyMetrics() = default;
+
+void ProxyMetrics::countAnswer(const std::string &route, unsigned status)
+{
+    this->families->answers.Add({{"route", route}, {"status", std::to_string(status)}}).Increment();
+}
+
+void ProxyMetrics::countRefusal(RefusalReason reason)
+{
+    this->families->refusals.Add({{"reason", std::string(nameOf(reason))}}).Increment();
+}
+
+void ProxyMetrics::countRetry(RetryReason reason)
+{
+    this->families->retries.Add({{"reason", std::string(nameOf(reason))}}).Increment();
+}
+
+void ProxyMetrics::countStoreCall(const std::string &collection, unsigned status)
+{
+    this->families->storeCalls.Add({{"collection", collection}, {"status", std::to_string(status)}}).Increment();
+}
+
+void ProxyMetrics::observeFirstEvent(const std::string &route, Duration time)
+{
+    this->families->firstEvents.Add({{"route", route}}, latencyBuckets).Observe(toSeconds(time));
+}
+
+void ProxyMetrics::observeAnswer(const std::string &route, Duration time)
+{
+    this->families->wholeAnswers.Add({{"route", route}}, latencyBuckets).Observe(toSeconds(time));
+}
+
+void ProxyMetrics::observePredictionError(const std::string &route, Duration error)
+{
+    this->families->predictionErrors.Add({{"route", route}}, latencyBuckets).Observe(std::abs(toSeconds(error)));
+}
+
+void ProxyMetrics::setConnections(std::size_t count)
+{
+    this->families->gauges.Add({{"what", "caller_connections"}}).Set(static_cast<double>(count));
+}
+
+void ProxyMetrics::setConfiguration(std::uint64_t version, Duration age)
+{
+    this->families->gauges.Add({{"what", "configuration_version"}}).Set(static_cast<double>(version));
+    this->families->gauges.Add({{"what", "configuration_age_seconds"}}).Set(toSeconds(age));
+}
+
+void ProxyMetrics::setDroppedLogLines(std::size_t count)
+{
+    this->families->gauges.Add({{"what", "dropped_log_lines"}}).Set(static_cast<double>(count));
+}
+
+std::string ProxyMetrics::serialize() const
+{
+    return prometheus::TextSerializer().Serialize(this->families->registry.Collect());
+}
+
+}
--- /dev/null
+++ b/src/process/proxy/proxy_metrics.h
@@ -0,0 +1,41 @@
+#pragma once
+
+/** @file Counters and histograms of the proxy, in the Prometheus text format. */
+
+#include "eelgrassnotch/types.h"
+#include "eelgrassnotch/verdict.h"
+
+#include <memory>
+#include <string>
+
+namespace eelgrassnotch::process::proxy
+{
+
+/** @brief Metrics of one daemon; names and units are listed in docs/OPERATIONS.md. */
+class ProxyMetrics
+{
+public:
+    ProxyMetrics();
+    ~ProxyMetrics();
+    ProxyMetrics(const ProxyMetrics &) = delete;
+    ProxyMetrics &operator=(const ProxyMetrics &) = delete;
+
+    void countAnswer(const std::string &route, unsigned status);
+    void countRefusal(RefusalReason reason);
+    void countRetry(RetryReason reason);
+    void countStoreCall(const std::string &collection, unsigned status);
+    void observeFirstEvent(const std::string &route, Duration time);
+    void observeAnswer(const std::string &route, Duration time);
+    /** @brief Notes by how much a first event came later (or earlier) than predicted. */
+    void observePredictionError(const std::string &route, Duration error);
+    void setConnections(std::size_t count);
+    void setConfiguration(std::uint64_t version, Duration age);
+    void setDroppedLogLines(std::size_t count);
+    std::string serialize() const;
+
+private:
+    struct Families;
+    std::unique_ptr<Families> families;
+};
+
+}
--- /dev/null
+++ b/src/process/store/collection_watcher.cpp
@@ -0,0 +1,213 @@
+#include "process/store/collection_watcher.h"
+
+#include "process/clock.h"
+
+#include <algorithm>
+
+namespace eelgrassnotch::process::store
+{
+
+namespace http = connection::http;
+
+namespace
+{
+
+using namespace std::chrono_literals;
+
+/** Time for an answer beyond the time that the store may hold the call: many times its usual few milliseconds. */
+constexpr Duration answerTimeout = 900ms;
+constexpr Duration connectTimeout = 500ms;
+/** Pauses after failed calls, doubling. */
+constexpr Duration firstPause = 50ms;
+constexpr Duration longestPause = 800ms;
+constexpr std::uint32_t mostDoublings = 4;
+/** Failures in a row after which the store counts as lost. */
+constexpr std::uint32_t failuresUntilLost = 2;
+
+constexpr unsigned statusOk = 200;
+constexpr unsigned statusGone = 410;
+
+}
+
+const char *nameOf(Collection collection)
+{
+    switch (collection) {
+    case Collection::Configuration:
+        return "configuration";
+    case Collection::Backends:
+        return "backends";
+    case Collection::TakenOutDataCentres:
+        return "taken_out";
+    case Collection::Daemons:
+        return "daemons";
+    case Collection::count:
+        break;
+    }
+    return "unknown";
+}
+
+CollectionWatcher::CollectionWatcher(boost::asio::io_context &ioContext, http::Endpoint storeAddress, std::shared_ptr<const StoreDialect> storeDialect,
+                                     Collection watched, Duration longestWait, WatcherHooks watcherHooks)
+    : address(std::move(storeAddress))
+    , dialect(std::move(storeDialect))
+    , collection(watched)
+    , wait(longestWait)
+    , hooks(std::move(watcherHooks))
+    , context(ioContext)
+    , timer(ioContext)
+{
+}
+
+void CollectionWatcher::start()
+{
+    this->call();
+}
+
+void CollectionWatcher::stop()
+{
+    this->isStopped = true;
+    ++this->callNumber;
+    this->timer.cancel();
+    if (this->link) {
+        this->link->cancel();
+    }
+}
+
+void CollectionWatcher::call()
+{
+    if (this->isStopped) {
+        return;
+    }
+    if (!this->link) {
+        this->link = std::make_shared<http::ClientConnection>(this->context.get_executor(), this->address);
+    }
+    const bool isWatch = this->revision.has_value();
+    const std::string after = this->listed.empty() ? "" : this->listed.back().name;
+    const auto target = isWatch ? this->dialect->watchTarget(this->collection, *this->revision, this->wait) : this->dialect->listTarget(this->collection, after);
+    const auto request = std::make_shared<http::Request>(boost::beast::http::verb::get, target, 11);
+    request->set(boost::beast::http::field::host, this->address.address().to_string());
+    const Time sentAt = readClock();
+    const std::uint64_t number = ++this->callNumber;
+    const auto status = std::make_shared<unsigned>(0);
+    const auto body = std::make_shared<std::string>();
+
+    http::ExchangeHooks exchange;
+    exchange.onHeader = [status](const http::AnswerHeader &header) {
+        *status = header.result_int();
+        return true;
+    };
+    exchange.onBody = [body](std::string_view part) { *body += part; };
+    exchange.onEnd = [this, number, status, body, sentAt](const http::ExchangeEnd &end) {
+        if (number != this->callNumber) {
+            return;
+        }
+        this->timer.cancel();
+        this->hooks.onCall(end.kind == http::EndKind::Complete ? *status : 0);
+        if (end.kind == http::EndKind::Complete) {
+            this->onAnswer(*status, *body, sentAt);
+        } else {
+            this->onFailure(end.detail, 0);
+        }
+    };
+    this->timer.expires_after((isWatch ? this->wait : Duration(0)) + answerTimeout);
+    this->timer.async_wait([this, number](boost::system::error_code error) {
+        if (error || number != this->callNumber) {
+            return;
+        }
+        ++this->callNumber;
+        this->link->cancel();
+        this->hooks.onCall(0);
+        this->onFailure("no answer in time", 0);
+    });
+    this->link->send(request, connectTimeout, std::move(exchange));
+}
+
+void CollectionWatcher::onAnswer(unsigned status, const std::string &body, Time sentAt)
+{
+    if (status == statusGone && this->revision) {
+        // The store dropped the changes since our revision.
+        this->revision.reset();
+        this->listed.clear();
+        this->again(Duration(0));
+        return;
+    }
+    if (status != statusOk) {
+        this->onFailure("status " + std::to_string(status), status);
+        return;
+    }
+    try {
+        if (this->revision) {
+            this->takeChanges(body, sentAt);
+        } else {
+            this->takePage(body, sentAt);
+        }
+    } catch (const std::exception &error) {
+        this->onFailure(error.what(), status);
+    }
+}
+
+void CollectionWatcher::takePage(const std::string &body, Time sentAt)
+{
+    const ObjectPage page = this->dialect->readPage(body);
+    if (this->listed.empty()) {
+        this->listBegun = sentAt;
+    }
+    this->listed.insert(this->listed.end(), page.objects.begin(), page.objects.end());
+    this->noteReachable();
+    if (page.hasMore && !page.objects.empty()) {
+        this->again(Duration(0));
+        return;
+    }
+    this->revision = page.revision;
+    const auto objects = std::exchange(this->listed, {});
+    this->hooks.onList(objects);
+    this->hooks.onConfirmed(this->listBegun);
+    this->again(Duration(0));
+}
+
+void CollectionWatcher::takeChanges(const std::string &body, Time sentAt)
+{
+    const ChangePage page = this->dialect->readChanges(body);
+    this->noteReachable();
+    for (const ObjectChange &change : page.changes) {
+        this->hooks.onChange(change);
+    }
+    this->revision = std::max(*this->revision, page.revision);
+    this->hooks.onConfirmed(sentAt);
+    this->again(Duration(0));
+}
+
+void CollectionWatcher::onFailure(const std::string &cause, unsigned)
+{
+    ++this->failures;
+    if (this->failures >= failuresUntilLost && this->isReachable) {
+        this->isReachable = false;
+        this->hooks.onReachability(false, cause);
+    }
+    const std::uint32_t doublings = std::min(this->failures - 1, mostDoublings);
+    this->again(std::min(firstPause * (1 << doublings), longestPause));
+}
+
+void CollectionWatcher::noteReachable()
+{
+    this->failures = 0;
+    if (!this->isReachable) {
+        this->isReachable = true;
+        this->hooks.onReachability(true, "answered");
+    }
+}
+
+void CollectionWatcher::again(Duration pause)
+{
+    if (this->isStopped) {
+        return;
+    }
+    this->timer.expires_after(pause);
+    this->timer.async_wait([this, number = this->callNumber](boost::system::error_code error) {
+        if (!error && number == this->callNumber) {
+            this->call();
+        }
+    });
+}
+
+}
--- /dev/null
+++ b/src/process/store/collection_watcher.h
@@ -0,0 +1,85 @@
+#pragma once
+
+/** @file Follows one collection of the store: a list, then watches from its revision on. */
+
+#include "connection/http/client_connection.h"
+#include "process/store/objects.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace eelgrassnotch::process::store
+{
+
+/** @brief The store's language; implemented where the platform is spoken. */
+class StoreDialect
+{
+public:
+    virtual ~StoreDialect() = default;
+    virtual std::string listTarget(Collection collection, const std::string &afterName) const = 0;
+    virtual std::string watchTarget(Collection collection, std::uint64_t revision, Duration wait) const = 0;
+    virtual std::string objectTarget(Collection collection, const std::string &name) const = 0;
+    /** @throws std::exception when the body is none. */
+    virtual ObjectPage readPage(const std::string &body) const = 0;
+    /** @throws std::exception when the body is none. */
+    virtual ChangePage readChanges(const std::string &body) const = 0;
+    virtual std::string writeObject(const std::string &name, const nlohmann::json &content) const = 0;
+};
+
+/** @brief What a watcher tells its owner. */
+struct WatcherHooks {
+    /** All objects of the collection; earlier knowledge is replaced. */
+    std::function<void(const std::vector<StoredObject> &)> onList;
+    std::function<void(const ObjectChange &)> onChange;
+    /** All changes that the store had accepted at this time are known. */
+    std::function<void(Time asOf)> onConfirmed;
+    /** The store stopped answering, or answers again. */
+    std::function<void(bool isReachable, const std::string &cause)> onReachability;
+    /** One call was made, with its status; zero without an answer. */
+    std::function<void(unsigned status)> onCall;
+};
+
+/** @brief One kept connection to the store, with one call at a time. */
+class CollectionWatcher
+{
+public:
+    /** @param longestWait How long the store may hold a watch that has no change to tell. */
+    CollectionWatcher(boost::asio::io_context &context, connection::http::Endpoint storeAddress, std::shared_ptr<const StoreDialect> storeDialect,
+                      Collection watched, Duration longestWait, WatcherHooks watcherHooks);
+
+    void start();
+    void stop();
+
+private:
+    void call();
+    void onAnswer(unsigned status, const std::string &body, Time sentAt);
+    void onFailure(const std::string &cause, unsigned status);
+    void takePage(const std::string &body, Time sentAt);
+    void takeChanges(const std::string &body, Time sentAt);
+    void noteReachable();
+    void again(Duration pause);
+
+    connection::http::Endpoint address;
+    std::shared_ptr<const StoreDialect> dialect;
+    Collection collection;
+    Duration wait;
+    WatcherHooks hooks;
+    boost::asio::io_context &context;
+    boost::asio::steady_timer timer;
+    std::shared_ptr<connection::http::ClientConnection> link;
+    std::optional<std::uint64_t> revision; ///< Watch from here; list first without it.
+    std::vector<StoredObject> listed; ///< Objects of the pages read so far.
+    Time listBegun {0};
+    std::uint32_t failures = 0;
+    std::uint64_t callNumber = 0;
+    bool isReachable = true;
+    bool isStopped = false;
+};
+
+}
--- /dev/null
+++ b/src/process/store/object_writer.h
@@ -0,0 +1,42 @@
+#pragma once
+
+/** @file Writes this daemon's object to the store. */
+
+#include "process/store/collection_watcher.h"
+
+#include <functional>
+
+namespace eelgrassnotch::process::store
+{
+
+/** @brief Creates and removes one object; repeats calls whose outcome is unknown, which both bear. */
+class ObjectWriter
+{
+public:
+    ObjectWriter(boost::asio::io_context &ioContext, connection::http::Endpoint storeAddress, std::shared_ptr<const StoreDialect> storeDialect,
+                 Collection written, std::string objectName, std::function<void(unsigned status)> callHook);
+
+    /** @brief Creates the object, and tries until the store has it. */
+    void create(nlohmann::json content);
+    /** @brief Removes the object once; a lost call leaves it behind. */
+    void remove(std::function<void()> onDone);
+
+private:
+    void tryCreate();
+    void call(boost::beast::http::verb method, const std::string &target, std::string body, std::function<void(unsigned status)> onDone);
+
+    boost::asio::io_context &context;
+    connection::http::Endpoint address;
+    std::shared_ptr<const StoreDialect> dialect;
+    Collection collection;
+    std::string name;
+    nlohmann::json content;
+    std::function<void(unsigned status)> onCall;
+    boost::asio::steady_timer timer;
+    boost::asio::steady_timer retryTimer;
+    std::shared_ptr<connection::http::ClientConnection> link;
+    std::uint64_t callNumber = 0;
+    bool isRemoved = false;
+};
+
+}
--- /dev/null
+++ b/src/process/store/objects.h
@@ -0,0 +1,60 @@
+#pragma once
+
+/** @file Objects of the platform's store, as the daemon uses them. */
+
+#include <nlohmann/json.hpp>
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace eelgrassnotch::process::store
+{
+
+/** @brief The collections that a daemon follows. */
+enum class Collection {
+    Configuration, ///< Routes, services, workspaces; one object.
+    Backends, ///< Entries that backend servers keep of themselves.
+    TakenOutDataCentres, ///< One object for each data centre that is out of use.
+    Daemons, ///< One object for each daemon, written by the daemons.
+    count,
+};
+
+/** @returns the name in logs and metrics. */
+const char *nameOf(Collection collection);
+
+/** @brief One stored object. */
+struct StoredObject {
+    std::string name;
+    std::uint64_t revision = 0; ///< Store revision of its last change.
+    nlohmann::json content; ///< What its writer put there; null when it can't be read.
+
+    bool operator==(const StoredObject &) const = default;
+};
+
+/** @brief Part of a list of objects. */
+struct ObjectPage {
+    std::vector<StoredObject> objects;
+    bool hasMore = false; ///< Continue after the last name.
+    std::uint64_t revision = 0; ///< Store revision of the list.
+
+    bool operator==(const ObjectPage &) const = default;
+};
+
+/** @brief One change of a collection. */
+struct ObjectChange {
+    StoredObject object;
+    bool isRemoved = false;
+
+    bool operator==(const ObjectChange &) const = default;
+};
+
+/** @brief Changes after a revision. */
+struct ChangePage {
+    std::vector<ObjectChange> changes;
+    std::uint64_t revision = 0; ///< Continue from here.
+
+    bool operator==(const ChangePage &) const = default;
+};
+
+}
--- /dev/null
+++ b/src/request/event_splitter.cpp
@@ -0,0 +1,67 @@
+#include "request/event_splitter.h"
+
+#include <charconv>
+
+namespace eelgrassnotch::request
+{
+
+namespace
+{
+
+constexpr std::string_view eventEnd = "\n\n";
+constexpr std::string_view idField = "id:";
+
+std::optional<std::uint64_t> parseId(std::string_view text)
+{
+    while (!text.empty() && text.front() == ' ') {
+        text.remove_prefix(1);
+    }
+    std::uint64_t id = 0;
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), id);
+    return error == std::errc {} && end != text.data() ? std::optional(id) : std::nullopt;
+}
+
+}
+
+std::string_view EventSplitter::add(std::string_view bytes)
+{
+    this->buffer.erase(0, this->taken);
+    this->taken = 0;
+    this->buffer += bytes;
+    const std::size_t end = this->buffer.rfind(eventEnd);
+    if (end == std::string::npos) {
+        return {};
+    }
+    this->taken = end + eventEnd.size();
+    const std::string_view whole = std::string_view(this->buffer).substr(0, this->taken);
+    this->noteIds(whole);
+    return whole;
+}
+
+std::string_view EventSplitter::rest() const
+{
+    return std::string_view(this->buffer).substr(this->taken);
+}
+
+void EventSplitter::dropRest()
+{
+    this->buffer.clear();
+    this->taken = 0;
+}
+
+void EventSplitter::noteIds(std::string_view events)
+{
+    std::size_t start = 0;
+    while (start < events.size()) {
+        const std::size_t end = std::min(events.find('\n', start), events.size());
+        const std::string_view line = events.substr(start, end - start);
+        if (line.starts_with(idField)) {
+            if (const auto id = parseId(line.substr(idField.size()))) {
+                this->lastId = id;
+            }
+        }
+        start = end + 1;
+    }
+}
+
+}
