Limit on answer bodies is a number: an absent one refuses all

Cause: the parser of Boost 1.74 compares a body's length with an absent limit and calls every body too large, so the store's lists were refused. Seen in the log of one daemon (event=store_lost cause="body limit exceeded").

--- a/src/connection/http/client_connection.cpp
+++ b/src/connection/http/client_connection.cpp
@@ -4,6 +4,8 @@
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include <limits>
+
 namespace eelgrassnotch::connection::http
 {
 
@@ -90,7 +92,7 @@
 {
     this->parser.emplace();
     this->parser->header_limit(maxAnswerHeaderBytes);
-    this->parser->body_limit(boost::none);
+    this->parser->body_limit(std::numeric_limits<std::uint64_t>::max());
     this->parser->skip(this->request->method() == beast::http::verb::head);
     beast::http::async_read_header(this->socket, this->buffer, *this->parser,
                                    [self = this->shared_from_this(), number = this->generation](boost::system::error_code error, std::size_t) {
