--- a/src/process/proxy/forwarding.cpp
+++ b/src/process/proxy/forwarding.cpp
@@ -45,6 +45,12 @@
 constexpr Duration defaultLimit = 30s;
 /** Callers are asked back after this long when knowledge of keys or backend servers is missing. */
 constexpr Duration returnWithoutKnowledge = 500ms;
+/** A refusal of this daemon alone: another one takes the request at once. */
+constexpr Duration shortestReturn = 50ms;
+/** After a stop was asked for, all requests are taken for this long; later ones must be able to end within the grace. */
+constexpr Duration acceptAfterStop = 2500ms;
+/** The process ends this long before it would be killed. */
+constexpr Duration stopMargin = 500ms;
 /** Largest answer that is kept in memory until it is whole, in bytes. */
 constexpr std::size_t mostBufferedBytes = 8u << 20;
 /** Largest event of a stream, in bytes. */
@@ -102,6 +108,9 @@
     const Duration patience = this->attributes.patience.value_or(defaultLimit);
     this->limit = now + (this->route->timeout > Duration(0) ? std::min(patience, this->route->timeout) : patience);
     this->roomUntil = now + std::max(this->route->latencyTarget / waitingPart, shortestRoomWait);
+    if (!this->checkStop(now)) {
+        return;
+    }
     const std::uint64_t draw = hashName(this->attributes.id);
     const std::string &serviceName = this->route->serviceFor(draw);
     this->service = this->table->service(serviceName);
@@ -155,6 +164,17 @@
     return true;
 }
 
+bool Forwarding::checkStop(Time now)
+{
+    const Duration since = this->proxy.stoppingFor(now);
+    const Duration graceLeft = this->proxy.settings().bounds.stopGrace - stopMargin - since;
+    if (!this->proxy.isStopping() || since < acceptAfterStop || this->limit - now <= graceLeft) {
+        return true;
+    }
+    this->refuse(RefusalReason::Stopping, shortestReturn, "this daemon stops before the request would end");
+    return false;
+}
+
 bool Forwarding::isStream() const
 {
     return this->route->kind == version::RouteKind::Streaming;
--- a/src/process/proxy/forwarding.h
+++ b/src/process/proxy/forwarding.h
@@ -41,6 +41,8 @@
 
     bool findRoute();
     bool checkKey(Time now);
+    /** @brief Refuses a request that would outlive a stopping daemon. */
+    bool checkStop(Time now);
     void place();
     void waitForRoom(const PlacedBackend &placed, Time now);
     bool isAdmitted(const PlacedBackend &placed, Time now);
