--- a/src/process/proxy/forwarding.cpp
+++ b/src/process/proxy/forwarding.cpp
@@ -270,6 +270,7 @@
     Send &sent = *this->current;
     sent.backend = placed.backend;
     sent.prediction = placed.prediction;
+    this->lastPrediction = placed.prediction;
     sent.at = now;
     ++sent.backend->inFlight;
     sent.backend->noteStart(now);
@@ -322,6 +323,8 @@
     sent.backend->noteEndOfWait(sent.at, true, now);
     if (answer.running) {
         sent.backend->report = directory::LoadReport {*answer.running, answer.waiting.value_or(0), now};
+        this->lastRunning = *answer.running;
+        this->lastWaiting = answer.waiting.value_or(0);
     }
     if (answer.coldLeft && *answer.coldLeft > Duration(0)) {
         sent.backend->coldUntil = std::max(sent.backend->coldUntil, now + *answer.coldLeft);
@@ -643,6 +646,12 @@
                          {"verdict", std::string(nameOf(this->verdict))},
                          {"backend", this->tried.empty() ? "" : this->tried.back()->record.id},
                          {"sends", std::to_string(this->sends)},
+                         {"predicted_ms", milliseconds(this->lastPrediction.firstEvent)},
+                         {"queue_ms", milliseconds(this->lastPrediction.queueDelay)},
+                         {"uncached", std::to_string(this->lastPrediction.uncachedTokens)},
+                         {"home", this->lastPrediction.isHome ? "true" : "false"},
+                         {"running", std::to_string(this->lastRunning)},
+                         {"waiting", std::to_string(this->lastWaiting)},
                          {"first_ms", milliseconds(this->firstEventAfter)},
                          {"total_ms", milliseconds(now - this->receivedAt)},
                          {"version", this->table ? std::to_string(this->table->version()) : "none"},
--- a/src/process/proxy/forwarding.h
+++ b/src/process/proxy/forwarding.h
@@ -96,6 +96,9 @@
     Verdict verdict = Verdict::NotRun; ///< The least certain of all sends so far.
     std::uint32_t sends = 0;
     std::uint32_t arrivals = 0; ///< Sends that a backend server may have run.
+    dispatch::Placement lastPrediction;
+    std::uint32_t lastRunning = 0; ///< Requests at the backend server when it last answered.
+    std::uint32_t lastWaiting = 0;
     Duration firstEventAfter {0};
     bool hasStarted = false; ///< The caller has got a part of the answer.
     bool isFinished = false;
--- a/src/process/proxy/proxy.cpp
+++ b/src/process/proxy/proxy.cpp
@@ -162,7 +162,7 @@
     candidate.roundTrip = candidate.isNear ? roundTripNear : (candidate.isInRegion ? roundTripInRegion : roundTripFar);
     candidate.failureShare = backend.failureShare.value(now);
     if (query.service != nullptr && query.service->engine) {
-        candidate.queueDelay = std::max(backend.queueDelay(now), dispatch::prefillTime(backend.elsewhere.unreadTokens)) + dispatch::prefillTime(backend.unreadTokens);
+        candidate.queueDelay = backend.queueDelay(now) + dispatch::prefillTime(backend.unreadTokens);
         candidate.cachedTokens = backend.prefixes.cachedTokens(*query.prompt);
         return candidate;
     }
