--- a/src/process/proxy/admission.cpp
+++ b/src/process/proxy/admission.cpp
@@ -12,7 +12,7 @@
 
 /** Parts of the latency target that the queue may take; the rest is for the prompt and the network. */
 constexpr double queuePart = 0.65;
-constexpr double queuePartOverShare = 0.25;
+constexpr double queuePartOverShare = 0.1;
 /** Between these multiples of its fair share, a workspace's part goes from the first to the second. */
 constexpr double shareUnbound = 0.8;
 constexpr double shareBound = 1.1;
