--- a/src/process/dispatch/fair_share.cpp
+++ b/src/process/dispatch/fair_share.cpp
@@ -63,7 +63,7 @@
         asked.push_back(load.asked);
         served += load.served;
     }
-    this->level = waterLevel(std::move(asked), capacity > 0 ? std::min(capacity, served) : served);
+    this->level = waterLevel(std::move(asked), served);
     this->servedElsewhere.clear();
     for (const exchange::WorkspaceLoad &load : others) {
         this->servedElsewhere[WorkspaceHandle {load.workspace}] = load.served;
