Admission looks at two levels: the promised share and the served one

Cause: who has had all that is promised should wait for the others' sake, but two workspaces over it must not be cut alike. Over the promised share the queue may take 0.15 of the target, over the share of what is served 0.05.

--- a/src/process/dispatch/fair_share.cpp
+++ b/src/process/dispatch/fair_share.cpp
@@ -63,6 +63,7 @@
         asked.push_back(load.asked);
         served += load.served;
     }
+    this->guaranteedLevel = waterLevel(asked, capacity > 0 ? std::min(capacity, served) : served);
     this->level = waterLevel(std::move(asked), served);
     this->servedElsewhere.clear();
     for (const exchange::WorkspaceLoad &load : others) {
@@ -70,15 +71,12 @@
     }
 }
 
-double FairShare::shareUsed(WorkspaceHandle workspace, Time now) const
+ShareUsed FairShare::shareUsed(WorkspaceHandle workspace, Time now) const
 {
-    if (this->level <= 0) {
-        return 0;
-    }
     const auto own = this->usages.find(workspace);
     const auto elsewhere = this->servedElsewhere.find(workspace);
     const double served = (own == this->usages.end() ? 0 : own->second.served.rate(now)) + (elsewhere == this->servedElsewhere.end() ? 0 : elsewhere->second);
-    return served / this->level;
+    return {this->level > 0 ? served / this->level : 0, this->guaranteedLevel > 0 ? served / this->guaranteedLevel : 0};
 }
 
 }
--- a/src/process/dispatch/fair_share.h
+++ b/src/process/dispatch/fair_share.h
@@ -21,12 +21,20 @@
  */
 double waterLevel(std::vector<double> asked, double capacity);
 
+/** @brief What a workspace gets, as multiples of its max-min shares; zero where all that is asked fits. */
+struct ShareUsed {
+    double ofServed = 0; ///< Of what the fleet serves at the moment.
+    double ofGuaranteed = 0; ///< Of the throughput that the configuration promises, where that is less.
+
+    bool operator==(const ShareUsed &) const = default;
+};
+
 /**
- * @brief Tells by how much a workspace is over its max-min share of what the fleet serves.
+ * @brief Tells by how much a workspace is over its max-min shares.
  *
- * The capacity is what the fleet serves at the moment, and no more than the
- * configuration says: while there is congestion this is what the backend
- * servers manage, and without congestion nobody is turned away.
+ * Under congestion, what the fleet serves is what the backend servers manage:
+ * whoever is over a share of that keeps others from theirs. Whoever is over a
+ * share of the promised throughput has got all that was promised.
  *
  * @remarks Load pattern: one workspace asks eight times its usual, on few daemons, while the others keep theirs on all.
  */
@@ -41,8 +49,7 @@
     std::vector<exchange::WorkspaceLoad> ownLoad(Time now) const;
     /** @brief Computes the shares anew. @param others What the other daemons saw. @param capacity Of the fleet by its configuration. */
     void update(const std::vector<exchange::WorkspaceLoad> &others, double capacity, Time now);
-    /** @returns what the workspace gets as a multiple of its share; zero when its share is not bounded. */
-    double shareUsed(WorkspaceHandle workspace, Time now) const;
+    ShareUsed shareUsed(WorkspaceHandle workspace, Time now) const;
 
 private:
     struct Usage {
@@ -53,7 +60,8 @@
 
     std::map<WorkspaceHandle, Usage> usages;
     std::map<WorkspaceHandle, double> servedElsewhere;
-    double level = 0; ///< Infinite when all that is asked fits.
+    double level = 0; ///< Share of what is served; infinite when all that is asked fits.
+    double guaranteedLevel = 0;
 };
 
 }
--- a/src/process/proxy/admission.cpp
+++ b/src/process/proxy/admission.cpp
@@ -12,7 +12,8 @@
 
 /** Parts of the latency target that the queue may take; the rest is for the prompt and the network. */
 constexpr double queuePart = 0.65;
-constexpr double queuePartOverShare = 0.1;
+constexpr double queuePartOverGuaranteed = 0.15;
+constexpr double queuePartOverServed = 0.05;
 /** Between these multiples of its fair share, a workspace's part goes from the first to the second. */
 constexpr double shareUnbound = 0.8;
 constexpr double shareBound = 1.1;
@@ -20,12 +21,18 @@
 constexpr Duration shortestReturn = 150ms;
 constexpr std::uint64_t spreadSteps = 1024;
 
+/** Part of the target for a workspace that uses this multiple of its share. */
+double queuePartAt(double shareUsed, double partOverShare)
+{
+    const double over = std::clamp((shareUsed - shareUnbound) / (shareBound - shareUnbound), 0.0, 1.0);
+    return queuePart + (partOverShare - queuePart) * over;
+}
+
 }
 
 AdmissionDecision decideAdmission(const AdmissionInput &input)
 {
-    const double over = std::clamp((input.shareUsed - shareUnbound) / (shareBound - shareUnbound), 0.0, 1.0);
-    const double part = queuePart + (queuePartOverShare - queuePart) * over;
+    const double part = std::min(queuePartAt(input.shareUsed.ofGuaranteed, queuePartOverGuaranteed), queuePartAt(input.shareUsed.ofServed, queuePartOverServed));
     const auto limit = Duration(static_cast<std::int64_t>(static_cast<double>(input.latencyTarget.count()) * part));
     if (input.isRepeat || input.latencyTarget == Duration(0) || input.queueDelay <= limit) {
         return {};
--- a/src/process/proxy/admission.h
+++ b/src/process/proxy/admission.h
@@ -4,6 +4,8 @@
 
 #include "eelgrassnotch/types.h"
 
+#include "process/dispatch/fair_share.h"
+
 #include <cstdint>
 
 namespace eelgrassnotch::process::proxy
@@ -13,7 +15,7 @@
 struct AdmissionInput {
     Duration queueDelay {0}; ///< Predicted at the best backend server.
     Duration latencyTarget {0};
-    double shareUsed = 0; ///< What its workspace gets in the fleet, as a multiple of its fair share.
+    dispatch::ShareUsed shareUsed; ///< What its workspace gets in the fleet.
     bool isRepeat = false; ///< It has been sent before.
 
     bool operator==(const AdmissionInput &) const = default;
--- a/src/process/proxy/forwarding.cpp
+++ b/src/process/proxy/forwarding.cpp
@@ -249,7 +249,8 @@
     input.isRepeat = this->sends > 0;
     const AdmissionDecision decision = decideAdmission(input);
     if (!decision.isAdmitted) {
-        const std::string detail = "queue_ms " + milliseconds(input.queueDelay) + " share_used " + std::to_string(input.shareUsed);
+        const std::string detail = "queue_ms " + milliseconds(input.queueDelay) + " share_of_served " + std::to_string(input.shareUsed.ofServed)
+            + " share_of_guaranteed " + std::to_string(input.shareUsed.ofGuaranteed);
         this->refuse(RefusalReason::Overloaded, spreadReturn(decision.comeBackAfter, hashName(this->attributes.id)), detail);
     }
     return decision.isAdmitted;
