--- a/src/process/edge_daemon.cpp
+++ b/src/process/edge_daemon.cpp
@@ -9,6 +9,7 @@
 #include "process/store/object_writer.h"
 #include "process/timer_service.h"
 
+#include <boost/asio/post.hpp>
 #include <boost/asio/signal_set.hpp>
 
 #include <csignal>
@@ -104,6 +105,11 @@
         logEvent("stopped", {{"requests_cut", std::to_string(this->callers.servingCount())}});
     }
 
+    void requestStop()
+    {
+        boost::asio::post(this->context, [this] { this->beginStop("request"); });
+    }
+
 private:
     static constexpr std::size_t probeConnections = 32;
     using WatcherPtr = std::unique_ptr<store::CollectionWatcher>;
@@ -366,15 +372,23 @@
             }
             if (signal == SIGHUP) {
                 this->reloadSettings();
-            } else if (!this->proxy.isStopping()) {
-                logEvent("stop_requested", {{"signal", std::to_string(signal)}, {"serving", std::to_string(this->callers.servingCount())}});
-                this->proxy.setStopping(readClock());
-                this->writer.remove([] {});
+            } else {
+                this->beginStop("signal " + std::to_string(signal));
             }
             this->waitForSignal();
         });
     }
 
+    void beginStop(const std::string &cause)
+    {
+        if (this->proxy.isStopping()) {
+            return;
+        }
+        logEvent("stop_requested", {{"cause", cause}, {"serving", std::to_string(this->callers.servingCount())}});
+        this->proxy.setStopping(readClock());
+        this->writer.remove([] {});
+    }
+
     void reloadSettings()
     {
         try {
@@ -440,6 +454,11 @@
 
 EdgeDaemon::~EdgeDaemon() = default;
 
+void EdgeDaemon::requestStop()
+{
+    this->parts->requestStop();
+}
+
 void EdgeDaemon::run()
 {
     this->parts->run();
--- a/src/process/edge_daemon.h
+++ b/src/process/edge_daemon.h
@@ -26,6 +26,8 @@
 
     /** @brief Runs until SIGTERM or SIGINT has come and all requests have ended, or the grace is over. */
     void run();
+    /** @brief Asks for a planned stop as SIGTERM does; may be called from any thread. */
+    void requestStop();
 
 private:
     class Parts;
--- a/src/process/exchange/load_exchange.cpp
+++ b/src/process/exchange/load_exchange.cpp
@@ -32,7 +32,9 @@
         if (r == right.end() || (l != left.end() && id(*l) < id(*r))) {
             merged.push_back(*l++);
         } else if (l == left.end() || id(*r) < id(*l)) {
-            merged.push_back(*r++);
+            Item absent;
+            id(absent) = id(*r);
+            merged.push_back(combine(absent, *r++));
         } else {
             merged.push_back(combine(*l++, *r++));
         }
@@ -45,12 +47,12 @@
 {
     LoadSummary sum;
     sum.workspaces = merge(
-        left.workspaces, right.workspaces, [](const WorkspaceLoad &load) { return load.workspace; },
+        left.workspaces, right.workspaces, [](auto &load) -> auto & { return load.workspace; },
         [factor](const WorkspaceLoad &l, const WorkspaceLoad &r) {
             return WorkspaceLoad {l.workspace, std::max(0.0, l.asked + factor * r.asked), std::max(0.0, l.served + factor * r.served)};
         });
     sum.backends = merge(
-        left.backends, right.backends, [](const BackendLoad &load) { return load.backend; },
+        left.backends, right.backends, [](auto &load) -> auto & { return load.backend; },
         [factor](const BackendLoad &l, const BackendLoad &r) {
             const double inFlight = std::max(0.0, static_cast<double>(l.inFlight) + factor * static_cast<double>(r.inFlight));
             return BackendLoad {l.backend, std::max(0.0, l.unreadTokens + factor * r.unreadTokens), static_cast<std::uint32_t>(inFlight)};
--- /dev/null
+++ b/tests/proxy/test_client_connection.cpp
@@ -0,0 +1,177 @@
+/** @file The HTTP client against servers that misbehave. */
+
+#include "connection/http/client_connection.h"
+#include "standin/raw_server.h"
+
+#include <doctest/doctest.h>
+
+using namespace eelgrassnotch::connection::http;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+struct Outcome {
+    unsigned status = 0;
+    std::string body;
+    std::optional<ExchangeEnd> end;
+};
+
+/** Sends one request and waits for its end. */
+Outcome sendOne(boost::asio::io_context &context, const std::shared_ptr<ClientConnection> &connection, const std::string &body = "",
+                 const std::string &wantedId = "")
+{
+    Outcome outcome;
+    auto request = std::make_shared<Request>(boost::beast::http::verb::post, "/x", 11);
+    request->body() = body;
+    request->prepare_payload();
+    ExchangeHooks hooks;
+    hooks.onHeader = [&](const AnswerHeader &header) {
+        const auto id = header["Id"];
+        if (!wantedId.empty() && id != wantedId) {
+            return false;
+        }
+        outcome.status = header.result_int();
+        return true;
+    };
+    hooks.onBody = [&](std::string_view part) { outcome.body += part; };
+    hooks.onEnd = [&](const ExchangeEnd &end) { outcome.end = end; };
+    connection->send(request, 1s, std::move(hooks));
+    context.restart();
+    while (!outcome.end && context.run_one() > 0) {
+    }
+    return outcome;
+}
+
+std::shared_ptr<ClientConnection> connectTo(boost::asio::io_context &context, const standin::RawServer &server)
+{
+    return std::make_shared<ClientConnection>(context.get_executor(), parseEndpoint(server.address()));
+}
+
+}
+
+TEST_CASE("a connection is kept, and carries the next request")
+{
+    standin::RawServer server([](standin::Socket &socket, const standin::Request &) {
+        standin::sendBytes(socket, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nab");
+        return true;
+    });
+    boost::asio::io_context context;
+    const auto connection = connectTo(context, server);
+    for (int round = 0; round < 3; ++round) {
+        const Outcome outcome = sendOne(context, connection);
+        CHECK(outcome.end->kind == EndKind::Complete);
+        CHECK(outcome.body == "ab");
+    }
+    CHECK(server.connections() == 1);
+}
+
+TEST_CASE("a request that is reset after it was read is lost, and is not sent again")
+{
+    standin::RawServer server([](standin::Socket &socket, const standin::Request &) {
+        standin::sendReset(socket);
+        return false;
+    });
+    boost::asio::io_context context;
+    const Outcome outcome = sendOne(context, connectTo(context, server));
+    CHECK(outcome.end->kind == EndKind::Lost);
+    CHECK(server.requests().size() == 1);
+}
+
+TEST_CASE("an answer shorter than its length is broken off")
+{
+    standin::RawServer server([](standin::Socket &socket, const standin::Request &) {
+        standin::sendBytes(socket, "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nabc");
+        return false;
+    });
+    boost::asio::io_context context;
+    const Outcome outcome = sendOne(context, connectTo(context, server));
+    CHECK(outcome.end->kind == EndKind::BrokenOff);
+}
+
+TEST_CASE("a chunked answer without its last chunk is broken off")
+{
+    standin::RawServer server([](standin::Socket &socket, const standin::Request &) {
+        standin::sendBytes(socket, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n");
+        return false;
+    });
+    boost::asio::io_context context;
+    CHECK(sendOne(context, connectTo(context, server)).end->kind == EndKind::BrokenOff);
+}
+
+TEST_CASE("an answer without a length ends with its connection, but not with a reset")
+{
+    for (const bool resets : {false, true}) {
+        standin::RawServer server([resets](standin::Socket &socket, const standin::Request &) {
+            standin::sendBytes(socket, "HTTP/1.1 200 OK\r\n\r\nabc");
+            if (resets) {
+                standin::sendReset(socket);
+            }
+            return false;
+        });
+        boost::asio::io_context context;
+        const Outcome outcome = sendOne(context, connectTo(context, server));
+        CHECK((outcome.end->kind == EndKind::Complete) == !resets);
+    }
+}
+
+TEST_CASE("bytes after a complete answer belong to no request")
+{
+    standin::RawServer server([](standin::Socket &socket, const standin::Request &) {
+        standin::sendBytes(socket, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nabHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nxy");
+        return true;
+    });
+    boost::asio::io_context context;
+    const auto connection = connectTo(context, server);
+    const Outcome outcome = sendOne(context, connection);
+    CHECK(outcome.body == "ab");
+    CHECK_FALSE(connection->isReusable());
+}
+
+TEST_CASE("an answer to another request is read past")
+{
+    standin::RawServer server([](standin::Socket &socket, const standin::Request &) {
+        standin::sendBytes(socket, "HTTP/1.1 200 OK\r\nId: old\r\nContent-Length: 2\r\n\r\nxyHTTP/1.1 201 OK\r\nId: mine\r\nContent-Length: 2\r\n\r\nab");
+        return true;
+    });
+    boost::asio::io_context context;
+    const Outcome outcome = sendOne(context, connectTo(context, server), "", "mine");
+    CHECK(outcome.status == 201);
+    CHECK(outcome.body == "ab");
+}
+
+TEST_CASE("after an answer that came before the whole body was sent, the connection is not used again")
+{
+    // The server answers on the header alone and reads nothing more.
+    boost::asio::io_context context;
+    boost::asio::ip::tcp::acceptor acceptor(context, {boost::asio::ip::make_address("127.0.0.1"), 0});
+    boost::asio::ip::tcp::socket peer(context);
+    std::array<char, 64> some {};
+    acceptor.async_accept(peer, [&](boost::system::error_code) {
+        peer.async_read_some(boost::asio::buffer(some), [&](boost::system::error_code, std::size_t) {
+            standin::sendBytes(peer, "HTTP/1.1 503 Full\r\nContent-Length: 0\r\n\r\n");
+        });
+    });
+    const auto connection = std::make_shared<ClientConnection>(context.get_executor(), acceptor.local_endpoint());
+    const Outcome outcome = sendOne(context, connection, std::string(32u << 20, 'x'));
+    CHECK(outcome.status == 503);
+    CHECK_FALSE(connection->isReusable());
+}
+
+TEST_CASE("a port without a listener is a failed connection: nothing was sent")
+{
+    boost::asio::io_context context;
+    const auto connection
+        = std::make_shared<ClientConnection>(context.get_executor(), Endpoint(boost::asio::ip::make_address("127.0.0.1"), standin::findFreePort()));
+    CHECK(sendOne(context, connection).end->kind == EndKind::ConnectFailed);
+}
+
+TEST_CASE("bytes that are not HTTP are malformed")
+{
+    standin::RawServer server([](standin::Socket &socket, const standin::Request &) {
+        standin::sendBytes(socket, "nonsense\r\n\r\n");
+        return false;
+    });
+    boost::asio::io_context context;
+    CHECK(sendOne(context, connectTo(context, server)).end->kind == EndKind::Malformed);
+}
--- /dev/null
+++ b/tests/proxy/test_directory.cpp
@@ -0,0 +1,149 @@
+/** @file Which backend servers are usable as their entries come, change and vanish. */
+
+#include "process/directory/backend_directory.h"
+
+#include <doctest/doctest.h>
+
+using namespace eelgrassnotch;
+using namespace eelgrassnotch::process::directory;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+constexpr Time start = 100s;
+
+BackendRecord makeRecord(const std::string &id)
+{
+    BackendRecord record;
+    record.id = id;
+    record.service = "model";
+    record.address = "10.0.0.1:80";
+    record.dataCentre = "a";
+    record.slots = 8;
+    record.startedAt = 1000;
+    return record;
+}
+
+struct Fixture {
+    std::vector<BackendChange> changes;
+    BackendDirectory directory {[](const std::string &) { return std::uint64_t {0}; }, [this](const BackendChange &change) { this->changes.push_back(change); }};
+
+    Availability availability(std::size_t index = 0) const
+    {
+        return this->directory.ofService("model").at(index)->availability;
+    }
+};
+
+}
+
+TEST_CASE_FIXTURE(Fixture, "an entry that vanishes in calm weather is gone at once")
+{
+    this->directory.apply(makeRecord("i-1"), start);
+    CHECK(this->availability() == Availability::Ready);
+    this->directory.remove("i-1", start + 10s);
+    CHECK(this->directory.ofService("model").empty());
+    CHECK(this->changes.back() == BackendChange {"i-1", Availability::Gone, "entry removed"});
+}
+
+TEST_CASE_FIXTURE(Fixture, "entries that lapse while the store is away stay usable until it has been back for two seconds")
+{
+    this->directory.apply(makeRecord("i-1"), start);
+    this->directory.apply(makeRecord("i-2"), start);
+    this->directory.noteStoreLost();
+    this->directory.noteStoreBack(start + 10s);
+    this->directory.replaceAll({}, start + 10s);
+    CHECK(this->availability(0) == Availability::Unconfirmed);
+    this->directory.apply(makeRecord("i-2"), start + 11s);
+    this->directory.expire(start + 11900ms);
+    CHECK(this->directory.ofService("model").size() == 2);
+    this->directory.expire(start + 12s);
+    REQUIRE(this->directory.ofService("model").size() == 1);
+    CHECK(this->directory.ofService("model").front()->record.id == "i-2");
+    CHECK(this->availability() == Availability::Ready);
+}
+
+TEST_CASE_FIXTURE(Fixture, "a leaving backend server never becomes ready again in the same incarnation")
+{
+    BackendRecord record = makeRecord("i-1");
+    this->directory.apply(record, start);
+    record.isDraining = true;
+    this->directory.apply(record, start + 1s);
+    CHECK(this->availability() == Availability::Draining);
+    record.isDraining = false;
+    this->directory.apply(record, start + 2s);
+    CHECK(this->availability() == Availability::Draining);
+    record.startedAt = 2000;
+    this->directory.apply(record, start + 3s);
+    CHECK(this->availability() == Availability::Ready);
+}
+
+TEST_CASE_FIXTURE(Fixture, "a restart under the same id forgets load and cold state, and a late entry of the earlier start is ignored")
+{
+    this->directory.apply(makeRecord("i-1"), start);
+    const BackendServerPtr before = this->directory.ofService("model").front();
+    BackendRecord restarted = makeRecord("i-1");
+    restarted.startedAt = 2000;
+    restarted.coldLeft = 3s;
+    this->directory.apply(restarted, start + 1s);
+    const BackendServerPtr after = this->directory.ofService("model").front();
+    CHECK(before != after);
+    CHECK(before->availability == Availability::Gone);
+    CHECK(after->isCold(start + 4s));
+    this->directory.apply(makeRecord("i-1"), start + 2s);
+    CHECK(this->directory.ofService("model").front() == after);
+}
+
+TEST_CASE_FIXTURE(Fixture, "an entry that can't be read names nothing to use, and the others hold")
+{
+    this->directory.apply(makeRecord("i-1"), start);
+    this->directory.apply(makeRecord("i-2"), start);
+    this->directory.applyUnreadable("i-1", start);
+    REQUIRE(this->directory.ofService("model").size() == 1);
+    CHECK(this->directory.ofService("model").front()->record.id == "i-2");
+}
+
+TEST_CASE_FIXTURE(Fixture, "an address that answers for another instance is given up")
+{
+    this->directory.apply(makeRecord("i-1"), start);
+    this->directory.noteWrongInstance(this->directory.ofService("model").front());
+    CHECK(this->directory.ofService("model").empty());
+}
+
+TEST_CASE_FIXTURE(Fixture, "backend servers of a returning data centre are cold")
+{
+    this->directory.apply(makeRecord("i-1"), start);
+    this->directory.setTakenOut({"a"}, 3s, start);
+    CHECK(this->directory.isTakenOut("a"));
+    this->directory.setTakenOut({}, 3s, start + 5s);
+    CHECK_FALSE(this->directory.isTakenOut("a"));
+    CHECK(this->directory.ofService("model").front()->isCold(start + 7s));
+    CHECK_FALSE(this->directory.ofService("model").front()->isCold(start + 9s));
+}
+
+TEST_CASE("a backend server that fails is tried by single requests, and is cold when it works again")
+{
+    BackendServer backend(makeRecord("i-1"), 0);
+    CHECK(backend.isTrialAllowed(start));
+    backend.noteFailure(start);
+    CHECK(backend.isTrialAllowed(start));
+    backend.noteFailure(start);
+    CHECK_FALSE(backend.isTrialAllowed(start + 100ms));
+    CHECK(backend.isTrialAllowed(start + 600ms));
+    backend.noteStart(start + 600ms);
+    CHECK_FALSE(backend.isTrialAllowed(start + 610ms));
+    backend.noteSuccess(start + 700ms, 3s);
+    CHECK(backend.isTrialAllowed(start + 710ms));
+    CHECK(backend.isCold(start + 3s));
+}
+
+TEST_CASE("a backend server that answers nothing gets no more requests, and one that answers others is not silent")
+{
+    BackendServer backend(makeRecord("i-1"), 0);
+    backend.noteStart(start);
+    CHECK(backend.isTrialAllowed(start + 1s));
+    CHECK_FALSE(backend.isTrialAllowed(start + 2s));
+    backend.noteStart(start + 1s);
+    backend.noteEndOfWait(start + 1s, true, start + 1500ms);
+    CHECK(backend.isTrialAllowed(start + 2s));
+}
--- /dev/null
+++ b/tests/proxy/test_dispatch.cpp
@@ -0,0 +1,219 @@
+/** @file Decisions on where and whether a request is sent, without I/O or clock. */
+
+#include "process/dispatch/cold_allotment.h"
+#include "process/dispatch/fair_share.h"
+#include "process/dispatch/placement.h"
+#include "process/dispatch/prefix_memory.h"
+#include "process/dispatch/retry_allowance.h"
+#include "process/proxy/admission.h"
+
+#include <doctest/doctest.h>
+
+#include <cmath>
+#include <string>
+
+using namespace eelgrassnotch;
+using namespace eelgrassnotch::process;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+std::vector<DaemonHandle> makeDaemons(std::size_t count)
+{
+    std::vector<DaemonHandle> daemons;
+    for (std::size_t index = 0; index < count; ++index) {
+        daemons.push_back(handleOf<DaemonHandle>("daemon-" + std::to_string(index)));
+    }
+    return daemons;
+}
+
+request::Prompt makePrompt(std::uint64_t session, std::uint64_t own)
+{
+    return {9000, 50, {{1, 2500}, {session, 3800}, {own, 2700}}};
+}
+
+constexpr Time start = 100s;
+
+}
+
+TEST_CASE("parts of a cold backend server's bound add up to it, whatever the number of daemons")
+{
+    for (const std::size_t count : {1u, 6u, 7u, 69u, 350u}) {
+        const auto daemons = makeDaemons(count);
+        for (const std::uint32_t backend : {hashName("a"), hashName("b")}) {
+            std::uint32_t sum = 0;
+            for (const DaemonHandle daemon : daemons) {
+                sum += dispatch::coldAllotment(38, daemon, daemons, backend);
+            }
+            CHECK(sum == 38);
+        }
+    }
+}
+
+TEST_CASE("a daemon that nobody knows yet counts itself")
+{
+    const auto daemons = makeDaemons(4);
+    CHECK(dispatch::coldAllotment(10, handleOf<DaemonHandle>("stranger"), daemons, 7) <= 2);
+}
+
+TEST_CASE("repeats stay within the bound of the fleet while every request fails")
+{
+    constexpr std::size_t daemonCount = 6;
+    constexpr double ratio = 0.2;
+    constexpr double burst = 52;
+    dispatch::RetryAllowance allowance({ratio, burst, 10s});
+    int requests = 0;
+    int repeats = 0;
+    for (Time now = start; now < start + 10s; now += 100ms) {
+        allowance.countRequest(now);
+        ++requests;
+        while (allowance.spend(now, daemonCount)) {
+            ++repeats;
+        }
+    }
+    CHECK(repeats > 0);
+    CHECK(repeats * daemonCount <= ratio * requests * daemonCount + burst);
+}
+
+TEST_CASE("a part counts as kept only while all parts before it are")
+{
+    dispatch::PrefixMemory memory(20000);
+    const auto prompt = makePrompt(10, 100);
+    CHECK(memory.cachedTokens(prompt) == 0);
+    memory.note(prompt);
+    CHECK(memory.cachedTokens(makePrompt(10, 101)) == 6300);
+    CHECK(memory.cachedTokens(makePrompt(11, 102)) == 2500);
+    for (std::uint64_t own = 200; own < 210; ++own) {
+        memory.note(makePrompt(20 + own, own));
+    }
+    CHECK(memory.cachedTokens(makePrompt(10, 103)) == 2500);
+    memory.clear();
+    CHECK(memory.cachedTokens(prompt) == 0);
+}
+
+TEST_CASE("the water level fills small demands first")
+{
+    CHECK(std::isinf(dispatch::waterLevel({1, 2, 3}, 6)));
+    CHECK(dispatch::waterLevel({1, 2, 30}, 9) == doctest::Approx(6));
+    CHECK(dispatch::waterLevel({10, 10, 10}, 9) == doctest::Approx(3));
+}
+
+TEST_CASE("a flooding workspace is over its share, also when it floods through other daemons")
+{
+    const auto flood = handleOf<WorkspaceHandle>("flood");
+    const auto small = handleOf<WorkspaceHandle>("small");
+    dispatch::FairShare here;
+    for (Time now = start; now < start + 6s; now += 10ms) {
+        here.noteAsked(small, 100, now);
+        here.noteServed(small, 60, now);
+        here.noteAsked(flood, 800, now);
+        here.noteServed(flood, 100, now);
+    }
+    const Time now = start + 6s;
+    // Elsewhere a third workspace asks as much as it can be given and gets little, since the flood takes the room.
+    here.update({{flood.id, 200000, 80000}, {handleOf<WorkspaceHandle>("starved").id, 60000, 20000}}, 0, now);
+    CHECK(here.shareUsed(flood, now).ofServed > 1.1);
+    CHECK(here.shareUsed(small, now).ofServed < 0.8);
+}
+
+TEST_CASE("workspaces beyond the promised throughput are still told apart by what they get")
+{
+    // Pattern of a fair day: the fleet serves twice what is promised; one workspace has ten times its share of that, one 1.8 times.
+    const auto flood = handleOf<WorkspaceHandle>("flood");
+    const auto moderate = handleOf<WorkspaceHandle>("moderate");
+    dispatch::FairShare shares;
+    for (Time now = start; now < start + 6s; now += 10ms) {
+        shares.noteAsked(flood, 14000, now);
+        shares.noteServed(flood, 5900, now);
+        shares.noteAsked(moderate, 2400, now);
+        shares.noteServed(moderate, 1100, now);
+    }
+    const Time now = start + 6s;
+    shares.update({}, 120000, now);
+    CHECK(shares.shareUsed(moderate, now).ofGuaranteed > 1.1);
+    CHECK(shares.shareUsed(moderate, now).ofServed < 0.8);
+    CHECK(shares.shareUsed(flood, now).ofServed > 1.1);
+
+    proxy::AdmissionInput input;
+    input.latencyTarget = 400ms;
+    input.queueDelay = 40ms;
+    input.shareUsed = shares.shareUsed(moderate, now);
+    CHECK(proxy::decideAdmission(input).isAdmitted);
+    input.shareUsed = shares.shareUsed(flood, now);
+    CHECK_FALSE(proxy::decideAdmission(input).isAdmitted);
+}
+
+TEST_CASE("daemons choose the same home for a session without asking")
+{
+    std::vector<dispatch::Candidate> candidates(9);
+    for (std::size_t index = 0; index < candidates.size(); ++index) {
+        candidates[index].backend = hashName("backend-" + std::to_string(index));
+        candidates[index].isNear = index < 3;
+        candidates[index].isInRegion = index < 3;
+        candidates[index].roundTrip = index < 3 ? 1ms : 17ms;
+    }
+    std::vector<dispatch::Candidate> seenElsewhere = candidates;
+    for (std::size_t index = 0; index < candidates.size(); ++index) {
+        seenElsewhere[index].isNear = seenElsewhere[index].isInRegion = index >= 6;
+        seenElsewhere[index].roundTrip = index >= 6 ? 1ms : 17ms;
+    }
+    for (std::uint64_t session = 1; session <= 50; ++session) {
+        const dispatch::PlacementRequest request {9190, 6300, session, 18000};
+        const auto here = dispatch::place(request, candidates);
+        const auto there = dispatch::place(request, seenElsewhere);
+        REQUIRE(here);
+        CHECK(here->isHome);
+        CHECK(here->index == there->index);
+    }
+}
+
+TEST_CASE("a loaded home yields to another backend server, and a prefix too short to move stays near")
+{
+    std::vector<dispatch::Candidate> candidates(2);
+    candidates[0].backend = 1;
+    candidates[1].backend = 2;
+    candidates[1].isNear = candidates[1].isInRegion = false;
+    candidates[1].roundTrip = 17ms;
+    for (std::uint64_t session = 1; session <= 20; ++session) {
+        const auto placed = dispatch::place({2368, 568, session, 4700}, candidates);
+        REQUIRE(placed);
+        CHECK(placed->index == 0);
+    }
+    candidates[0].queueDelay = 300ms;
+    const auto placed = dispatch::place({2368, 568, 3, 4700}, candidates);
+    REQUIRE(placed);
+    CHECK(placed->index == 1);
+    candidates[1].isUsable = false;
+    CHECK(dispatch::place({2368, 568, 3, 4700}, candidates)->index == 0);
+    candidates[0].isUsable = false;
+    CHECK_FALSE(dispatch::place({2368, 568, 3, 4700}, candidates));
+}
+
+TEST_CASE("admission looks at the queue and not at the request's size")
+{
+    proxy::AdmissionInput input;
+    input.latencyTarget = 400ms;
+    input.queueDelay = 250ms;
+    CHECK(proxy::decideAdmission(input).isAdmitted);
+    input.queueDelay = 300ms;
+    const auto refused = proxy::decideAdmission(input);
+    CHECK_FALSE(refused.isAdmitted);
+    CHECK(refused.comeBackAfter > 0ms);
+    input.isRepeat = true;
+    CHECK(proxy::decideAdmission(input).isAdmitted);
+}
+
+TEST_CASE("refused callers come back spread over as long again")
+{
+    Duration earliest = 1h;
+    Duration latest = 0ms;
+    for (std::uint64_t draw = 0; draw < 2000; ++draw) {
+        const Duration back = proxy::spreadReturn(400ms, draw);
+        earliest = std::min(earliest, back);
+        latest = std::max(latest, back);
+    }
+    CHECK(earliest >= 400ms);
+    CHECK(latest <= 800ms);
+    CHECK(latest - earliest > 300ms);
+}
--- /dev/null
+++ b/tests/proxy/test_edge_daemon.cpp
@@ -0,0 +1,474 @@
+/** @file A whole daemon between raw callers and backend servers that misbehave. */
+
+#include "platform/dialect.h"
+#include "process/edge_daemon.h"
+#include "standin/object_store.h"
+
+#include <boost/asio/connect.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/read.hpp>
+#include <doctest/doctest.h>
+
+#include <atomic>
+#include <memory>
+#include <thread>
+
+using namespace eelgrassnotch;
+using namespace std::chrono_literals;
+using boost::asio::ip::tcp;
+using nlohmann::json;
+using standin::RawServer;
+
+namespace
+{
+
+/** Waits for a condition; fails the test when it does not come in a time that no healthy machine needs. */
+template <class Condition>
+bool eventually(Condition &&condition)
+{
+    constexpr auto patience = 20s;
+    const auto until = std::chrono::steady_clock::now() + patience;
+    while (std::chrono::steady_clock::now() < until) {
+        if (condition()) {
+            return true;
+        }
+        std::this_thread::sleep_for(10ms);
+    }
+    return false;
+}
+
+json makeRoute(const std::string &prefix, const std::string &kind, bool isResumable = false, bool isPublic = false)
+{
+    return {{"name", "r-" + prefix}, {"host", "h.example"}, {"path_prefix", "/" + prefix + "/"}, {"route_kind", kind}, {"timeout_ms", 8000},
+            {"latency_goal_ms", 4000}, {"service", "svc"}, {"max_attempts", 2}, {"public", isPublic}, {"resumable", isResumable}, {"home_regions", json::array()}};
+}
+
+json makeConfiguration(int version)
+{
+    return {{"version", version},
+            {"routes", {makeRoute("order", "non_idempotent"), makeRoute("check", "idempotent"), makeRoute("stream", "streaming"),
+                        makeRoute("resume", "streaming", true), makeRoute("open", "idempotent", false, true)}},
+            {"services", {{{"name", "svc"}, {"max_conns", 100}, {"cold_s", 0.0}, {"cold_per_s", 0.0}}}},
+            {"limits", {{"max_header_bytes", 16384}, {"max_body_bytes", 65536}, {"header_timeout_ms", 3000}, {"idle_timeout_ms", 15000}}},
+            {"tenants", {{{"name", "w1"}, {"api_keys", {"key-1"}}}}}};
+}
+
+std::string idOf(const standin::Request &request)
+{
+    const auto id = request["X-Eelgrassnotch-Attempt-Id"];
+    return {id.data(), id.size()};
+}
+
+std::string signedAnswer(const standin::Request &request, const std::string &body, const std::string &status = "200 OK")
+{
+    return "HTTP/1.1 " + status + "\r\nX-Eelgrassnotch-Attempt-Id: " + idOf(request) + "\r\nX-Eelgrassnotch-Response-Signature: s\r\nContent-Length: "
+        + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+std::string streamHeader(const standin::Request &request)
+{
+    return "HTTP/1.1 200 OK\r\nX-Eelgrassnotch-Attempt-Id: " + idOf(request)
+        + "\r\nX-Eelgrassnotch-Response-Signature: s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
+}
+
+std::string chunk(const std::string &text)
+{
+    std::ostringstream out;
+    out << std::hex << text.size() << "\r\n" << text << "\r\n";
+    return out.str();
+}
+
+bool answerOk(standin::Socket &socket, const standin::Request &request)
+{
+    standin::sendBytes(socket, signedAnswer(request, "fine"));
+    return true;
+}
+
+/** One daemon on loopback with its store. */
+class World
+{
+public:
+    explicit World(Duration keyRevocation = 60s)
+    {
+        this->store.put("config", "main", makeConfiguration(3));
+        this->settings.name = "d-1";
+        this->settings.ip = "127.0.0.1";
+        this->settings.dataCentre = "a";
+        this->settings.regions = {{"a", "ra"}, {"b", "rb"}};
+        this->settings.callersAddress = "127.0.0.1:" + std::to_string(standin::findFreePort());
+        this->settings.readyAddress = "127.0.0.1:" + std::to_string(standin::findFreePort());
+        this->settings.metricsAddress = "127.0.0.1:" + std::to_string(standin::findFreePort());
+        this->settings.loadPort = standin::findFreePort();
+        this->settings.storeAddress = this->store.address();
+        this->settings.bounds = {keyRevocation, 8s, 0.2, 50, 10s, 1.5, 5};
+    }
+
+    ~World()
+    {
+        this->daemon->requestStop();
+        this->thread.join();
+    }
+
+    void addBackend(const std::string &id, const RawServer &server, const std::string &state = "ready", const std::string &dataCentre = "a")
+    {
+        this->store.put("servers", id,
+                        {{"service", "svc"}, {"address", server.address()}, {"zone", dataCentre}, {"version", "v1"}, {"slots", 8}, {"state", state},
+                         {"cold_left_ms", 0}, {"seq", 1}, {"born", 1000}});
+    }
+
+    void start()
+    {
+        this->daemon = std::make_unique<process::EdgeDaemon>(this->settings, std::make_shared<const platform::Dialect>(), [this] { return this->settings; });
+        this->thread = std::thread([this] { this->daemon->run(); });
+        REQUIRE(eventually([this] { return this->statusOfProbe() == 200; }));
+    }
+
+    unsigned statusOfProbe() const
+    {
+        return ask(this->settings.readyAddress, "GET /-/readyz HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n").result_int();
+    }
+
+    static std::string requestText(const std::string &path, const std::string &id, const std::string &extra = "", const std::string &key = "key-1")
+    {
+        return "POST " + path + " HTTP/1.1\r\nHost: h.example\r\nX-Eelgrassnotch-Attempt-Id: " + id
+            + "\r\nX-Eelgrassnotch-Deadline-Ms: 8000\r\nX-Eelgrassnotch-Credential: " + key + "\r\n" + extra + "Content-Length: 3\r\n\r\nabc";
+    }
+
+    using Answer = boost::beast::http::response<boost::beast::http::string_body>;
+
+    static Answer ask(const std::string &address, const std::string &text, boost::system::error_code *result = nullptr)
+    {
+        boost::asio::io_context context;
+        tcp::socket socket(context);
+        boost::system::error_code error;
+        Answer answer;
+        answer.result(boost::beast::http::status::unknown);
+        socket.connect(connection::http::parseEndpoint(address), error);
+        if (!error) {
+            boost::asio::write(socket, boost::asio::buffer(text), error);
+            boost::beast::flat_buffer buffer;
+            boost::beast::http::read(socket, buffer, answer, error);
+        }
+        if (result != nullptr) {
+            *result = error;
+        }
+        return answer;
+    }
+
+    Answer call(const std::string &path, const std::string &id, const std::string &extra = "", const std::string &key = "key-1") const
+    {
+        return ask(this->settings.callersAddress, requestText(path, id, extra, key));
+    }
+
+    standin::ObjectStore store;
+    process::EdgeSettings settings;
+
+private:
+    std::unique_ptr<process::EdgeDaemon> daemon;
+    std::thread thread;
+};
+
+}
+
+TEST_CASE("a request reaches a backend server with what the daemon adds, and without what is not for it")
+{
+    RawServer backend(answerOk);
+    World world;
+    world.addBackend("i-1", backend);
+    world.start();
+    const auto answer = world.call("/order/x", "q1", "X-Eelgrassnotch-Tenant: forged\r\nX-Eelgrassnotch-Hold: forged\r\nX-Other: kept\r\n");
+    CHECK(answer.result_int() == 200);
+    CHECK(answer.body() == "fine");
+    CHECK(answer["X-Eelgrassnotch-Response-Signature"] == "s");
+    REQUIRE(backend.requests().size() == 1);
+    const auto request = backend.requests().front();
+    CHECK(request.body() == "abc");
+    CHECK(request["X-Eelgrassnotch-Tenant"] == "w1");
+    CHECK(request["X-Eelgrassnotch-Expect-Instance"] == "i-1");
+    CHECK(request["X-Eelgrassnotch-Attempt-Id"] == "q1");
+    CHECK(request["X-Other"] == "kept");
+    CHECK(request.count("X-Eelgrassnotch-Hold") == 0);
+    CHECK(request.count("X-Eelgrassnotch-Credential") == 0);
+    const int timeLeft = std::stoi(std::string(request["X-Eelgrassnotch-Deadline-Ms"]));
+    CHECK(timeLeft > 0);
+    CHECK(timeLeft <= 8000);
+}
+
+TEST_CASE("an order whose connection is reset runs once, and its answer promises nothing")
+{
+    RawServer first([](standin::Socket &socket, const standin::Request &) {
+        standin::sendReset(socket);
+        return false;
+    });
+    RawServer second([](standin::Socket &socket, const standin::Request &) {
+        standin::sendReset(socket);
+        return false;
+    });
+    World world;
+    world.addBackend("i-1", first);
+    world.addBackend("i-2", second);
+    world.start();
+    CHECK(world.call("/order/x", "q1").result_int() == 502);
+    CHECK(first.requests().size() + second.requests().size() == 1);
+}
+
+TEST_CASE("a lookup whose connection is reset is sent once more, to another backend server")
+{
+    std::atomic<int> arrivals {0};
+    const auto failFirst = [&arrivals](standin::Socket &socket, const standin::Request &request) {
+        if (arrivals++ == 0) {
+            standin::sendReset(socket);
+            return false;
+        }
+        return answerOk(socket, request);
+    };
+    RawServer first(failFirst);
+    RawServer second(failFirst);
+    World world;
+    world.addBackend("i-1", first);
+    world.addBackend("i-2", second);
+    world.start();
+    CHECK(world.call("/check/x", "q1").result_int() == 200);
+    CHECK(first.requests().size() == 1);
+    CHECK(second.requests().size() == 1);
+}
+
+TEST_CASE("a refused order goes to another backend server, and a refusal of all says that it has not run")
+{
+    const auto shed = [](standin::Socket &socket, const standin::Request &) {
+        standin::sendBytes(socket, "HTTP/1.1 503 Full\r\nX-Eelgrassnotch-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n");
+        return true;
+    };
+    RawServer full(shed);
+    RawServer alsoFull(shed);
+    World world;
+    world.addBackend("i-1", full);
+    world.addBackend("i-2", alsoFull);
+    world.start();
+    const auto refused = world.call("/order/x", "q1");
+    CHECK(refused.result_int() == 503);
+    CHECK(refused.count("Retry-After") == 1);
+    CHECK(full.requests().size() + alsoFull.requests().size() == 2);
+}
+
+TEST_CASE("an address that answers for another instance gets nothing more")
+{
+    RawServer stranger([](standin::Socket &socket, const standin::Request &) {
+        standin::sendBytes(socket, "HTTP/1.1 421 Misdirected\r\nX-Eelgrassnotch-Instance-Id: i-9\r\nContent-Length: 0\r\n\r\n");
+        return true;
+    });
+    RawServer backend(answerOk);
+    World world;
+    world.addBackend("i-1", stranger);
+    world.addBackend("i-2", backend);
+    world.start();
+    for (int round = 0; round < 10; ++round) {
+        CHECK(world.call("/order/x", "q" + std::to_string(round)).result_int() == 200);
+    }
+    CHECK(stranger.requests().size() <= 1);
+}
+
+TEST_CASE("an answer to another request is not passed on")
+{
+    RawServer backend([](standin::Socket &socket, const standin::Request &request) {
+        standin::sendBytes(socket, "HTTP/1.1 200 OK\r\nX-Eelgrassnotch-Attempt-Id: other\r\nX-Eelgrassnotch-Response-Signature: s\r\nContent-Length: 5\r\n\r\nwrong");
+        return answerOk(socket, request);
+    });
+    World world;
+    world.addBackend("i-1", backend);
+    world.start();
+    CHECK(world.call("/order/x", "q1").body() == "fine");
+}
+
+TEST_CASE("an unsigned or encoded success is not passed on")
+{
+    for (const std::string extra : {"", "X-Eelgrassnotch-Response-Signature: s\r\nContent-Encoding: gzip\r\n"}) {
+        RawServer backend([extra](standin::Socket &socket, const standin::Request &) {
+            standin::sendBytes(socket, "HTTP/1.1 200 OK\r\n" + extra + "Content-Length: 5\r\n\r\nwrong");
+            return true;
+        });
+        World world;
+        world.addBackend("i-1", backend);
+        world.start();
+        CHECK(world.call("/order/x", "q1").result_int() == 502);
+    }
+}
+
+TEST_CASE("a stream that breaks off inside an event goes on at another backend server, whole and in order")
+{
+    const auto script = [](standin::Socket &socket, const standin::Request &request) {
+        const auto after = request["Last-Event-Id"];
+        if (after.empty()) {
+            standin::sendBytes(socket, streamHeader(request) + chunk("id: 1\ndata: a\n\n") + chunk("id: 2\ndata: b\n\nid: 3\nda"));
+            standin::sendReset(socket);
+            return false;
+        }
+        CHECK(after == "2");
+        standin::sendBytes(socket, streamHeader(request) + chunk("id: 3\ndata: c\n\n") + "0\r\n\r\n");
+        return true;
+    };
+    RawServer first(script);
+    RawServer second(script);
+    World world;
+    world.addBackend("i-1", first);
+    world.addBackend("i-2", second);
+    world.start();
+    const auto answer = world.call("/resume/x", "q1");
+    CHECK(answer.result_int() == 200);
+    CHECK(answer.body() == "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n");
+}
+
+TEST_CASE("a stream that can't be resumed does not look complete when it breaks off, and runs once")
+{
+    const auto script = [](standin::Socket &socket, const standin::Request &request) {
+        standin::sendBytes(socket, streamHeader(request) + chunk("id: 1\ndata: a\n\n"));
+        standin::sendReset(socket);
+        return false;
+    };
+    RawServer first(script);
+    RawServer second(script);
+    World world;
+    world.addBackend("i-1", first);
+    world.addBackend("i-2", second);
+    world.start();
+    boost::system::error_code error;
+    World::ask(world.settings.callersAddress, World::requestText("/stream/x", "q1"), &error);
+    CHECK(error);
+    CHECK(first.requests().size() + second.requests().size() == 1);
+}
+
+TEST_CASE("the work of a caller who leaves is cancelled")
+{
+    std::atomic<bool> isReached {false};
+    std::atomic<bool> isCancelled {false};
+    RawServer backend([&](standin::Socket &socket, const standin::Request &) {
+        isReached = true;
+        char byte = 0;
+        boost::system::error_code error;
+        socket.read_some(boost::asio::buffer(&byte, 1), error);
+        isCancelled = static_cast<bool>(error);
+        return false;
+    });
+    World world;
+    world.addBackend("i-1", backend);
+    world.start();
+    {
+        boost::asio::io_context context;
+        tcp::socket caller(context);
+        caller.connect(connection::http::parseEndpoint(world.settings.callersAddress));
+        boost::asio::write(caller, boost::asio::buffer(World::requestText("/check/x", "q1")));
+        REQUIRE(eventually([&] { return isReached.load(); }));
+    }
+    CHECK(eventually([&] { return isCancelled.load(); }));
+}
+
+TEST_CASE("keys and routes are checked")
+{
+    RawServer backend(answerOk);
+    World world;
+    world.addBackend("i-1", backend);
+    world.start();
+    CHECK(world.call("/order/x", "q1", "", "key-2").result_int() == 401);
+    CHECK(world.call("/nowhere/x", "q2").result_int() == 404);
+    CHECK(world.call("/open/x", "q3", "", "").result_int() == 200);
+    CHECK(backend.requests().size() == 1);
+}
+
+TEST_CASE("a revoked key is refused once the configuration that drops it is known")
+{
+    RawServer backend(answerOk);
+    World world;
+    world.addBackend("i-1", backend);
+    world.start();
+    CHECK(world.call("/order/x", "q1").result_int() == 200);
+    json next = makeConfiguration(9);
+    next["tenants"][0]["api_keys"] = {"key-2"};
+    world.store.put("config", "main", next);
+    CHECK(eventually([&] { return world.call("/order/x", "q2").result_int() == 401; }));
+    // A configuration that is older than the one in force changes nothing.
+    world.store.put("config", "main", makeConfiguration(5));
+    world.store.put("servers", "i-9", json("unreadable"));
+    CHECK(world.call("/order/x", "q3").result_int() == 401);
+    CHECK(world.call("/order/x", "q4", "", "key-2").result_int() == 200);
+}
+
+TEST_CASE("keys that can't be confirmed are refused as not run, and public routes go on")
+{
+    RawServer backend(answerOk);
+    World world(2500ms);
+    world.addBackend("i-1", backend);
+    world.start();
+    world.store.refusesAll = true;
+    CHECK(eventually([&] { return world.call("/order/x", "q1").result_int() == 503; }));
+    const std::size_t before = backend.requests().size();
+    CHECK(world.call("/order/x", "q2").result_int() == 503);
+    CHECK(backend.requests().size() == before);
+    CHECK(world.call("/open/x", "q3").result_int() == 200);
+    CHECK(eventually([&] { return world.statusOfProbe() == 503; }));
+    world.store.refusesAll = false;
+    CHECK(eventually([&] { return world.call("/order/x", "q4").result_int() == 200; }));
+}
+
+TEST_CASE("a leaving backend server and a data centre that is taken out get nothing new, also when the store forgot its history")
+{
+    RawServer leaving(answerOk);
+    RawServer away(answerOk);
+    RawServer staying(answerOk);
+    World world;
+    world.addBackend("i-1", leaving);
+    world.addBackend("i-2", away, "ready", "b");
+    world.addBackend("i-3", staying);
+    world.start();
+    world.addBackend("i-1", leaving, "draining");
+    world.store.put("evacuations", "b", json::object());
+    world.store.compact();
+    std::size_t number = 0;
+    const auto onlyStaying = [&] {
+        const std::size_t before = leaving.requests().size() + away.requests().size();
+        for (int round = 0; round < 20; ++round) {
+            CHECK(world.call("/order/x", "q" + std::to_string(number++)).result_int() == 200);
+        }
+        return leaving.requests().size() + away.requests().size() == before;
+    };
+    CHECK(eventually(onlyStaying));
+    CHECK(onlyStaying());
+}
+
+TEST_CASE("a write whose answer is lost is found done")
+{
+    RawServer backend(answerOk);
+    World world;
+    world.store.losesNextWrite = true;
+    world.addBackend("i-1", backend);
+    world.start();
+    CHECK(world.store.has("eelgrassnotch-daemons", "d-1"));
+    CHECK(world.call("/order/x", "q1").result_int() == 200);
+}
+
+TEST_CASE("bytes that could hide a second request are refused")
+{
+    RawServer backend(answerOk);
+    World world;
+    world.addBackend("i-1", backend);
+    world.start();
+    const std::string head = "POST /open/x HTTP/1.1\r\nHost: h.example\r\nX-Eelgrassnotch-Attempt-Id: q1\r\n";
+    const std::string hidden = "POST /open/x HTTP/1.1\r\nHost: h.example\r\nX-Eelgrassnotch-Attempt-Id: q2\r\nContent-Length: 0\r\n\r\n";
+    for (const std::string framing : {"Transfer-Encoding: xchunked\r\n\r\n", "Transfer-Encoding: chunked\r\nContent-Length: 3\r\n\r\nabc",
+                                      "Content-Length: 3\r\nContent-Length: 0\r\n\r\nabc", "Transfer-Encoding : chunked\r\n\r\n"}) {
+        CHECK(World::ask(world.settings.callersAddress, head + framing + hidden).result_int() == 400);
+    }
+    CHECK(backend.requests().empty());
+}
+
+TEST_CASE("requests beyond the limits are refused with their status")
+{
+    RawServer backend(answerOk);
+    World world;
+    world.addBackend("i-1", backend);
+    world.start();
+    const std::string head = "POST /open/x HTTP/1.1\r\nHost: h.example\r\nX-Eelgrassnotch-Attempt-Id: q1\r\n";
+    CHECK(World::ask(world.settings.callersAddress, head + "Content-Length: 70000\r\n\r\n").result_int() == 413);
+    CHECK(World::ask(world.settings.callersAddress, head + "X-Long: " + std::string(20000, 'x') + "\r\n\r\n").result_int() == 431);
+    CHECK(backend.requests().empty());
+}
--- /dev/null
+++ b/tests/proxy/test_exchange.cpp
@@ -0,0 +1,154 @@
+/** @file Sums of load over daemons, relays that are lost, and bytes that are no message. */
+
+#include "process/exchange/load_codec.h"
+#include "process/exchange/load_exchange.h"
+
+#include <doctest/doctest.h>
+
+#include <map>
+#include <memory>
+#include <random>
+
+using namespace eelgrassnotch;
+using namespace eelgrassnotch::process::exchange;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+constexpr Time start = 100s;
+constexpr Duration period = 200ms;
+
+/** Daemons that deliver each other's messages at once. */
+class Fleet
+{
+public:
+    Fleet(std::size_t dataCentres, std::size_t daemonsEach)
+    {
+        for (std::size_t centre = 0; centre < dataCentres; ++centre) {
+            for (std::size_t index = 0; index < daemonsEach; ++index) {
+                const std::string name = "d-" + std::to_string(centre) + "-" + std::to_string(index);
+                this->peers.push_back({handleOf<DaemonHandle>(name), handleOf<DataCentreHandle>("c" + std::to_string(centre)), name});
+            }
+        }
+        for (const Peer &peer : this->peers) {
+            this->daemons[peer.daemon] = std::make_unique<LoadExchange>(peer, [this, from = peer.daemon](const Peer &to, const Message &message) {
+                ++this->sent[from];
+                if (!this->dead.contains(to.daemon)) {
+                    const auto decoded = decode(encode(message));
+                    REQUIRE(decoded);
+                    this->daemons.at(to.daemon)->receive(*decoded, this->now);
+                }
+            });
+            this->daemons[peer.daemon]->setPeers(this->peers);
+        }
+    }
+
+    void run(int periods)
+    {
+        for (int step = 0; step < periods; ++step) {
+            this->now += period;
+            for (const Peer &peer : this->peers) {
+                if (!this->dead.contains(peer.daemon)) {
+                    this->daemons.at(peer.daemon)->tick({{{7, 10, 5}}, {{3, 100, 2}}}, this->now);
+                }
+            }
+        }
+    }
+
+    /** What the daemon believes the others serve for workspace 7. */
+    double servedElsewhere(const Peer &peer) const
+    {
+        const auto others = this->daemons.at(peer.daemon)->others(this->now);
+        return others && !others->workspaces.empty() ? others->workspaces.front().served : 0;
+    }
+
+    std::vector<Peer> peers;
+    std::map<DaemonHandle, std::unique_ptr<LoadExchange>> daemons;
+    std::map<DaemonHandle, int> sent;
+    std::map<DaemonHandle, bool> dead;
+    Time now = start;
+};
+
+}
+
+TEST_CASE("every daemon learns the sum of all others")
+{
+    Fleet fleet(3, 3);
+    fleet.run(6);
+    for (const Peer &peer : fleet.peers) {
+        CHECK(fleet.servedElsewhere(peer) == doctest::Approx(8 * 5));
+    }
+}
+
+TEST_CASE("the loss of any one daemon changes the sum by its own part alone")
+{
+    const Fleet names(3, 3);
+    for (const Peer &lost : names.peers) {
+        Fleet fleet(3, 3);
+        fleet.run(6);
+        fleet.dead[lost.daemon] = true;
+        fleet.run(12);
+        for (const Peer &peer : fleet.peers) {
+            if (peer.daemon != lost.daemon) {
+                CHECK(fleet.servedElsewhere(peer) == doctest::Approx(7 * 5));
+            }
+        }
+    }
+}
+
+TEST_CASE("load that the sum does not hold yet is not taken for the others'")
+{
+    Fleet fleet(1, 3);
+    fleet.run(6);
+    const Peer self = fleet.peers.front();
+    LoadExchange &daemon = *fleet.daemons.at(self.daemon);
+    daemon.receive({MessageKind::Fleet, fleet.peers.back().daemon, self.dataCentre, {}}, fleet.now);
+    daemon.tick({{{9, 50, 50}}, {}}, fleet.now);
+    const auto others = daemon.others(fleet.now);
+    REQUIRE(others);
+    for (const WorkspaceLoad &load : others->workspaces) {
+        CHECK((load.workspace != 9 || load.served == 0));
+    }
+}
+
+TEST_CASE("a daemon that hears nothing says that it knows nothing")
+{
+    Fleet fleet(2, 3);
+    fleet.run(6);
+    const Peer alone = fleet.peers.front();
+    fleet.now += 10s;
+    CHECK_FALSE(fleet.daemons.at(alone.daemon)->others(fleet.now));
+}
+
+TEST_CASE("messages of a daemon grow with its data centre and the number of data centres, not with the fleet")
+{
+    Fleet fleet(7, 50);
+    constexpr int periods = 5;
+    fleet.run(periods);
+    for (const Peer &peer : fleet.peers) {
+        CHECK(fleet.sent[peer.daemon] <= periods * (2 + 49 + 2 * 6));
+    }
+}
+
+TEST_CASE("bytes that are no message are refused")
+{
+    const auto bytes = encode({MessageKind::Fleet, handleOf<DaemonHandle>("a"), handleOf<DataCentreHandle>("b"), {{{1, 2, 3}}, {{4, 5, 6}}}});
+    CHECK(decode(bytes));
+    CHECK_FALSE(decode({}));
+    std::mt19937 random(1);
+    for (int round = 0; round < 20000; ++round) {
+        auto spoiled = bytes;
+        const std::size_t changes = 1 + random() % 4;
+        for (std::size_t change = 0; change < changes; ++change) {
+            spoiled[random() % spoiled.size()] = static_cast<std::uint8_t>(random());
+        }
+        spoiled.resize(random() % (spoiled.size() + 1));
+        const auto message = decode(spoiled);
+        if (message) {
+            for (const WorkspaceLoad &load : message->load.workspaces) {
+                CHECK(load.asked >= 0);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/tests/standin/object_store.cpp
@@ -0,0 +1,152 @@
+#include "standin/object_store.h"
+
+#include <chrono>
+
+namespace standin
+{
+
+using nlohmann::json;
+using boost::beast::http::verb;
+
+namespace
+{
+
+constexpr const char *prefix = "/-/objects/";
+
+std::string queryValue(const std::string &target, const std::string &key)
+{
+    const std::size_t start = target.find(key + "=");
+    if (start == std::string::npos) {
+        return "";
+    }
+    const std::size_t from = start + key.size() + 1;
+    return target.substr(from, target.find('&', from) - from);
+}
+
+std::string httpAnswer(unsigned status, const std::string &body)
+{
+    return "HTTP/1.1 " + std::to_string(status) + " -\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+}
+
+ObjectStore::ObjectStore()
+    : server([this](Socket &socket, const Request &request) { return this->answer(socket, request); })
+{
+}
+
+ObjectStore::~ObjectStore()
+{
+    const std::lock_guard lock(this->mutex);
+    this->stopping = true;
+    this->changed.notify_all();
+}
+
+void ObjectStore::note(const std::string &kind, const std::string &name, const json &spec, bool isRemoved)
+{
+    ++this->revision;
+    const json object = {{"metadata", {{"name", name}, {"revision", this->revision}}}, {"spec", spec}, {"status", nullptr}};
+    if (isRemoved) {
+        this->objects[kind].erase(name);
+    } else {
+        this->objects[kind][name] = object;
+    }
+    this->history.push_back({this->revision, kind, {{"removed", isRemoved}, {"object", object}}});
+    this->changed.notify_all();
+}
+
+void ObjectStore::put(const std::string &kind, const std::string &name, const json &spec)
+{
+    const std::lock_guard lock(this->mutex);
+    this->note(kind, name, spec, false);
+}
+
+void ObjectStore::remove(const std::string &kind, const std::string &name)
+{
+    const std::lock_guard lock(this->mutex);
+    this->note(kind, name, nullptr, true);
+}
+
+void ObjectStore::compact()
+{
+    const std::lock_guard lock(this->mutex);
+    this->history.clear();
+    this->oldest = ++this->revision;
+    this->changed.notify_all();
+}
+
+bool ObjectStore::has(const std::string &kind, const std::string &name) const
+{
+    const std::lock_guard lock(this->mutex);
+    const auto found = this->objects.find(kind);
+    return found != this->objects.end() && found->second.contains(name);
+}
+
+json ObjectStore::list(const std::string &kind) const
+{
+    json items = json::array();
+    if (const auto found = this->objects.find(kind); found != this->objects.end()) {
+        for (const auto &[name, object] : found->second) {
+            items.push_back(object);
+        }
+    }
+    return {{"items", items}, {"more", false}, {"at", this->revision}};
+}
+
+std::string ObjectStore::watch(const std::string &kind, std::uint64_t from, int waitMs, unsigned &status)
+{
+    std::unique_lock lock(this->mutex);
+    json events = json::array();
+    const auto collect = [&] {
+        for (const Change &change : this->history) {
+            if (change.revision > from && change.kind == kind) {
+                events.push_back(change.event);
+            }
+        }
+        return !events.empty() || from < this->oldest || this->stopping;
+    };
+    this->changed.wait_for(lock, std::chrono::milliseconds(waitMs), collect);
+    status = from < this->oldest ? 410 : 200;
+    return json {{"events", events}, {"at", this->revision}}.dump();
+}
+
+bool ObjectStore::answer(Socket &socket, const Request &request)
+{
+    ++this->calls;
+    if (this->refusesAll) {
+        sendBytes(socket, httpAnswer(503, "{}"));
+        return true;
+    }
+    const std::string target(request.target().data(), request.target().size());
+    const std::string path = target.substr(std::string(prefix).size(), target.find('?') - std::string(prefix).size());
+    const std::string kind = path.substr(0, path.find('/'));
+    const std::string name = path.size() > kind.size() ? path.substr(kind.size() + 1) : "";
+    unsigned status = 200;
+    std::string body;
+    if (request.method() == verb::get && !queryValue(target, "watch").empty()) {
+        body = this->watch(kind, std::stoull(queryValue(target, "watch")), std::stoi(queryValue(target, "wait_ms")), status);
+    } else if (request.method() == verb::get) {
+        const std::lock_guard lock(this->mutex);
+        body = this->list(kind).dump();
+    } else if (request.method() == verb::post) {
+        const json object = json::parse(request.body());
+        const std::string created = object.at("metadata").at("name").get<std::string>();
+        const std::lock_guard lock(this->mutex);
+        status = this->objects[kind].contains(created) ? 409 : 200;
+        if (status == 200) {
+            this->note(kind, created, object.at("spec"), false);
+        }
+        body = this->objects[kind][created].dump();
+    } else if (request.method() == verb::delete_) {
+        this->remove(kind, name);
+    }
+    const bool isWrite = request.method() != verb::get;
+    if (isWrite && this->losesNextWrite.exchange(false)) {
+        sendReset(socket);
+        return false;
+    }
+    sendBytes(socket, httpAnswer(status, body));
+    return true;
+}
+
+}
