Connections are accepted in batches; a caller who left while waiting is noticed before the send

Now up to 64 a turn, and the socket is asked for a close before a request is sent. The configuration's wait follows from the bound on revoked keys instead of standing beside it (a test with a shorter bound had failed).

--- a/src/connection/http/limits.h
+++ b/src/connection/http/limits.h
@@ -32,6 +32,8 @@
 constexpr auto lingerTimeout = 1s;
 /** Connections that the kernel queues before they are accepted. */
 constexpr int listenBacklog = 1024;
+/** Connections that are accepted before other work goes on. */
+constexpr std::size_t maxAcceptsPerTurn = 64;
 /** Pause before accepting again when the process has run out of descriptors. */
 constexpr auto acceptPause = 100ms;
 
--- a/src/connection/http/listener.cpp
+++ b/src/connection/http/listener.cpp
@@ -16,24 +16,42 @@
     this->acceptor.set_option(boost::asio::socket_base::reuse_address(true));
     this->acceptor.bind(address);
     this->acceptor.listen(listenBacklog);
+    this->acceptor.non_blocking(true);
     this->accept();
 }
 
 void Listener::accept()
 {
-    this->acceptor.async_accept([this](boost::system::error_code error, Socket socket) {
+    this->acceptor.async_wait(boost::asio::ip::tcp::acceptor::wait_read, [this](boost::system::error_code error) {
         if (error == boost::asio::error::operation_aborted) {
             return;
         }
-        if (error) {
-            this->pause.expires_after(acceptPause);
-            this->pause.async_wait([this](boost::system::error_code waitError) {
-                if (!waitError) {
-                    this->accept();
-                }
-            });
+        if (!error) {
+            error = this->acceptWaiting();
+        }
+        if (!error || error == boost::asio::error::would_block || error == boost::asio::error::try_again) {
+            this->accept();
             return;
         }
+        this->pause.expires_after(acceptPause);
+        this->pause.async_wait([this](boost::system::error_code waitError) {
+            if (!waitError) {
+                this->accept();
+            }
+        });
+    });
+}
+
+boost::system::error_code Listener::acceptWaiting()
+{
+    // One connection a turn of the event loop would let callers wait for as long as a turn takes, each.
+    boost::system::error_code error;
+    for (std::size_t count = 0; count < maxAcceptsPerTurn; ++count) {
+        Socket socket(this->context);
+        this->acceptor.accept(socket, error);
+        if (error) {
+            return error;
+        }
         if (this->sessions.size() >= this->maxConnections) {
             this->forgetEnded();
         }
@@ -42,8 +60,8 @@
             this->sessions.push_back(session);
             session->start();
         }
-        this->accept();
-    });
+    }
+    return error;
 }
 
 void Listener::forgetEnded()
--- a/src/process/edge_daemon.cpp
+++ b/src/process/edge_daemon.cpp
@@ -25,8 +25,9 @@
 
 using namespace std::chrono_literals;
 
-/** What is known of keys is up to two waits old; with one lost call it stays below the time in which a revoked key must be refused. */
-constexpr store::WatchPace configurationPace {1800ms, 20ms};
+/** Part of the time in which a revoked key must be refused for which the configuration's watch may wait: what is known is up to two waits old. */
+constexpr double configurationWaitPart = 0.42;
+constexpr Duration configurationPause = 20ms;
 /** The waits bound the time after which a watch that has gone silent is noticed; changes of a moment come in one answer. */
 constexpr store::WatchPace backendsPace {3s, 400ms};
 constexpr store::WatchPace takenOutPace {3s, 200ms};
@@ -38,8 +39,8 @@
 constexpr Duration exchangePeriod = 200ms;
 constexpr Duration idleSweepPeriod = 1s;
 constexpr Duration settingsCheckPeriod = 2s;
-/** A daemon whose configuration is older is not ready: others can confirm keys. */
-constexpr Duration readyConfigurationAge = 3800ms;
+/** A daemon whose configuration is older than this part of the lifetime of keys is not ready: others can confirm them. */
+constexpr double readyLifetimePart = 0.9;
 /** After SIGTERM, idle connections stay open until callers have been sent elsewhere: two missed probes, a second apart, and a margin. */
 constexpr Duration idleCloseAfterStop = 3s;
 /** The process ends this long before it would be killed. */
@@ -58,6 +59,12 @@
     return {limits.maxHeaderBytes, limits.maxBodyBytes, limits.headerTimeout, limits.idleTimeout};
 }
 
+store::WatchPace configurationPace(const proxy::Proxy &proxy)
+{
+    const auto wait = static_cast<double>(proxy.keyLifetime().count()) * configurationWaitPart;
+    return {std::chrono::duration_cast<std::chrono::milliseconds>(Duration(static_cast<std::int64_t>(wait))), configurationPause};
+}
+
 void answerText(const http::ServerSessionPtr &session, unsigned status, const std::string &text)
 {
     http::Answer answer(static_cast<boost::beast::http::status>(status), 11);
@@ -89,7 +96,7 @@
         , probes(this->context, http::parseEndpoint(this->settings.readyAddress), this->probeHooks(), probeConnections)
         , metricsListener(this->context, http::parseEndpoint(this->settings.metricsAddress), this->metricsHooks(), probeConnections)
     {
-        this->watchers.push_back(this->makeWatcher(Collection::Configuration, configurationPace, this->configurationHooks()));
+        this->watchers.push_back(this->makeWatcher(Collection::Configuration, configurationPace(this->proxy), this->configurationHooks()));
         this->watchers.push_back(this->makeWatcher(Collection::Backends, backendsPace, this->backendHooks()));
         this->watchers.push_back(this->makeWatcher(Collection::TakenOutDataCentres, takenOutPace, this->takenOutHooks()));
         this->watchers.push_back(this->makeWatcher(Collection::Daemons, daemonsPace, this->daemonHooks()));
@@ -124,7 +131,7 @@
     bool isReady(Time now)
     {
         return !this->proxy.isStopping() && this->hasBackends && this->hasDaemons && this->hasTakenOut
-            && this->proxy.routeTable() != nullptr && this->proxy.configurationAge(now) < readyConfigurationAge && !this->proxy.isOverloaded(now);
+            && this->proxy.routeTable() != nullptr && this->proxy.configurationAge(now) < std::chrono::duration_cast<Duration>(this->proxy.keyLifetime() * readyLifetimePart) && !this->proxy.isOverloaded(now);
     }
 
     http::SessionHooks callerHooks()
--- a/src/process/proxy/forwarding.cpp
+++ b/src/process/proxy/forwarding.cpp
@@ -51,8 +51,7 @@
 constexpr Duration acceptAfterStop = 2500ms;
 /** The process ends this long before it would be killed. */
 constexpr Duration stopMargin = 500ms;
-/** When requests are read later than this, callers may have left before. */
-constexpr Duration checkCallerFrom = 20ms;
+
 /** Largest answer that is kept in memory until it is whole, in bytes. */
 constexpr std::size_t mostBufferedBytes = 8u << 20;
 /** Largest event of a stream, in bytes. */
@@ -106,7 +105,7 @@
     }
     if (!this->findRoute() || !this->checkKey(now)) {
         return;
-    }    if (this->proxy.lag() > checkCallerFrom && this->session->hasCallerLeft()) {
+    }    if (this->session->hasCallerLeft()) {
         this->session->abort();
         this->finish("caller_left", 0);
         return;
--- a/src/process/proxy/proxy.cpp
+++ b/src/process/proxy/proxy.cpp
@@ -26,6 +26,8 @@
 constexpr Duration roundTripFar = 17ms;
 /** Keys are refused this long before the bound on their revocation, for requests that are already on their way. */
 constexpr Duration keyMargin = 700ms;
+/** Even under a bound below the margin, a confirmation holds for the length of one request to the store. */
+constexpr Duration shortestKeyLifetime = 200ms;
 /** A daemon whose timers run this late can't keep up: on an idle one they are late by 7 ms at most. */
 constexpr Duration overloadLag = 18ms;
 /** It sends callers elsewhere for this long: two missed probes, a second apart, and time to reconnect. */
@@ -102,8 +104,12 @@
 }
 
 bool Proxy::areKeysFresh(Time now) const
+{    return this->configurationAge(now) < this->keyLifetime();
+}
+
+Duration Proxy::keyLifetime() const
 {
-    return this->configurationAge(now) < this->edge.bounds.keyRevocation - keyMargin;
+    return std::max(this->edge.bounds.keyRevocation - keyMargin, shortestKeyLifetime);
 }
 
 void Proxy::setDaemons(std::vector<DaemonHandle> daemonHandles)
--- a/src/process/proxy/proxy.h
+++ b/src/process/proxy/proxy.h
@@ -57,7 +57,8 @@
     /** @brief Notes that the configuration in force was the newest at this time. */
     void confirmConfiguration(Time asOf);
     /** @returns how old the confirmation of the configuration is. */
-    Duration configurationAge(Time now) const;
+    Duration configurationAge(Time now) const;    /** @returns for how long keys hold after a confirmation. */
+    Duration keyLifetime() const;
     /** @returns whether a key in the configuration may still be taken as valid. */
     bool areKeysFresh(Time now) const;
 
