Loads of all daemons: a mean queue for admission, samples of engines for placement

Now the sums of the exchange count: the mean queue decides on admission, and single engines are compared by them where this daemon has hardly seen them, in a sample that differs from request to request, so that old sums don't send all daemons to one engine.

--- a/src/connection/http/client_connection.cpp
+++ b/src/connection/http/client_connection.cpp
@@ -90,7 +90,8 @@
 }
 
 void ClientConnection::readHeader()
-{    this->buffer.reserve(readChunkBytes);
+{
+    this->buffer.reserve(readChunkBytes);
     this->parser.emplace();
     this->parser->header_limit(maxAnswerHeaderBytes);
     this->parser->body_limit(std::numeric_limits<std::uint64_t>::max());
--- a/src/connection/http/listener.h
+++ b/src/connection/http/listener.h
@@ -26,7 +26,8 @@
     /** @brief Ends connections that have no request. */
     void closeIdle();
 
-private:    void accept();
+private:
+    void accept();
     boost::system::error_code acceptWaiting();
     void forgetEnded();
 
--- a/src/connection/http/server_session.cpp
+++ b/src/connection/http/server_session.cpp
@@ -115,7 +115,8 @@
 }
 
 void ServerSession::readHeader()
-{    const SessionLimits limits = this->hooks->limits();
+{
+    const SessionLimits limits = this->hooks->limits();
     this->buffer.reserve(requestBufferBytes);
     this->parser.emplace();
     this->parser->header_limit(limits.maxHeaderBytes);
--- a/src/process/directory/backend_server.cpp
+++ b/src/process/directory/backend_server.cpp
@@ -16,6 +16,8 @@
 constexpr Duration delayHalfLife = 400ms;
 constexpr Duration answerTimeHalfLife = 2s;
 constexpr Duration failureHalfLife = 2s;
+/** A slot of a model engine is held for at least this long: a prompt and a few events. Source: the deployments' data sheets. */
+constexpr Duration shortestHold = 300ms;
 /** Weights of one sample. */
 constexpr double delayWeight = 0.3;
 constexpr double answerTimeWeight = 0.2;
@@ -48,6 +50,7 @@
     : record(std::move(firstRecord))
     , handle(hashName(this->record.id))
     , excessDelay(delayWeight, delayHalfLife)
+    , firstEvents(delayHalfLife)
     , answerTime(answerTimeWeight, answerTimeHalfLife)
     , failureShare(failureWeight, failureHalfLife)
     , starts(startWindow)
@@ -116,6 +119,23 @@
 void BackendServer::noteExcessDelay(Duration excess, Time now)
 {
     this->excessDelay.add(static_cast<double>(std::max<std::int64_t>(excess.count(), 0)), now);
+    this->firstEvents.add(1.0, now);
+}
+
+void BackendServer::noteHold(Duration hold, Time now)
+{
+    this->answerTime.add(static_cast<double>(hold.count()), now);
+}
+
+Duration BackendServer::slotDelay(Time now) const
+{
+    const double slots = std::max<std::uint32_t>(this->record.slots, 1);
+    const double ahead = static_cast<double>(this->inFlight) + this->elsewhere.inFlight + 1.0 - slots;
+    if (ahead <= 0) {
+        return Duration(0);
+    }
+    const double hold = std::max(this->answerTime.value(now), static_cast<double>(shortestHold.count()));
+    return Duration(static_cast<std::int64_t>(hold * ahead / slots));
 }
 
 Duration BackendServer::queueDelay(Time now) const
--- a/src/process/directory/backend_server.h
+++ b/src/process/directory/backend_server.h
@@ -80,10 +80,15 @@
     bool isSilent(Time now) const;
     /** @brief Notes how much later than predicted a first event came. */
     void noteExcessDelay(Duration excess, Time now);
+    /** @brief Notes how long a request held a slot of a model engine. */
+    void noteHold(Duration hold, Time now);
+    /** @returns predicted wait for a slot of a model engine, from the requests in flight of all daemons. */
+    Duration slotDelay(Time now) const;
     /** @returns predicted wait of a new request. */
     Duration queueDelay(Time now) const;
 
-    BackendRecord record;    std::optional<Locality> locality; ///< Set when it is first considered.
+    BackendRecord record;
+    std::optional<Locality> locality; ///< Set when it is first considered.
     Availability availability = Availability::Ready;
     Time unconfirmedUntil {0}; ///< End of Availability::Unconfirmed.
     Time coldUntil {0};
@@ -94,6 +99,7 @@
     exchange::BackendLoad elsewhere; ///< Load from the other daemons, as of their last messages.
     std::optional<LoadReport> report;
     dispatch::DecayingAverage excessDelay; ///< Microseconds beyond the prediction.
+    dispatch::DecayingSum firstEvents; ///< First events that this daemon saw lately.
     dispatch::DecayingAverage answerTime; ///< Microseconds to a whole answer of a plain service.
     dispatch::DecayingAverage failureShare;
     dispatch::SlidingWindow starts; ///< Requests sent in the last second.
--- a/src/process/dispatch/decaying_average.h
+++ b/src/process/dispatch/decaying_average.h
@@ -24,7 +24,8 @@
         this->updated = now;
     }
     double value(Time now) const
-    {        if (now <= this->updated || this->sum == 0) {
+    {
+        if (now <= this->updated || this->sum == 0) {
             return this->sum;
         }
         return this->sum * std::exp2(-static_cast<double>((now - this->updated).count()) / static_cast<double>(this->halfLife.count()));
--- a/src/process/dispatch/placement.cpp
+++ b/src/process/dispatch/placement.cpp
@@ -32,6 +32,17 @@
     return value ^ (value >> 31);
 }
 
+/** Backend servers considered besides the home: a part of all, and no fewer than this. */
+constexpr std::size_t leastSample = 16;
+constexpr std::size_t samplePart = 8;
+
+/** Whether a candidate is in the sample of a request. */
+bool isSampled(const PlacementRequest &request, const Candidate &candidate, std::size_t count)
+{
+    const std::size_t size = std::max(leastSample, count / samplePart);
+    return count <= size || mix(request.draw ^ (static_cast<std::uint64_t>(candidate.backend) << 32)) % count < size;
+}
+
 constexpr std::size_t noHome = std::numeric_limits<std::size_t>::max();
 
 /** Index of the session's home among the candidates. */
@@ -73,20 +84,23 @@
     return Duration(std::llround(tokens / prefillTokensPerMs * microsecondsPerMillisecond));
 }
 
-std::optional<Placement> place(const PlacementRequest &request, std::span<const Candidate> candidates)
+namespace
+{
+
+std::optional<Placement> placeAmong(const PlacementRequest &request, std::span<const Candidate> candidates, std::size_t home, bool takesAll)
 {
-    const std::size_t home = homeOf(request, candidates);
     std::optional<Placement> best;
     Duration lowestCost = Duration::max();
     for (std::size_t index = 0; index < candidates.size(); ++index) {
         const Candidate &candidate = candidates[index];
-        if (!candidate.isUsable) {
+        if (!candidate.isUsable || (!takesAll && index != home && !isSampled(request, candidate, candidates.size()))) {
             continue;
         }
         const std::uint32_t expectedAtHome = index == home ? request.sharedTokens : 0;
         const std::uint32_t cached = std::min(std::max(candidate.cachedTokens, expectedAtHome), request.promptTokens);
         const std::uint32_t uncached = request.promptTokens - cached;
-        const Duration served = candidate.queueDelay + candidate.roundTrip + prefillTime(uncached);
+        const Duration queue = std::max(candidate.queueDelay, candidate.queueElsewhere);
+        const Duration served = queue + candidate.roundTrip + prefillTime(uncached);
         const auto failures = Duration(static_cast<std::int64_t>(static_cast<double>(failurePenalty.count()) * candidate.failureShare));
         const std::uint32_t sharedAgain = request.sharedTokens - std::min(cached, request.sharedTokens);
         const Duration again = prefillTime(sharedAgain * (sharedReadWeight - 1.0));
@@ -100,3 +114,12 @@
 }
 
 }
+
+std::optional<Placement> place(const PlacementRequest &request, std::span<const Candidate> candidates)
+{
+    const std::size_t home = homeOf(request, candidates);
+    const auto sampled = placeAmong(request, candidates, home, false);
+    return sampled ? sampled : placeAmong(request, candidates, home, true);
+}
+
+}
--- a/src/process/dispatch/placement.h
+++ b/src/process/dispatch/placement.h
@@ -18,7 +18,8 @@
     bool isUsable = true; ///< It is ready, its data centre is in use, and its bounds leave room.
     bool isNear = true; ///< In this daemon's data centre.
     bool isInRegion = true;
-    Duration queueDelay {0}; ///< Predicted wait before it begins with the prompt.
+    Duration queueDelay {0}; ///< Predicted wait before it begins with the prompt, from what this daemon saw.
+    Duration queueElsewhere {0}; ///< Wait caused by the other daemons' requests, as of a moment ago.
     Duration roundTrip {0}; ///< Network time to it and back.
     std::uint32_t cachedTokens = 0; ///< Leading tokens of the prompt that it is known to keep.
     double failureShare = 0; ///< Part of its recent answers that failed.
@@ -32,6 +33,7 @@
     std::uint32_t sharedTokens = 0;
     std::uint64_t session = 0; ///< Last shared part; zero without one.
     std::size_t bodyBytes = 0;
+    std::uint64_t draw = 0; ///< Uniform number of the request.
 
     bool operator==(const PlacementRequest &) const = default;
 };
@@ -62,6 +64,9 @@
  * rendezvous hashing, so that all daemons come to the same choice without
  * asking; short ones have a home in each region. Queue, network and bytes
  * moved between regions are weighed against the tokens that need not be read.
+ * Apart from the home, only a sample that differs from request to request is
+ * considered: daemons with the same old loads would otherwise all meet at the
+ * same backend server.
  *
  * @param candidates All backend servers of the service, usable or not: homes don't move with short troubles.
  * @returns nothing when no candidate is usable.
--- a/src/process/edge_daemon.cpp
+++ b/src/process/edge_daemon.cpp
@@ -25,7 +25,8 @@
 
 using namespace std::chrono_literals;
 
-/** Part of the time in which a revoked key must be refused for which the configuration's watch may wait: what is known is up to two waits old. */
+/** Part of the time in which a revoked key must be refused for which the configuration's watch may wait: what is known is up to two waits
+ * old. */
 constexpr double configurationWaitPart = 0.42;
 constexpr Duration configurationPause = 20ms;
 /** The waits bound the time after which a watch that has gone silent is noticed; changes of a moment come in one answer. */
@@ -131,7 +132,9 @@
     bool isReady(Time now)
     {
         return !this->proxy.isStopping() && this->hasBackends && this->hasDaemons && this->hasTakenOut
-            && this->proxy.routeTable() != nullptr && this->proxy.configurationAge(now) < std::chrono::duration_cast<Duration>(this->proxy.keyLifetime() * readyLifetimePart) && !this->proxy.isOverloaded(now);
+            && this->proxy.routeTable() != nullptr
+            && this->proxy.configurationAge(now) < std::chrono::duration_cast<Duration>(this->proxy.keyLifetime() * readyLifetimePart)
+            && !this->proxy.isOverloaded(now);
     }
 
     http::SessionHooks callerHooks()
--- a/src/process/proxy/admission.cpp
+++ b/src/process/proxy/admission.cpp
@@ -10,10 +10,17 @@
 
 using namespace std::chrono_literals;
 
-/** Parts of the latency target that the queue may take; the rest is for the prompt and the network. */
-constexpr double queuePart = 0.65;
-constexpr double queuePartOverGuaranteed = 0.15;
-constexpr double queuePartOverServed = 0.05;
+/** Parts of the latency target that a queue may take; the rest is for the prompt and the network. */
+struct QueueParts {
+    double withinShare;
+    double overGuaranteed;
+    double overServed;
+};
+
+/** The queue at the best backend server. */
+constexpr QueueParts bestQueueParts {0.65, 0.15, 0.05};
+/** The mean queue of all engines, which is not empty while they keep up: prompts that are being read count. */
+constexpr QueueParts fleetQueueParts {0.65, 0.15, 0.05};
 /** Between these multiples of its fair share, a workspace's part goes from the first to the second. */
 constexpr double shareUnbound = 0.8;
 constexpr double shareBound = 1.1;
@@ -21,24 +28,34 @@
 constexpr Duration shortestReturn = 150ms;
 constexpr std::uint64_t spreadSteps = 1024;
 
-/** Part of the target for a workspace that uses this multiple of its share. */
-double queuePartAt(double shareUsed, double partOverShare)
+double partAt(double shareUsed, double within, double over)
+{
+    const double excess = std::clamp((shareUsed - shareUnbound) / (shareBound - shareUnbound), 0.0, 1.0);
+    return within + (over - within) * excess;
+}
+
+/** Longest queue of this kind for a workspace that uses these multiples of its shares. */
+Duration longestQueue(const QueueParts &parts, const dispatch::ShareUsed &shareUsed, Duration latencyTarget)
 {
-    const double over = std::clamp((shareUsed - shareUnbound) / (shareBound - shareUnbound), 0.0, 1.0);
-    return queuePart + (partOverShare - queuePart) * over;
+    const double part = std::min(partAt(shareUsed.ofGuaranteed, parts.withinShare, parts.overGuaranteed),
+                                 partAt(shareUsed.ofServed, parts.withinShare, parts.overServed));
+    return Duration(static_cast<std::int64_t>(static_cast<double>(latencyTarget.count()) * part));
 }
 
 }
 
 AdmissionDecision decideAdmission(const AdmissionInput &input)
 {
-    const double part = std::min(queuePartAt(input.shareUsed.ofGuaranteed, queuePartOverGuaranteed),
-                                 queuePartAt(input.shareUsed.ofServed, queuePartOverServed));
-    const auto limit = Duration(static_cast<std::int64_t>(static_cast<double>(input.latencyTarget.count()) * part));
-    if (input.isRepeat || input.latencyTarget == Duration(0) || input.queueDelay <= limit) {
+    if (input.isRepeat || input.latencyTarget == Duration(0)) {
+        return {};
+    }
+    const Duration beyondBest = input.queueDelay - longestQueue(bestQueueParts, input.shareUsed, input.latencyTarget);
+    const Duration beyondFleet = input.fleetQueue - longestQueue(fleetQueueParts, input.shareUsed, input.latencyTarget);
+    const Duration beyond = std::max(beyondBest, beyondFleet);
+    if (beyond <= Duration(0)) {
         return {};
     }
-    return {false, std::max(input.queueDelay - limit, shortestReturn)};
+    return {false, std::max(beyond, shortestReturn)};
 }
 
 Duration spreadReturn(Duration comeBackAfter, std::uint64_t draw)
--- a/src/process/proxy/admission.h
+++ b/src/process/proxy/admission.h
@@ -13,7 +13,8 @@
 
 /** @brief What decides on a request for a model engine. */
 struct AdmissionInput {
-    Duration queueDelay {0}; ///< Predicted at the best backend server.
+    Duration queueDelay {0}; ///< Predicted at the best backend server, from what this daemon saw.
+    Duration fleetQueue {0}; ///< Mean time in which the engines read what all daemons have sent them.
     Duration latencyTarget {0};
     dispatch::ShareUsed shareUsed; ///< What its workspace gets in the fleet.
     bool isRepeat = false; ///< It has been sent before.
--- a/src/process/proxy/forwarding.cpp
+++ b/src/process/proxy/forwarding.cpp
@@ -105,7 +105,8 @@
     }
     if (!this->findRoute() || !this->checkKey(now)) {
         return;
-    }    if (this->session->hasCallerLeft()) {
+    }
+    if (this->session->hasCallerLeft()) {
         this->session->abort();
         this->finish("caller_left", 0);
         return;
@@ -218,8 +219,9 @@
 void Forwarding::place()
 {
     const Time now = readClock();
-    const PlacementQuery query {this->route, this->service, this->workspace, &this->attributes.prompt, this->request.body().size(),
-                                &this->tried};
+    const PlacementQuery query {
+        this->route, this->service, this->workspace, &this->attributes.prompt, this->request.body().size(), hashName(this->attributes.id),
+        &this->tried};
     const PlacedBackend placed = this->proxy.choose(query, now);
     if (!placed.backend) {
         this->waitForRoom(placed, now);
@@ -250,13 +252,15 @@
 {
     AdmissionInput input;
     input.queueDelay = placed.prediction.queueDelay;
+    input.fleetQueue = placed.meanQueue;
     input.latencyTarget = this->route->latencyTarget;
     input.shareUsed = this->proxy.shares().shareUsed(this->workspaceHandle(), now);
     input.isRepeat = this->sends > 0;
     const AdmissionDecision decision = decideAdmission(input);
     if (!decision.isAdmitted) {
-        const std::string detail = "queue_ms " + milliseconds(input.queueDelay) + " share_of_served "
-            + std::to_string(input.shareUsed.ofServed) + " share_of_guaranteed " + std::to_string(input.shareUsed.ofGuaranteed);
+        const std::string detail = "queue_ms " + milliseconds(input.queueDelay) + " fleet_queue_ms " + milliseconds(input.fleetQueue)
+            + " share_of_served " + std::to_string(input.shareUsed.ofServed) + " share_of_guaranteed "
+            + std::to_string(input.shareUsed.ofGuaranteed);
         this->refuse(RefusalReason::Overloaded, spreadReturn(decision.comeBackAfter, hashName(this->attributes.id)), detail);
     }
     return decision.isAdmitted;
@@ -409,6 +413,7 @@
     }
     this->verdict = Verdict::Ran;
     this->current->backend->noteSuccess(now, this->service->coldPeriod);
+    this->current->backend->noteHold(now - this->current->at, now);
     this->endSend(now, false);
     this->session->finishStream();
     this->finish("served", statusOk);
@@ -531,8 +536,9 @@
     if (this->hasStarted && !this->splitter.lastEventId()) {
         return false; // Without event ids the stream can't go on elsewhere.
     }
-    const PlacementQuery query {this->route, this->service, this->workspace, &this->attributes.prompt, this->request.body().size(),
-                                &this->tried};
+    const PlacementQuery query {
+        this->route, this->service, this->workspace, &this->attributes.prompt, this->request.body().size(), hashName(this->attributes.id),
+        &this->tried};
     const PlacedBackend placed = this->proxy.choose(query, now);
     if (!placed.backend) {
         return false;
--- a/src/process/proxy/proxy.cpp
+++ b/src/process/proxy/proxy.cpp
@@ -32,6 +32,8 @@
 constexpr Duration overloadLag = 18ms;
 /** It sends callers elsewhere for this long: two missed probes, a second apart, and time to reconnect. */
 constexpr Duration overloadHold = 3s;
+/** Weight of a first event that this daemon saw against what the others tell of an engine. */
+constexpr double ownEventWeight = 2.0;
 /** A load report that is older says nothing. */
 constexpr Duration reportFreshFor = 400ms;
 /** Part of an engine's cache that is taken as kept; running requests use the rest. */
@@ -104,7 +106,8 @@
 }
 
 bool Proxy::areKeysFresh(Time now) const
-{    return this->configurationAge(now) < this->keyLifetime();
+{
+    return this->configurationAge(now) < this->keyLifetime();
 }
 
 Duration Proxy::keyLifetime() const
@@ -174,7 +177,8 @@
     }
     if (this->directory.isTakenOut(backend.record.dataCentre) || !backend.isTrialAllowed(now)) {
         return false;
-    }    const std::string &region = this->localityOf(backend).region;
+    }
+    const std::string &region = this->localityOf(backend).region;
     if (!isAllowedIn(query.route->homeRegions, region)
         || (query.workspace != nullptr && !isAllowedIn(query.workspace->homeRegions, region))) {
         return false;
@@ -195,13 +199,18 @@
 dispatch::Candidate Proxy::describe(BackendServer &backend, const PlacementQuery &query, Time now) const
 {
     dispatch::Candidate candidate;
-    candidate.backend = backend.handle;    const directory::Locality &locality = this->localityOf(backend);
+    candidate.backend = backend.handle;
+    const directory::Locality &locality = this->localityOf(backend);
     candidate.isNear = locality.isNear;
     candidate.isInRegion = locality.isInRegion;
     candidate.roundTrip = locality.roundTrip;
     candidate.failureShare = backend.failureShare.value(now);
     if (query.service != nullptr && query.service->engine) {
-        candidate.queueDelay = backend.queueDelay(now) + dispatch::prefillTime(backend.unreadTokens);
+        const Duration own = dispatch::prefillTime(backend.unreadTokens);
+        candidate.queueDelay = std::max(backend.queueDelay(now) + own, backend.slotDelay(now));
+        // What the others have sent is known late; it counts where this daemon has hardly seen the engine itself.
+        const double ignorance = 1.0 / (1.0 + ownEventWeight * backend.firstEvents.value(now));
+        candidate.queueElsewhere = dispatch::prefillTime(backend.elsewhere.unreadTokens * ignorance) + own;
         candidate.cachedTokens = backend.prefixes.cachedTokens(*query.prompt);
         return candidate;
     }
@@ -226,10 +235,13 @@
         const bool isTried = std::find(query.tried->begin(), query.tried->end(), backend) != query.tried->end();
         candidate.isUsable = !isTried && this->isUsable(*backend, query, now);
         placed.usable += candidate.isUsable ? 1 : 0;
+        placed.meanQueue += candidate.isUsable ? candidate.queueElsewhere : Duration(0);
         candidates.push_back(candidate);
     }
     placed.candidates = candidates.size();
-    const dispatch::PlacementRequest request {query.prompt->tokens, query.prompt->sharedTokens(), query.prompt->session(), query.bodyBytes};
+    placed.meanQueue /= static_cast<std::int64_t>(std::max<std::size_t>(placed.usable, 1));
+    const dispatch::PlacementRequest request {query.prompt->tokens, query.prompt->sharedTokens(), query.prompt->session(), query.bodyBytes,
+                                              query.draw};
     if (const auto placement = dispatch::place(request, candidates)) {
         placed.backend = backends[placement->index];
         placed.prediction = *placement;
--- a/src/process/proxy/proxy.h
+++ b/src/process/proxy/proxy.h
@@ -30,6 +30,7 @@
     const version::RoutedWorkspace *workspace = nullptr; ///< Null on public routes.
     const request::Prompt *prompt = nullptr;
     std::size_t bodyBytes = 0;
+    std::uint64_t draw = 0; ///< Uniform number of the request.
     const std::vector<directory::BackendServerPtr> *tried = nullptr; ///< Backend servers that it has been sent to.
 };
 
@@ -39,6 +40,7 @@
     dispatch::Placement prediction;
     std::size_t candidates = 0; ///< Backend servers of the service.
     std::size_t usable = 0;
+    Duration meanQueue {0}; ///< Over the usable model engines, with the requests of all daemons.
 };
 
 /** @brief What the daemon knows, and the decisions on requests that follow from it. */
@@ -57,14 +59,15 @@
     /** @brief Notes that the configuration in force was the newest at this time. */
     void confirmConfiguration(Time asOf);
     /** @returns how old the confirmation of the configuration is. */
-    Duration configurationAge(Time now) const;    /** @returns for how long keys hold after a confirmation. */
+    Duration configurationAge(Time now) const; /** @returns for how long keys hold after a confirmation. */
     Duration keyLifetime() const;
     /** @returns whether a key in the configuration may still be taken as valid. */
     bool areKeysFresh(Time now) const;
 
     void setDaemons(std::vector<DaemonHandle> daemonHandles);
     /** @brief Takes other bounds or addresses after a change of the settings file. */
-    void setSettings(const EdgeSettings &newSettings);    /** @brief Notes by how much the daemon's timers ran late, which tells how long requests wait before they are read. */
+    void setSettings(const EdgeSettings &newSettings); /** @brief Notes by how much the daemon's timers ran late, which tells how long
+                                                          requests wait before they are read. */
     void noteLag(Duration lag, Time now);
     /** @returns how late this daemon reads what callers send. */
     Duration lag() const
@@ -134,7 +137,8 @@
     dispatch::Candidate describe(directory::BackendServer &backend, const PlacementQuery &query, Time now) const;
     bool isUsable(directory::BackendServer &backend, const PlacementQuery &query, Time now) const;
     std::uint32_t coldAllotmentOf(const directory::BackendServer &backend, const version::Service *service) const;
-    dispatch::RetryAllowance &allowanceOf(const std::string &service);    const std::string &regionOf(const std::string &dataCentre) const;
+    dispatch::RetryAllowance &allowanceOf(const std::string &service);
+    const std::string &regionOf(const std::string &dataCentre) const;
     const directory::Locality &localityOf(directory::BackendServer &backend) const;
 
     boost::asio::io_context &io;
@@ -148,7 +152,8 @@
     std::map<std::string, dispatch::RetryAllowance> allowances;
     std::vector<DaemonHandle> daemons;
     DaemonHandle self;
-    Time configurationAsOf = Time::min();    Duration currentLag {0};
+    Time configurationAsOf = Time::min();
+    Duration currentLag {0};
     Time overloadedUntil {0};
     Time stoppingSince {0};
     bool stopping = false;
--- a/src/process/proxy/proxy_metrics.cpp
+++ b/src/process/proxy/proxy_metrics.cpp
@@ -59,7 +59,8 @@
 namespace
 {
 
-void observe(std::map<std::string, prometheus::Histogram *> &known, prometheus::Family<prometheus::Histogram> &family, const std::string &route, double value)
+void observe(std::map<std::string, prometheus::Histogram *> &known, prometheus::Family<prometheus::Histogram> &family,
+             const std::string &route, double value)
 {
     const auto [entry, isNew] = known.try_emplace(route, nullptr);
     if (isNew) {
--- a/src/process/store/collection_watcher.cpp
+++ b/src/process/store/collection_watcher.cpp
@@ -47,10 +47,12 @@
 }
 
 CollectionWatcher::CollectionWatcher(boost::asio::io_context &ioContext, http::Endpoint storeAddress,
-                                     std::shared_ptr<const StoreDialect> storeDialect, Collection watched, WatchPace watchPace, WatcherHooks watcherHooks)
+                                     std::shared_ptr<const StoreDialect> storeDialect, Collection watched, WatchPace watchPace,
+                                     WatcherHooks watcherHooks)
     : address(std::move(storeAddress))
     , dialect(std::move(storeDialect))
-    , collection(watched)    , pace(watchPace)
+    , collection(watched)
+    , pace(watchPace)
     , hooks(std::move(watcherHooks))
     , context(ioContext)
     , timer(ioContext)
@@ -157,7 +159,8 @@
     if (page.hasMore && !page.objects.empty()) {
         this->again(Duration(0));
         return;
-    }    const auto objects = std::exchange(this->listed, {});
+    }
+    const auto objects = std::exchange(this->listed, {});
     this->hooks.onList(objects);
     if (this->isPolling()) {
         this->again(this->pace.pause);
@@ -175,7 +178,8 @@
     for (const ObjectChange &change : page.changes) {
         this->hooks.onChange(change);
     }
-    this->revision = std::max(*this->revision, page.revision);    this->hooks.onConfirmed(sentAt);
+    this->revision = std::max(*this->revision, page.revision);
+    this->hooks.onConfirmed(sentAt);
     this->again(page.changes.empty() ? Duration(0) : this->pace.pause);
 }
 
--- a/src/process/store/collection_watcher.h
+++ b/src/process/store/collection_watcher.h
@@ -21,7 +21,8 @@
 class StoreDialect
 {
 public:
-    virtual ~StoreDialect() = default;    /** @param mayBeStale Whether an answer that is some seconds old will do; such calls cost the store less. */
+    virtual ~StoreDialect()
+        = default; /** @param mayBeStale Whether an answer that is some seconds old will do; such calls cost the store less. */
     virtual std::string listTarget(Collection collection, const std::string &afterName, bool mayBeStale) const = 0;
     virtual std::string watchTarget(Collection collection, std::uint64_t revision, Duration wait) const = 0;
     virtual std::string objectTarget(Collection collection, const std::string &name) const = 0;
@@ -57,7 +58,6 @@
 class CollectionWatcher
 {
 public:
-    
     CollectionWatcher(boost::asio::io_context &context, connection::http::Endpoint storeAddress,
                       std::shared_ptr<const StoreDialect> storeDialect, Collection watched, WatchPace watchPace, WatcherHooks watcherHooks);
 
--- a/tests/proxy/test_dispatch.cpp
+++ b/tests/proxy/test_dispatch.cpp
@@ -10,6 +10,7 @@
 #include <doctest/doctest.h>
 
 #include <cmath>
+#include <map>
 #include <string>
 
 using namespace eelgrassnotch;
@@ -217,3 +218,37 @@
     CHECK(latest <= 800ms);
     CHECK(latest - earliest > 300ms);
 }
+
+TEST_CASE("daemons with the same old loads don't all meet at the engine that was least loaded")
+{
+    // Pattern of a grown fleet: 89 engines, every daemon has the same sums of a moment ago.
+    std::vector<dispatch::Candidate> candidates(89);
+    for (std::size_t index = 0; index < candidates.size(); ++index) {
+        candidates[index].backend = hashName("engine-" + std::to_string(index));
+        candidates[index].queueElsewhere = std::chrono::milliseconds(50 + index);
+    }
+    std::map<std::size_t, int> chosen;
+    constexpr int requests = 900;
+    for (int request = 0; request < requests; ++request) {
+        const auto placed = dispatch::place({3000, 0, 0, 4000, hashName("request-" + std::to_string(request))}, candidates);
+        REQUIRE(placed);
+        ++chosen[placed->index];
+    }
+    for (const auto &[index, count] : chosen) {
+        CHECK(count < requests / 3);
+    }
+    CHECK(chosen.size() > 10);
+}
+
+TEST_CASE("a queue of all engines turns away workspaces over their share first")
+{
+    proxy::AdmissionInput input;
+    input.latencyTarget = 400ms;
+    input.fleetQueue = 100ms;
+    CHECK(proxy::decideAdmission(input).isAdmitted);
+    input.shareUsed = {0.5, 1.5};
+    CHECK_FALSE(proxy::decideAdmission(input).isAdmitted);
+    input.shareUsed = {0, 0};
+    input.fleetQueue = 300ms;
+    CHECK_FALSE(proxy::decideAdmission(input).isAdmitted);
+}
