--- a/src/connection/http/client_connection.cpp
+++ b/src/connection/http/client_connection.cpp
@@ -25,7 +25,7 @@
 
 }
 
-ClientConnection::ClientConnection(boost::asio::any_io_executor executor, Endpoint serverEndpoint)
+ClientConnection::ClientConnection(const boost::asio::any_io_executor &executor, Endpoint serverEndpoint)
     : server(std::move(serverEndpoint))
     , socket(executor)
     , connectTimer(executor)
--- a/src/connection/http/client_connection.h
+++ b/src/connection/http/client_connection.h
@@ -2,6 +2,7 @@
 
 /** @file One kept HTTP/1.1 connection to a server: a backend server or the platform's store. */
 
+#include "connection/http/limits.h"
 #include "connection/http/types.h"
 #include "eelgrassnotch/types.h"
 
@@ -17,8 +18,6 @@
 #include <string>
 #include <string_view>
 
-#include "connection/http/limits.h"
-
 namespace eelgrassnotch::connection::http
 {
 
@@ -54,7 +53,7 @@
 class ClientConnection : public std::enable_shared_from_this<ClientConnection>
 {
 public:
-    ClientConnection(boost::asio::any_io_executor executor, Endpoint server);
+    ClientConnection(const boost::asio::any_io_executor &executor, Endpoint server);
 
     /** @brief Sends a request, over a new connection if none is open. @param connectTimeout For the connection alone. */
     void send(std::shared_ptr<const Request> request, Duration connectTimeout, ExchangeHooks hooks);
--- a/src/connection/http/server_session.cpp
+++ b/src/connection/http/server_session.cpp
@@ -273,7 +273,7 @@
     this->queue("0\r\n\r\n");
 }
 
-void ServerSession::queue(std::string bytes)
+void ServerSession::queue(const std::string &bytes)
 {
     this->waiting += bytes;
     if (!this->writing) {
--- a/src/connection/http/server_session.h
+++ b/src/connection/http/server_session.h
@@ -80,7 +80,7 @@
     void reject(unsigned status, const std::string &reason);
     void waitForLeaving();
     void onBytesWhileServing();
-    void queue(std::string bytes);
+    void queue(const std::string &bytes);
     void writeQueued();
     void onAnswerWritten();
     void closeGently();
--- a/src/process/exchange/load_exchange.cpp
+++ b/src/process/exchange/load_exchange.cpp
@@ -88,6 +88,7 @@
         inside.push_back(this->self);
     }
     std::vector<DaemonHandle> handles;
+    handles.reserve(inside.size());
     for (const Peer &peer : inside) {
         handles.push_back(peer.daemon);
     }
