--- a/src/process/proxy/admission.cpp
+++ b/src/process/proxy/admission.cpp
@@ -19,8 +19,10 @@
 
 /** The queue at the best backend server. */
 constexpr QueueParts bestQueueParts {0.65, 0.15, 0.05};
-/** The mean queue of all engines, which is not empty while they keep up: prompts that are being read count. */
+/** The mean queue of all engines, beyond what is on its way to and from engines that keep up. */
 constexpr QueueParts fleetQueueParts {0.65, 0.15, 0.05};
+/** Prompts count as unread for the time to a first event also where nothing waits: that time at six tenths of the engines' throughput. */
+constexpr Duration promptsUnderWay = 45ms;
 /** Between these multiples of its fair share, a workspace's part goes from the first to the second. */
 constexpr double shareUnbound = 0.8;
 constexpr double shareBound = 1.1;
@@ -50,7 +52,7 @@
         return {};
     }
     const Duration beyondBest = input.queueDelay - longestQueue(bestQueueParts, input.shareUsed, input.latencyTarget);
-    const Duration beyondFleet = input.fleetQueue - longestQueue(fleetQueueParts, input.shareUsed, input.latencyTarget);
+    const Duration beyondFleet = input.fleetQueue - promptsUnderWay - longestQueue(fleetQueueParts, input.shareUsed, input.latencyTarget);
     const Duration beyond = std::max(beyondBest, beyondFleet);
     if (beyond <= Duration(0)) {
         return {};
