--- a/src/connection/http/server_session.cpp
+++ b/src/connection/http/server_session.cpp
@@ -50,6 +50,24 @@
     return coding != request.end() && (!beast::iequals(coding->value(), "chunked") || request.count(field::transfer_encoding) > 1);
 }
 
+/** What a socket tells without waiting. */
+enum class SocketState {
+    Quiet,
+    HasBytes,
+    Ended, ///< Closed or reset by the peer.
+};
+
+SocketState peek(int descriptor)
+{
+    char byte = 0;
+    const ssize_t received = ::recv(descriptor, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    if (received > 0) {
+        return SocketState::HasBytes;
+    }
+    const bool isQuiet = received < 0 && (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR);
+    return isQuiet ? SocketState::Quiet : SocketState::Ended;
+}
+
 std::string toChunk(std::string_view part)
 {
     std::array<char, 20> size {};
@@ -202,13 +220,12 @@
 
 void ServerSession::onBytesWhileServing()
 {
-    char probe = 0;
-    const ssize_t received = ::recv(this->socket.native_handle(), &probe, 1, MSG_PEEK | MSG_DONTWAIT);
-    if (received > 0) {
+    const SocketState state = peek(this->socket.native_handle());
+    if (state == SocketState::HasBytes) {
         // The next request came early: it stays in the socket, where the end of the connection can't be seen past it.
         return;
     }
-    if (received < 0 && (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR)) {
+    if (state == SocketState::Quiet) {
         this->waitForLeaving();
         return;
     }
@@ -359,9 +376,7 @@
 
 bool ServerSession::hasCallerLeft()
 {
-    char probe = 0;
-    const ssize_t received = ::recv(this->socket.native_handle(), &probe, 1, MSG_PEEK | MSG_DONTWAIT);
-    return received == 0 || (received < 0 && errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR);
+    return peek(this->socket.native_handle()) == SocketState::Ended;
 }
 
 }
--- a/src/process/proxy/forwarding.cpp
+++ b/src/process/proxy/forwarding.cpp
@@ -392,7 +392,7 @@
         return;
     }
     if (this->current->answer.isNotRun) {
-        this->onNotRun(end, now);
+        this->onNotRun(now);
         return;
     }
     const bool isForwarded = this->current->answer.isEventStream && this->current->header.result_int() == statusOk
@@ -468,7 +468,7 @@
     this->finish(status < firstFailureStatus ? "served" : "backend_status", status);
 }
 
-void Forwarding::onNotRun(const http::ExchangeEnd &, Time now)
+void Forwarding::onNotRun(Time now)
 {
     Send &sent = *this->current;
     if (sent.answer.isWrongInstance) {
--- a/src/process/proxy/forwarding.h
+++ b/src/process/proxy/forwarding.h
@@ -53,7 +53,7 @@
     void onEnd(const connection::http::ExchangeEnd &end);
     void onWholeAnswer(Time now);
     void onStreamEnd(Time now);
-    void onNotRun(const connection::http::ExchangeEnd &end, Time now);
+    void onNotRun(Time now);
     void onFailedSend(const connection::http::ExchangeEnd &end, Time now);
     /** @brief Sends again where the verdict and the bounds allow it. @returns whether it does. */
     bool tryAgain(RetryReason reason, Verdict verdict, Time now);
