A caller cut off with the last part of its stream no longer ends the daemon

Cause, found by reading: the last part of a stream without an event's end may overflow the queue of a caller who does not read; the request is then finished, and its send was used after it had gone. A test lets a caller not read 80 MB and checks that others are served; it passes after, and was not seen to fail before (the overflow came earlier in the stream).

--- a/src/process/proxy/forwarding.cpp
+++ b/src/process/proxy/forwarding.cpp
@@ -411,6 +411,9 @@
     if (!rest.empty() || !this->current->hasEvent) {
         this->forwardEvents(rest, now);
     }
+    if (this->isFinished) {
+        return; // The caller read too slowly for the last part, and was cut off.
+    }
     this->verdict = Verdict::Ran;
     this->current->backend->noteSuccess(now, this->service->coldPeriod);
     this->current->backend->noteHold(now - this->current->at, now);
--- a/tests/proxy/test_edge_daemon.cpp
+++ b/tests/proxy/test_edge_daemon.cpp
@@ -389,6 +389,38 @@
     CHECK(eventually([&] { return isCancelled.load(); }));
 }
 
+TEST_CASE("a caller who does not read is cut off, also with the last part of a stream, and others are served")
+{
+    // One event without an end, larger than what the caller's queue holds: it is passed on when the stream ends.
+    RawServer backend([](standin::Socket &socket, const standin::Request &request) {
+        if (idOf(request) != "slow") {
+            return answerOk(socket, request);
+        }
+        standin::sendBytes(socket, streamHeader(request));
+        const std::string event = "data: " + std::string(200000, 'x') + "\n\n";
+        for (int count = 0; count < 400; ++count) {
+            standin::sendBytes(socket, chunk(event));
+        }
+        standin::sendBytes(socket, chunk("data: " + std::string(200000, 'y')) + "0\r\n\r\n");
+        return true;
+    });
+    World world;
+    world.addBackend("i-1", backend);
+    world.start();
+    boost::asio::io_context context;
+    tcp::socket caller(context);
+    caller.connect(connection::http::parseEndpoint(world.settings.callersAddress));
+    boost::asio::write(caller, boost::asio::buffer(World::requestText("/stream/x", "slow")));
+    REQUIRE(eventually([&] { return !backend.requests().empty(); }));
+    CHECK(eventually([&] { return world.call("/order/x", "q1").result_int() == 200; }));
+    std::array<char, 65536> bytes {};
+    boost::system::error_code error;
+    while (!error) {
+        caller.read_some(boost::asio::buffer(bytes), error);
+    }
+    CHECK(world.call("/order/x", "q2").result_int() == 200);
+}
+
 TEST_CASE("keys and routes are checked")
 {
     RawServer backend(answerOk);
