--- a/src/process/edge_daemon.cpp
+++ b/src/process/edge_daemon.cpp
@@ -29,9 +29,9 @@
  * old. */
 constexpr double configurationWaitPart = 0.42;
 constexpr Duration configurationPause = 20ms;
-/** Keep-alive probes find a watch that has gone silent, so the waits may be long; changes of a moment come in one answer. */
-constexpr store::WatchPace backendsPace {8s, 400ms};
-constexpr store::WatchPace takenOutPace {8s, 200ms};
+/** The waits bound the time after which a watch that has gone silent is noticed; changes of a moment come in one answer. */
+constexpr store::WatchPace backendsPace {3s, 400ms};
+constexpr store::WatchPace takenOutPace {3s, 200ms};
 /** Daemons that are missing from the list for some seconds do no harm. */
 constexpr store::WatchPace daemonsPace {0ms, 3s};
 /** Period of the timer service. */
