--- a/src/connection/http/server_session.cpp
+++ b/src/connection/http/server_session.cpp
@@ -52,9 +52,9 @@
 
 /** What a socket tells without waiting. */
 enum class SocketState {
-    Quiet,
-    HasBytes,
-    Ended, ///< Closed or reset by the peer.
+    quiet,
+    hasBytes,
+    ended, ///< Closed or reset by the peer.
 };
 
 SocketState peek(int descriptor)
@@ -62,10 +62,10 @@
     char byte = 0;
     const ssize_t received = ::recv(descriptor, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
     if (received > 0) {
-        return SocketState::HasBytes;
+        return SocketState::hasBytes;
     }
     const bool isQuiet = received < 0 && (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR);
-    return isQuiet ? SocketState::Quiet : SocketState::Ended;
+    return isQuiet ? SocketState::quiet : SocketState::ended;
 }
 
 std::string toChunk(std::string_view part)
@@ -221,11 +221,11 @@
 void ServerSession::onBytesWhileServing()
 {
     const SocketState state = peek(this->socket.native_handle());
-    if (state == SocketState::HasBytes) {
+    if (state == SocketState::hasBytes) {
         // The next request came early: it stays in the socket, where the end of the connection can't be seen past it.
         return;
     }
-    if (state == SocketState::Quiet) {
+    if (state == SocketState::quiet) {
         this->waitForLeaving();
         return;
     }
@@ -376,7 +376,7 @@
 
 bool ServerSession::hasCallerLeft()
 {
-    return peek(this->socket.native_handle()) == SocketState::Ended;
+    return peek(this->socket.native_handle()) == SocketState::ended;
 }
 
 }
