One hash finalizer, one test for a forwarded stream, one placement query

Cause: a last reading of the whole change found three things written twice: the hash finalizer of rendezvous.cpp stood again in placement.cpp, and a request built its placement query and its test for a forwarded stream in two places each. Each has one function now.

--- a/src/process/dispatch/placement.cpp
+++ b/src/process/dispatch/placement.cpp
@@ -1,5 +1,7 @@
 #include "process/dispatch/placement.h"
 
+#include "process/rendezvous.h"
+
 #include <algorithm>
 #include <cmath>
 #include <limits>
@@ -23,15 +25,6 @@
 constexpr Duration failurePenalty = 800ms;
 constexpr double bytesPerKilobyte = 1024.0;
 
-std::uint64_t mix(std::uint64_t value)
-{
-    value ^= value >> 30;
-    value *= 0xbf58476d1ce4e5b9ull;
-    value ^= value >> 27;
-    value *= 0x94d049bb133111ebull;
-    return value ^ (value >> 31);
-}
-
 /** Backend servers considered besides the home: a part of all, and no fewer than this. */
 constexpr std::size_t leastSample = 16;
 constexpr std::size_t samplePart = 8;
@@ -40,7 +33,7 @@
 bool isSampled(const PlacementRequest &request, const Candidate &candidate, std::size_t count)
 {
     const std::size_t size = std::max(leastSample, count / samplePart);
-    return count <= size || mix(request.draw ^ (static_cast<std::uint64_t>(candidate.backend) << 32)) % count < size;
+    return count <= size || mixBits(request.draw ^ (static_cast<std::uint64_t>(candidate.backend) << 32)) % count < size;
 }
 
 constexpr std::size_t noHome = std::numeric_limits<std::size_t>::max();
@@ -59,7 +52,7 @@
             continue;
         }
         const std::uint64_t weight
-            = mix(request.session ^ (static_cast<std::uint64_t>(candidates[index].backend) << 32 | candidates[index].backend));
+            = mixBits(request.session ^ (static_cast<std::uint64_t>(candidates[index].backend) << 32 | candidates[index].backend));
         if (home == noHome || weight > highest) {
             home = index;
             highest = weight;
--- a/src/process/proxy/forwarding.cpp
+++ b/src/process/proxy/forwarding.cpp
@@ -216,13 +216,23 @@
     return this->attributes.prompt.tokens + generatedTokenCost * this->attributes.prompt.outputTokens;
 }
 
+bool Forwarding::isForwardedStream() const
+{
+    const request::AnswerAttributes &answer = this->current->answer;
+    return answer.isEventStream && this->current->header.result_int() == statusOk && answer.isSigned && !answer.isEncoded;
+}
+
+PlacedBackend Forwarding::choose(Time now)
+{
+    return this->proxy.choose({this->route, this->service, this->workspace, &this->attributes.prompt, this->request.body().size(),
+                               hashName(this->attributes.id), &this->tried},
+                              now);
+}
+
 void Forwarding::place()
 {
     const Time now = readClock();
-    const PlacementQuery query {
-        this->route, this->service, this->workspace, &this->attributes.prompt, this->request.body().size(), hashName(this->attributes.id),
-        &this->tried};
-    const PlacedBackend placed = this->proxy.choose(query, now);
+    const PlacedBackend placed = this->choose(now);
     if (!placed.backend) {
         this->waitForRoom(placed, now);
         return;
@@ -346,9 +356,7 @@
 void Forwarding::onBody(std::string_view part)
 {
     Send &sent = *this->current;
-    const bool isForwarded
-        = sent.answer.isEventStream && sent.header.result_int() == statusOk && sent.answer.isSigned && !sent.answer.isEncoded;
-    if (!isForwarded) {
+    if (!this->isForwardedStream()) {
         sent.body += part;
         if (sent.body.size() > mostBufferedBytes) {
             sent.connection->cancel();
@@ -395,9 +403,7 @@
         this->onNotRun(now);
         return;
     }
-    const bool isForwarded = this->current->answer.isEventStream && this->current->header.result_int() == statusOk
-        && this->current->answer.isSigned && !this->current->answer.isEncoded;
-    if (isForwarded) {
+    if (this->isForwardedStream()) {
         this->onStreamEnd(now);
         return;
     }
@@ -539,10 +545,7 @@
     if (this->hasStarted && !this->splitter.lastEventId()) {
         return false; // Without event ids the stream can't go on elsewhere.
     }
-    const PlacementQuery query {
-        this->route, this->service, this->workspace, &this->attributes.prompt, this->request.body().size(), hashName(this->attributes.id),
-        &this->tried};
-    const PlacedBackend placed = this->proxy.choose(query, now);
+    const PlacedBackend placed = this->choose(now);
     if (!placed.backend) {
         return false;
     }
--- a/src/process/proxy/forwarding.h
+++ b/src/process/proxy/forwarding.h
@@ -43,6 +43,9 @@
     bool checkKey(Time now);
     /** @brief Refuses a request that would outlive a stopping daemon. */
     bool checkStop(Time now);
+    /** @returns whether the present answer is passed on event by event. */
+    bool isForwardedStream() const;
+    PlacedBackend choose(Time now);
     void place();
     void waitForRoom(const PlacedBackend &placed, Time now);
     bool isAdmitted(const PlacedBackend &placed, Time now);
--- a/src/process/rendezvous.cpp
+++ b/src/process/rendezvous.cpp
@@ -5,11 +5,7 @@
 namespace eelgrassnotch::process
 {
 
-namespace
-{
-
-/** Finalizer of the SplitMix64 generator: every input bit reaches every output bit. */
-std::uint64_t mix(std::uint64_t value)
+std::uint64_t mixBits(std::uint64_t value)
 {
     value ^= value >> 30;
     value *= 0xbf58476d1ce4e5b9ull;
@@ -18,9 +14,12 @@
     return value ^ (value >> 31);
 }
 
+namespace
+{
+
 std::uint64_t weightOf(std::uint32_t role, DaemonHandle daemon)
 {
-    return mix((static_cast<std::uint64_t>(role) << 32) | daemon.id);
+    return mixBits((static_cast<std::uint64_t>(role) << 32) | daemon.id);
 }
 
 }
--- a/src/process/rendezvous.h
+++ b/src/process/rendezvous.h
@@ -4,6 +4,7 @@
 
 #include "eelgrassnotch/types.h"
 
+#include <cstdint>
 #include <map>
 #include <span>
 #include <vector>
@@ -11,6 +12,9 @@
 namespace eelgrassnotch::process
 {
 
+/** @brief Finalizer of the SplitMix64 generator: every input bit reaches every output bit. */
+std::uint64_t mixBits(std::uint64_t value);
+
 /** Role of holding the platform watch for a data centre. */
 constexpr std::uint32_t relayRole = hashName("relay");
 
