Bounds that daemons share are divided among all that may be sending

Cause: each daemon divided the bound by the newest list of daemons. A daemon removes its entry when its stop begins, drains for up to 8 s more and comes back, and a store that tells old lists (up to 4 s) hides the new entry.

Ruled out: sends before the daemon knew of the cold period (all daemons took the entry 1.4 s before the window that broke the bound); counting in windows of one's own (1.1 s, all starts counted before the send).

Change: a roll of daemons. A name counts for the grace period and 2 s after lists stopped telling it, and only a list can end it; the load exchange tells how many daemons it sums, which counts when it is more; a daemon whose entry is younger than 8 s takes no part of a cold bound. An entry that a late removal took is written again.

--- a/src/process/edge_daemon.cpp
+++ b/src/process/edge_daemon.cpp
@@ -32,7 +32,7 @@
 /** The waits bound the time after which a watch that has gone silent is noticed; changes of a moment come in one answer. */
 constexpr store::WatchPace backendsPace {3s, 400ms};
 constexpr store::WatchPace takenOutPace {3s, 200ms};
-/** Daemons that are missing from the list for some seconds do no harm. */
+/** Bounds that daemons share allow for lists that are some seconds old. */
 constexpr store::WatchPace daemonsPace {0ms, 3s};
 /** Period of the timer service. */
 constexpr Duration tickPeriod = 100ms;
@@ -112,7 +112,7 @@
         this->subscribeTimers();
         this->waitForSignal();
         this->onTick();
-        this->writer.create(this->dialect->writeDaemon({this->settings.name, this->settings.ip, this->settings.dataCentre}));
+        this->writeOwnEntry();
         for (const auto &watcher : this->watchers) {
             watcher->start();
         }
@@ -314,20 +314,32 @@
         return hooks;
     }
 
+    void writeOwnEntry()
+    {
+        this->writer.create(this->dialect->writeDaemon({this->settings.name, this->settings.ip, this->settings.dataCentre}),
+                            [this] { this->proxy.daemons().noteOwnEntry(readClock()); });
+    }
+
     void applyDaemons()
     {
+        const Time now = readClock();
         std::vector<DaemonHandle> handles;
         std::vector<exchange::Peer> peers;
         for (const auto &[name, daemon] : this->daemons) {
             handles.push_back(handleOf<DaemonHandle>(name));
             peers.push_back({handles.back(), handleOf<DataCentreHandle>(daemon.dataCentre), daemon.address});
         }
+        dispatch::DaemonRoll &roll = this->proxy.daemons();
+        roll.noteList(handles, now);
+        if (roll.isOwnEntryLost(now) && !this->proxy.isStopping()) {
+            logWarning("own_entry_lost", {{"listed", std::to_string(handles.size())}});
+            this->writeOwnEntry();
+        }
         if (this->knownDaemons == handles) {
             return;
         }
-        this->knownDaemons = handles;
-        logEvent("daemons_changed", {{"count", std::to_string(handles.size())}});
-        this->proxy.setDaemons(std::move(handles));
+        logEvent("daemons_changed", {{"listed", std::to_string(handles.size())}, {"counted", std::to_string(roll.count())}});
+        this->knownDaemons = std::move(handles);
         this->exchange.setPeers(std::move(peers));
     }
 
@@ -477,7 +489,7 @@
     http::Listener metricsListener;
     std::set<std::string> takenOut;
     std::map<std::string, DaemonRecord> daemons;
-    std::vector<DaemonHandle> knownDaemons; ///< As the proxy knows them.
+    std::vector<DaemonHandle> knownDaemons; ///< As last listed.
     bool hasBackends = false;
     bool hasTakenOut = false;
     bool hasDaemons = false;
--- a/src/process/exchange/load_codec.cpp
+++ b/src/process/exchange/load_codec.cpp
@@ -12,6 +12,7 @@
 
 /** Sums of a message must not grow without bound by bytes from elsewhere. */
 constexpr float maxValue = 1e12F;
+constexpr std::uint32_t maxDaemons = 100000;
 
 bool isValid(float value)
 {
@@ -34,7 +35,7 @@
     const auto workspacesOffset = builder.CreateVectorOfStructs(workspaces);
     const auto backendsOffset = builder.CreateVectorOfStructs(backends);
     builder.Finish(wire::CreateMessage(builder, static_cast<wire::Kind>(message.kind), message.sender.id, message.dataCentre.id,
-                                       workspacesOffset, backendsOffset));
+                                       workspacesOffset, backendsOffset, message.load.daemons));
     return {builder.GetBufferPointer(), builder.GetBufferPointer() + builder.GetSize()};
 }
 
@@ -52,6 +53,7 @@
     message.kind = static_cast<MessageKind>(root->kind());
     message.sender = DaemonHandle {root->sender()};
     message.dataCentre = DataCentreHandle {root->data_centre()};
+    message.load.daemons = std::min(root->daemons(), maxDaemons);
     if (const auto *workspaces = root->workspaces()) {
         for (const wire::WorkspaceLoad *load : *workspaces) {
             if (!isValid(load->asked()) || !isValid(load->served())) {
--- a/src/process/exchange/load_exchange.cpp
+++ b/src/process/exchange/load_exchange.cpp
@@ -45,7 +45,11 @@
 /** Sum, with the right side weighed by a factor; nothing falls below zero. */
 LoadSummary combine(const LoadSummary &left, const LoadSummary &right, double factor)
 {
+    const auto addCounts = [factor](std::uint32_t l, std::uint32_t r) {
+        return static_cast<std::uint32_t>(std::max(0.0, static_cast<double>(l) + factor * static_cast<double>(r)));
+    };
     LoadSummary sum;
+    sum.daemons = addCounts(left.daemons, right.daemons);
     sum.workspaces = merge(
         left.workspaces, right.workspaces, [](auto &load) -> auto & { return load.workspace; },
         [factor](const WorkspaceLoad &l, const WorkspaceLoad &r) {
@@ -53,9 +57,8 @@
         });
     sum.backends = merge(
         left.backends, right.backends, [](auto &load) -> auto & { return load.backend; },
-        [factor](const BackendLoad &l, const BackendLoad &r) {
-            const double inFlight = std::max(0.0, static_cast<double>(l.inFlight) + factor * static_cast<double>(r.inFlight));
-            return BackendLoad {l.backend, std::max(0.0, l.unreadTokens + factor * r.unreadTokens), static_cast<std::uint32_t>(inFlight)};
+        [factor, addCounts](const BackendLoad &l, const BackendLoad &r) {
+            return BackendLoad {l.backend, std::max(0.0, l.unreadTokens + factor * r.unreadTokens), addCounts(l.inFlight, r.inFlight)};
         });
     return sum;
 }
--- a/src/process/exchange/load_summary.h
+++ b/src/process/exchange/load_summary.h
@@ -30,6 +30,7 @@
 struct LoadSummary {
     std::vector<WorkspaceLoad> workspaces;
     std::vector<BackendLoad> backends;
+    std::uint32_t daemons = 0; ///< How many daemons the sums hold.
 
     /** @returns the sum of both. */
     LoadSummary plus(const LoadSummary &other) const;
--- a/src/process/proxy/proxy.cpp
+++ b/src/process/proxy/proxy.cpp
@@ -1,7 +1,6 @@
 #include "process/proxy/proxy.h"
 
 #include "process/clock.h"
-#include "process/dispatch/cold_allotment.h"
 #include "process/event_log.h"
 #include "process/proxy/forwarding.h"
 
@@ -40,6 +39,10 @@
 constexpr double keptCachePart = 0.8;
 /** Part of a backend server's connections that all daemons together open. */
 constexpr double connectionPart = 0.9;
+/** A daemon's last requests leave up to the end of its grace period after a stop was asked for, and count for a while after that. */
+constexpr Duration drainMargin = 2s;
+/** Lists are asked for every 3 s and can be 4 s old; a second more for the answer. */
+constexpr Duration rollSettleTime = 8s;
 /** Window of the bound on cold backend servers, in seconds. */
 constexpr double coldWindowSeconds = 1.0;
 
@@ -68,7 +71,7 @@
               logEvent("backend_changed", {{"backend", change.id}, {"availability", nameOf(change.availability)}, {"cause", change.cause}});
           })
     , backendPool(ioContext)
-    , self(handleOf<DaemonHandle>(this->edge.name))
+    , daemonRoll(handleOf<DaemonHandle>(this->edge.name), {this->edge.bounds.stopGrace + drainMargin, rollSettleTime})
 {
 }
 
@@ -115,11 +118,6 @@
     return std::max(this->edge.bounds.keyRevocation - keyMargin, shortestKeyLifetime);
 }
 
-void Proxy::setDaemons(std::vector<DaemonHandle> daemonHandles)
-{
-    this->daemons = std::move(daemonHandles);
-}
-
 void Proxy::setSettings(const EdgeSettings &newSettings)
 {
     this->edge = newSettings;
@@ -163,11 +161,10 @@
     return *backend.locality;
 }
 
-std::uint32_t Proxy::coldAllotmentOf(const BackendServer &backend, const version::Service *service) const
+std::uint32_t Proxy::coldAllotmentOf(const BackendServer &backend, const version::Service &service, Time now) const
 {
-    const double rate = service == nullptr ? 0 : service->coldRate;
-    const double bound = rate * coldWindowSeconds * this->edge.bounds.coldOvershoot + this->edge.bounds.coldSlack;
-    return dispatch::coldAllotment(static_cast<std::uint32_t>(std::floor(bound)), this->self, this->daemons, backend.handle);
+    const double bound = service.coldRate * coldWindowSeconds * this->edge.bounds.coldOvershoot + this->edge.bounds.coldSlack;
+    return this->daemonRoll.allotment(static_cast<std::uint32_t>(std::floor(bound)), backend.handle, now);
 }
 
 bool Proxy::isUsable(BackendServer &backend, const PlacementQuery &query, Time now) const
@@ -184,11 +181,11 @@
         return false;
     }
     const bool hasColdBound = query.service != nullptr && query.service->coldRate > 0;
-    if (hasColdBound && backend.isCold(now) && backend.starts.count(now) >= this->coldAllotmentOf(backend, query.service)) {
+    if (hasColdBound && backend.isCold(now) && backend.starts.count(now) >= this->coldAllotmentOf(backend, *query.service, now)) {
         return false;
     }
     if (query.service != nullptr && query.service->maxConnections > 0 && backend.idle.empty()) {
-        const double part = connectionPart * query.service->maxConnections / static_cast<double>(this->daemonCount());
+        const double part = connectionPart * query.service->maxConnections / static_cast<double>(this->daemonRoll.count());
         if (static_cast<double>(backend.openConnections) >= std::max(1.0, std::floor(part))) {
             return false;
         }
@@ -258,7 +255,7 @@
 
 bool Proxy::mayRepeat(const std::string &service, Time now)
 {
-    return this->allowanceOf(service).spend(now, this->daemonCount());
+    return this->allowanceOf(service).spend(now, this->daemonRoll.count());
 }
 
 void Proxy::countRequest(const std::string &service, Time now)
@@ -269,6 +266,7 @@
 exchange::LoadSummary Proxy::ownLoad(Time now) const
 {
     exchange::LoadSummary load;
+    load.daemons = 1;
     load.workspaces = this->fairShare.ownLoad(now);
     this->directory.forEach([&load](const BackendServerPtr &backend) {
         if (backend->inFlight > 0 || backend->unreadTokens > 0) {
@@ -282,6 +280,7 @@
 void Proxy::takeLoadOfOthers(const std::optional<exchange::LoadSummary> &others, Time now)
 {
     const auto routes = this->routeTable();
+    this->daemonRoll.noteHeard(others ? others->daemons + 1 : 1, now);
     const exchange::LoadSummary known = others.value_or(exchange::LoadSummary());
     this->fairShare.update(known.workspaces, routes ? routes->tokensPerSecond() : 0, now);
     std::map<std::uint32_t, exchange::BackendLoad> elsewhere;
--- a/src/process/proxy/proxy.h
+++ b/src/process/proxy/proxy.h
@@ -4,6 +4,7 @@
 
 #include "connection/http/server_session.h"
 #include "process/directory/backend_directory.h"
+#include "process/dispatch/daemon_roll.h"
 #include "process/dispatch/fair_share.h"
 #include "process/dispatch/placement.h"
 #include "process/dispatch/retry_allowance.h"
@@ -64,7 +65,11 @@
     /** @returns whether a key in the configuration may still be taken as valid. */
     bool areKeysFresh(Time now) const;
 
-    void setDaemons(std::vector<DaemonHandle> daemonHandles);
+    /** @returns the daemons that share bounds with this one. */
+    dispatch::DaemonRoll &daemons()
+    {
+        return this->daemonRoll;
+    }
     /** @brief Takes other bounds or addresses after a change of the settings file. */
     void setSettings(const EdgeSettings &newSettings); /** @brief Notes by how much the daemon's timers ran late, which tells how long
                                                           requests wait before they are read. */
@@ -128,15 +133,12 @@
     {
         return this->io;
     }
-    std::size_t daemonCount() const
-    {
-        return std::max<std::size_t>(this->daemons.size(), 1);
-    }
 
 private:
     dispatch::Candidate describe(directory::BackendServer &backend, const PlacementQuery &query, Time now) const;
     bool isUsable(directory::BackendServer &backend, const PlacementQuery &query, Time now) const;
-    std::uint32_t coldAllotmentOf(const directory::BackendServer &backend, const version::Service *service) const;
+    /** @returns how many requests this daemon may start at a cold backend server within a window. */
+    std::uint32_t coldAllotmentOf(const directory::BackendServer &backend, const version::Service &service, Time now) const;
     dispatch::RetryAllowance &allowanceOf(const std::string &service);
     const std::string &regionOf(const std::string &dataCentre) const;
     const directory::Locality &localityOf(directory::BackendServer &backend) const;
@@ -150,8 +152,7 @@
     dispatch::FairShare fairShare;
     BackendPool backendPool;
     std::map<std::string, dispatch::RetryAllowance> allowances;
-    std::vector<DaemonHandle> daemons;
-    DaemonHandle self;
+    dispatch::DaemonRoll daemonRoll;
     Time configurationAsOf = Time::min();
     Duration currentLag {0};
     Time overloadedUntil {0};
--- a/src/process/store/object_writer.cpp
+++ b/src/process/store/object_writer.cpp
@@ -35,9 +35,10 @@
 {
 }
 
-void ObjectWriter::create(nlohmann::json objectContent)
+void ObjectWriter::create(nlohmann::json objectContent, std::function<void()> storedHook)
 {
     this->content = std::move(objectContent);
+    this->onStored = std::move(storedHook);
     this->tryCreate();
 }
 
@@ -46,7 +47,11 @@
     this->call(verb::post, this->dialect->objectTarget(this->collection, ""), this->dialect->writeObject(this->name, this->content),
                [this](unsigned status) {
                    // A conflict means that an earlier process of this daemon, or a call whose answer was lost, has written it.
-                   if (status == statusOk || status == statusCreated || status == statusConflict || this->isRemoved) {
+                   if (this->isRemoved) {
+                       return;
+                   }
+                   if (status == statusOk || status == statusCreated || status == statusConflict) {
+                       this->onStored();
                        return;
                    }
                    this->retryTimer.expires_after(retryPause);
--- a/src/process/store/object_writer.h
+++ b/src/process/store/object_writer.h
@@ -17,8 +17,8 @@
                  std::shared_ptr<const StoreDialect> storeDialect, Collection written, std::string objectName,
                  std::function<void(unsigned status)> callHook);
 
-    /** @brief Creates the object, and tries until the store has it. */
-    void create(nlohmann::json content);
+    /** @brief Creates the object, and tries until the store has it. @param storedHook Called once it has. */
+    void create(nlohmann::json objectContent, std::function<void()> storedHook);
     /** @brief Removes the object once; a lost call leaves it behind. */
     void remove(std::function<void()> onDone);
 
@@ -32,6 +32,7 @@
     Collection collection;
     std::string name;
     nlohmann::json content;
+    std::function<void()> onStored;
     std::function<void(unsigned status)> onCall;
     boost::asio::steady_timer timer;
     boost::asio::steady_timer retryTimer;
--- /dev/null
+++ b/tests/proxy/test_daemon_roll.cpp
@@ -0,0 +1,193 @@
+/** @file Counting of the daemons that share a bound, under restarts and old lists. */
+
+#include "process/dispatch/daemon_roll.h"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <deque>
+#include <map>
+#include <optional>
+#include <random>
+#include <set>
+#include <string>
+
+using namespace eelgrassnotch;
+using namespace eelgrassnotch::process;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+constexpr dispatch::RollTimes rollTimes {10s, 8s};
+constexpr std::uint32_t coldBound = 38;
+constexpr std::uint32_t backend = hashName("cold-backend");
+
+/**
+ * Daemons that take all they may of one cold backend server's bound, a store
+ * whose lists are up to 4 s old, and restarts with a drain of up to 8 s.
+ */
+class Fleet
+{
+public:
+    Fleet(std::size_t count, std::uint64_t seed)
+        : random(seed)
+    {
+        for (std::size_t index = 0; index < count; ++index) {
+            this->begin(handleOf<DaemonHandle>("daemon-" + std::to_string(index)), 0s);
+        }
+    }
+
+    void restart(DaemonHandle handle, Time now)
+    {
+        Daemon &daemon = this->daemons.at(handle);
+        this->entries.erase(handle);
+        daemon.endsAt = now + std::chrono::milliseconds(this->draw(500, 8000));
+    }
+
+    /** Adds a daemon while the store tells nobody of it for a while. */
+    void begin(DaemonHandle handle, Time now)
+    {
+        Daemon daemon {dispatch::DaemonRoll(handle, rollTimes), 0s, std::nullopt};
+        daemon.roll.noteOwnEntry(now);
+        daemon.nextList = now + std::chrono::milliseconds(this->draw(10, 100));
+        this->entries.insert(handle);
+        this->daemons.insert_or_assign(handle, std::move(daemon));
+    }
+
+    /** One step of 100 ms. */
+    void step(Time now)
+    {
+        this->history.emplace_back(now, this->entries);
+        while (this->history.size() > 1 && this->history[1].first <= now - 4s) {
+            this->history.pop_front();
+        }
+        std::vector<DaemonHandle> ended;
+        for (auto &[handle, daemon] : this->daemons) {
+            if (daemon.endsAt && now >= *daemon.endsAt) {
+                ended.push_back(handle);
+                continue;
+            }
+            if (now >= daemon.nextList) {
+                const auto &entriesThen = this->history[this->draw(0, this->history.size() - 1)].second;
+                const std::vector<DaemonHandle> listed(entriesThen.begin(), entriesThen.end());
+                daemon.roll.noteList(listed, now);
+                daemon.nextList = now + 3s;
+            }
+            for (std::uint32_t room = daemon.roll.allotment(coldBound, backend, now); this->sentBy(handle, now) < room;) {
+                this->sends.emplace_back(now, handle);
+            }
+        }
+        for (const DaemonHandle handle : ended) {
+            this->daemons.erase(handle);
+            this->begin(handle, now + 600ms);
+        }
+    }
+
+    std::size_t sentInLastSecond(Time now)
+    {
+        while (!this->sends.empty() && this->sends.front().first <= now - 1s) {
+            this->sends.pop_front();
+        }
+        return this->sends.size();
+    }
+
+private:
+    struct Daemon {
+        dispatch::DaemonRoll roll;
+        Time nextList;
+        std::optional<Time> endsAt;
+    };
+
+    std::uint64_t draw(std::uint64_t lowest, std::uint64_t highest)
+    {
+        return lowest + this->random() % (highest - lowest + 1);
+    }
+
+    std::size_t sentBy(DaemonHandle handle, Time now)
+    {
+        return static_cast<std::size_t>(std::count_if(this->sends.begin(), this->sends.end(), [handle, now](const auto &send) {
+            return send.second == handle && send.first > now - 1s;
+        }));
+    }
+
+    std::mt19937_64 random;
+    std::map<DaemonHandle, Daemon> daemons;
+    std::set<DaemonHandle> entries;
+    std::deque<std::pair<Time, std::set<DaemonHandle>>> history;
+    std::deque<std::pair<Time, DaemonHandle>> sends;
+};
+
+}
+
+TEST_CASE("a cold backend server's bound holds while daemons are restarted and lists are old")
+{
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        Fleet fleet(7, seed);
+        std::size_t most = 0;
+        for (Time now = 100ms; now < 60s; now += 100ms) {
+            if (now >= 20s && now < 40s && now % 1s == 0s) {
+                fleet.restart(handleOf<DaemonHandle>("daemon-" + std::to_string((now / 1s) % 7)), now);
+            }
+            fleet.step(now);
+            most = std::max(most, fleet.sentInLastSecond(now));
+        }
+        CAPTURE(seed);
+        CHECK(most <= coldBound);
+    }
+}
+
+TEST_CASE("the whole bound is used once all daemons know each other")
+{
+    Fleet fleet(7, 1);
+    std::size_t sent = 0;
+    for (Time now = 100ms; now < 30s; now += 100ms) {
+        fleet.step(now);
+        sent = fleet.sentInLastSecond(now);
+    }
+    CHECK(sent == coldBound);
+}
+
+TEST_CASE("a daemon counts others that no list has named, but that tell of their load")
+{
+    const DaemonHandle self = handleOf<DaemonHandle>("daemon-0");
+    dispatch::DaemonRoll roll(self, rollTimes);
+    roll.noteOwnEntry(0s);
+    roll.noteList(std::vector<DaemonHandle> {self}, 1s);
+    CHECK(roll.allotment(coldBound, backend, 20s) == coldBound);
+    roll.noteHeard(4, 20s);
+    CHECK(roll.count() == 4);
+    CHECK(roll.allotment(coldBound, backend, 20s) == coldBound / 4);
+    roll.noteHeard(2, 21s);
+    CHECK(roll.count() == 4);
+    roll.noteHeard(2, 31s);
+    CHECK(roll.count() == 2);
+}
+
+TEST_CASE("a daemon whose entry the store has not taken gets no part of a bound")
+{
+    const DaemonHandle self = handleOf<DaemonHandle>("daemon-0");
+    dispatch::DaemonRoll roll(self, rollTimes);
+    roll.noteList(std::vector<DaemonHandle> {handleOf<DaemonHandle>("daemon-1")}, 1s);
+    CHECK(roll.allotment(coldBound, backend, 100s) == 0);
+    roll.noteOwnEntry(100s);
+    CHECK(roll.allotment(coldBound, backend, 107s) == 0);
+    CHECK(roll.allotment(coldBound, backend, 108s) == coldBound / 2);
+}
+
+TEST_CASE("a daemon notices that a late removal took its entry")
+{
+    const DaemonHandle self = handleOf<DaemonHandle>("daemon-0");
+    const std::vector<DaemonHandle> without {handleOf<DaemonHandle>("daemon-1")};
+    dispatch::DaemonRoll roll(self, rollTimes);
+    roll.noteOwnEntry(1s);
+    roll.noteList(without, 4s);
+    CHECK_FALSE(roll.isOwnEntryLost(4s)); // The list may be older than the entry.
+    roll.noteList(std::vector<DaemonHandle> {self}, 7s);
+    CHECK_FALSE(roll.isOwnEntryLost(10s));
+    roll.noteList(without, 10s);
+    CHECK(roll.isOwnEntryLost(10s));
+    roll.noteOwnEntry(11s);
+    CHECK_FALSE(roll.isOwnEntryLost(12s));
+    CHECK(roll.allotment(coldBound, backend, 12s) == 0);
+}
--- a/tests/proxy/test_exchange.cpp
+++ b/tests/proxy/test_exchange.cpp
@@ -51,7 +51,7 @@
             this->now += period;
             for (const Peer &peer : this->peers) {
                 if (!this->dead.contains(peer.daemon)) {
-                    this->daemons.at(peer.daemon)->tick({{{7, 10, 5}}, {{3, 100, 2}}}, this->now);
+                    this->daemons.at(peer.daemon)->tick({{{7, 10, 5}}, {{3, 100, 2}}, 1}, this->now);
                 }
             }
         }
@@ -64,6 +64,12 @@
         return others && !others->workspaces.empty() ? others->workspaces.front().served : 0;
     }
 
+    std::uint32_t daemonsElsewhere(const Peer &peer) const
+    {
+        const auto others = this->daemons.at(peer.daemon)->others(this->now);
+        return others ? others->daemons : 0;
+    }
+
     std::vector<Peer> peers;
     std::map<DaemonHandle, std::unique_ptr<LoadExchange>> daemons;
     std::map<DaemonHandle, int> sent;
@@ -79,6 +85,7 @@
     fleet.run(6);
     for (const Peer &peer : fleet.peers) {
         CHECK(fleet.servedElsewhere(peer) == doctest::Approx(8 * 5));
+        CHECK(fleet.daemonsElsewhere(peer) == 8);
     }
 }
 
@@ -93,6 +100,7 @@
         for (const Peer &peer : fleet.peers) {
             if (peer.daemon != lost.daemon) {
                 CHECK(fleet.servedElsewhere(peer) == doctest::Approx(7 * 5));
+                CHECK(fleet.daemonsElsewhere(peer) == 7);
             }
         }
     }
