--- a/src/process/mirror/collection_source.cpp
+++ b/src/process/mirror/collection_source.cpp
@@ -40,9 +40,8 @@
     watcher.onCall = consumer.onCall;
     watcher.onList = [this, collection, &consumer](const std::vector<store::StoredObject> &objects) {
         std::vector<MirroredObject> mirrored;
-        for (const store::StoredObject &object : objects) {
-            mirrored.push_back(toMirrored(object, false));
-        }
+        std::transform(objects.begin(), objects.end(), std::back_inserter(mirrored),
+                       [](const store::StoredObject &object) { return toMirrored(object, false); });
         this->server.mirror(collection).replaceAll(std::move(mirrored));
         consumer.onList(objects);
     };
--- a/src/process/mirror/source_choice.cpp
+++ b/src/process/mirror/source_choice.cpp
@@ -35,9 +35,7 @@
 {
     coresOf[this->self] = this->cores;
     std::vector<DaemonHandle> all;
-    for (const auto &[daemon, itsCores] : coresOf) {
-        all.push_back(daemon);
-    }
+    std::transform(coresOf.begin(), coresOf.end(), std::back_inserter(all), [](const auto &entry) { return entry.first; });
     this->relays.clear();
     this->relay = all.size() < smallestRegion;
     this->candidate = false;
--- a/tests/proxy/test_mirror.cpp
+++ b/tests/proxy/test_mirror.cpp
@@ -72,9 +72,8 @@
     for (std::uint64_t revision = 10; revision < 3000; revision += 1 + random() % 5) {
         if (revision == 10 || random() % 200 == 0) {
             std::vector<mirror::MirroredObject> all;
-            for (const auto &[name, changed] : truth) {
-                all.push_back(object(name, changed));
-            }
+            std::transform(truth.begin(), truth.end(), std::back_inserter(all),
+                           [](const auto &entry) { return object(entry.first, entry.second); });
             mirror.replaceAll(all);
         }
         for (std::uint64_t changes = random() % 4; changes > 0; --changes) {
