A watch that is begun again tells of a lost store again

Cause: a watcher keeps whether it reaches the store. One that found the store lost, was stopped as its daemon followed a relay, and began again while the store was lost, said nothing, so that entries of backend servers that lapse in the outage would have been taken as gone at once.

The test fails without the change (told once instead of twice) and passes with it.

--- a/src/process/store/collection_watcher.cpp
+++ b/src/process/store/collection_watcher.cpp
@@ -64,6 +64,7 @@
     if (this->isStopped) {
         this->isStopped = false;
         this->failures = 0;
+        this->isReachable = true;
         this->call();
     }
 }
--- a/tests/proxy/test_mirror.cpp
+++ b/tests/proxy/test_mirror.cpp
@@ -377,3 +377,23 @@
     this->store.refusesAll = false;
     CHECK(this->runUntil([this, lost] { return this->atFollower.confirmedAt > lost; }));
 }
+
+TEST_CASE("a watch that is begun again tells of a lost store again")
+{
+    standin::ObjectStore store;
+    store.refusesAll = true;
+    Told told;
+    boost::asio::io_context context;
+    store::CollectionWatcher watcher(context, connection::http::parseEndpoint(store.address()), std::make_shared<const platform::Dialect>(),
+                                     Collection::Backends, {500ms, 10ms}, told.hooks(&Told::backends));
+    for (int expected = 1; expected <= 2; ++expected) {
+        watcher.start();
+        const Time end = readClock() + 10s;
+        while (told.outages < expected && readClock() < end) {
+            context.restart();
+            context.run_for(10ms);
+        }
+        CHECK(told.outages == expected);
+        watcher.stop();
+    }
+}
