One client for calls whose answers are read whole

The watcher of collections, the writer of objects and the client of relays each built a request with its host, gathered status and body, bounded the call by a timer and guarded against late ends by a number. CallClient does it once. The writer still opens a connection for each call, the other two still keep theirs.

Replies of relays carry one time, of which the age of each update is taken off, instead of a list of times beside the list of updates. ObjectWriter:: remove() lost a hook that nobody used, and onFailure() an argument.

No behaviour changed but the text of one log line: a relay's "no reply in time" is "no answer in time", as for the store.

--- a/src/process/edge_knowledge.cpp
+++ b/src/process/edge_knowledge.cpp
@@ -82,7 +82,7 @@
 void EdgeKnowledge::withdraw()
 {
     this->source.stopServing();
-    this->writer.remove([] {});
+    this->writer.remove();
 }
 
 bool EdgeKnowledge::isComplete() const
--- a/src/process/mirror/collection_source.cpp
+++ b/src/process/mirror/collection_source.cpp
@@ -94,7 +94,7 @@
 {
     MirrorHooks follower;
     follower.positions = [this] { return this->positions; };
-    follower.onReply = [this](const SyncReply &reply, const std::vector<Time> &confirmedAt) { this->takeReply(reply, confirmedAt); };
+    follower.onReply = [this](const SyncReply &reply, Time composedAt) { this->takeReply(reply, composedAt); };
     follower.onFailure = [this](RelayFailure failure, const std::string &cause) { this->leaveRelay(failure, cause, readClock()); };
     return follower;
 }
@@ -114,12 +114,12 @@
     this->chooseSource(now);
 }
 
-void CollectionSource::takeReply(const SyncReply &reply, const std::vector<Time> &confirmedAt)
+void CollectionSource::takeReply(const SyncReply &reply, Time composedAt)
 {
     this->hasReplied = true;
     this->noteOutages(reply.outages);
-    for (std::size_t index = 0; index < reply.updates.size(); ++index) {
-        this->takeUpdate(reply.updates[index], confirmedAt[index]);
+    for (const CollectionUpdate &update : reply.updates) {
+        this->takeUpdate(update, composedAt - update.age);
     }
     if (!this->isWatching) {
         return;
--- a/src/process/mirror/collection_source.h
+++ b/src/process/mirror/collection_source.h
@@ -57,7 +57,7 @@
     store::WatcherHooks watcherHooks(store::Collection collection);
     MirrorHooks followerHooks();
     void leaveRelay(RelayFailure failure, const std::string &cause, Time now);
-    void takeReply(const SyncReply &reply, const std::vector<Time> &confirmedAt);
+    void takeReply(const SyncReply &reply, Time composedAt);
     void takeUpdate(const CollectionUpdate &update, Time confirmedAt);
     void noteOutages(std::uint32_t outages);
     void chooseSource(Time now);
--- a/src/process/mirror/mirror_client.cpp
+++ b/src/process/mirror/mirror_client.cpp
@@ -5,6 +5,8 @@
 
 #include <boost/asio/post.hpp>
 
+#include <algorithm>
+
 namespace eelgrassnotch::process::mirror
 {
 
@@ -21,62 +23,36 @@
 MirrorClient::MirrorClient(boost::asio::io_context &ioContext, MirrorHooks mirrorHooks)
     : context(ioContext)
     , hooks(std::move(mirrorHooks))
-    , timer(ioContext)
+    , client(ioContext, http::Endpoint())
 {
 }
 
 void MirrorClient::follow(const http::Endpoint &relay)
 {
     this->stop();
-    this->address = relay;
-    this->link = std::make_shared<http::ClientConnection>(this->context.get_executor(), this->address);
+    this->client.setServer(relay);
     this->call();
 }
 
 void MirrorClient::stop()
 {
-    ++this->callNumber;
-    this->timer.cancel();
-    if (this->link) {
-        this->link->cancel();
-        this->link.reset();
-    }
+    ++this->turn;
+    this->client.cancel();
 }
 
 void MirrorClient::call()
 {
-    const auto request = std::make_shared<http::Request>(boost::beast::http::verb::post, syncTarget, 11);
-    request->set(boost::beast::http::field::host, this->address.address().to_string());
-    request->body() = encodeRequest(this->hooks.positions());
-    request->prepare_payload();
+    http::Request request(boost::beast::http::verb::post, syncTarget, 11);
+    request.body() = encodeRequest(this->hooks.positions());
     const Time sentAt = readClock();
-    const std::uint64_t number = ++this->callNumber;
-    const auto status = std::make_shared<unsigned>(0);
-    const auto body = std::make_shared<std::string>();
-    http::ExchangeHooks exchange;
-    exchange.onHeader = [status](const http::AnswerHeader &header) {
-        *status = header.result_int();
-        return true;
-    };
-    exchange.onBody = [body](std::string_view part) { *body += part; };
-    exchange.onEnd = [this, number, status, body, sentAt](const http::ExchangeEnd &end) {
-        if (number != this->callNumber) {
-            return;
-        }
-        this->timer.cancel();
-        if (end.kind == http::EndKind::Complete) {
-            this->onAnswer(*status, *body, sentAt);
+    ++this->turn;
+    this->client.call(std::move(request), {connectTimeout, longestHold + replyTimeout}, [this, sentAt](const http::CallResult &result) {
+        if (result.status != 0) {
+            this->onAnswer(result.status, result.body, sentAt);
         } else {
-            this->fail(RelayFailure::Silent, end.detail);
-        }
-    };
-    this->timer.expires_after(longestHold + replyTimeout);
-    this->timer.async_wait([this, number](boost::system::error_code error) {
-        if (!error && number == this->callNumber) {
-            this->fail(RelayFailure::Silent, "no reply in time");
+            this->fail(RelayFailure::Silent, result.failure);
         }
     });
-    this->link->send(request, connectTimeout, std::move(exchange));
 }
 
 void MirrorClient::onAnswer(unsigned status, const std::string &body, Time sentAt)
@@ -90,25 +66,24 @@
         this->fail(RelayFailure::Silent, "unreadable reply");
         return;
     }
+    // The relay got the request after it was sent, so this is never later than the time of the reply.
+    const Time composedAt = sentAt + reply->held;
     const Time now = readClock();
-    std::vector<Time> asOf;
-    for (const CollectionUpdate &update : reply->updates) {
-        // The relay got the request after it was sent, so this is never later than the store's confirmation.
-        asOf.push_back(sentAt + reply->held - update.age);
-        if (now - asOf.back() > maxAge) {
-            this->fail(RelayFailure::Refused, "knowledge is too old");
-            return;
-        }
+    const bool isOld = std::any_of(reply->updates.begin(), reply->updates.end(),
+                                   [now, composedAt](const CollectionUpdate &update) { return now - (composedAt - update.age) > maxAge; });
+    if (isOld) {
+        this->fail(RelayFailure::Refused, "knowledge is too old");
+        return;
     }
-    const std::uint64_t number = this->callNumber;
+    const std::uint64_t answered = this->turn;
     try {
-        this->hooks.onReply(*reply, asOf);
+        this->hooks.onReply(*reply, composedAt);
     } catch (const std::exception &error) {
         this->fail(RelayFailure::Silent, error.what());
         return;
     }
-    boost::asio::post(this->context, [this, number] {
-        if (number == this->callNumber) {
+    boost::asio::post(this->context, [this, answered] {
+        if (answered == this->turn) {
             this->call();
         }
     });
--- a/src/process/mirror/mirror_client.h
+++ b/src/process/mirror/mirror_client.h
@@ -2,12 +2,11 @@
 
 /** @file Follows the store's collections through another daemon. */
 
-#include "connection/http/client_connection.h"
+#include "connection/http/call_client.h"
 #include "process/mirror/mirror_codec.h"
 #include "process/mirror/source_choice.h"
 
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/steady_timer.hpp>
 
 namespace eelgrassnotch::process::mirror
 {
@@ -15,8 +14,8 @@
 /** @brief What a client tells its owner. */
 struct MirrorHooks {
     std::function<Positions()> positions;
-    /** A reply, with the time as of which each update is the newest, in the order of the updates. */
-    std::function<void(const SyncReply &, const std::vector<Time> &asOf)> onReply;
+    /** A reply, and the earliest time at which the relay can have composed it. */
+    std::function<void(const SyncReply &, Time composedAt)> onReply;
     /** The relay does not answer or does not know enough; it is not asked again. */
     std::function<void(RelayFailure failure, const std::string &cause)> onFailure;
 };
@@ -37,10 +36,8 @@
 
     boost::asio::io_context &context;
     MirrorHooks hooks;
-    boost::asio::steady_timer timer;
-    connection::http::Endpoint address;
-    std::shared_ptr<connection::http::ClientConnection> link;
-    std::uint64_t callNumber = 0;
+    connection::http::CallClient client;
+    std::uint64_t turn = 0; ///< Of calls; a call that an earlier turn asked for is not made.
 };
 
 }
--- a/src/process/store/collection_watcher.cpp
+++ b/src/process/store/collection_watcher.cpp
@@ -49,12 +49,11 @@
 CollectionWatcher::CollectionWatcher(boost::asio::io_context &ioContext, http::Endpoint storeAddress,
                                      std::shared_ptr<const StoreDialect> storeDialect, Collection watched, WatchPace watchPace,
                                      WatcherHooks watcherHooks)
-    : address(std::move(storeAddress))
+    : client(ioContext, std::move(storeAddress))
     , dialect(std::move(storeDialect))
     , collection(watched)
     , pace(watchPace)
     , hooks(std::move(watcherHooks))
-    , context(ioContext)
     , timer(ioContext)
 {
 }
@@ -72,11 +71,9 @@
 void CollectionWatcher::stop()
 {
     this->isStopped = true;
-    ++this->callNumber;
+    ++this->turn;
     this->timer.cancel();
-    if (this->link) {
-        this->link->cancel();
-    }
+    this->client.cancel();
     this->listed.clear();
 }
 
@@ -95,51 +92,23 @@
     if (this->isStopped) {
         return;
     }
-    if (!this->link) {
-        this->link = std::make_shared<http::ClientConnection>(this->context.get_executor(), this->address);
-    }
     const bool isWatch = this->revision.has_value();
     // After a failure the question is whether the store is back, and the answer must not wait for a change.
     const Duration wait = this->failures > 0 ? Duration(0) : this->pace.longestWait;
     const std::string after = this->listed.empty() ? "" : this->listed.back().name;
     const auto target = isWatch ? this->dialect->watchTarget(this->collection, *this->revision, wait)
                                 : this->dialect->listTarget(this->collection, after, this->isPolling());
-    const auto request = std::make_shared<http::Request>(boost::beast::http::verb::get, target, 11);
-    request->set(boost::beast::http::field::host, this->address.address().to_string());
     const Time sentAt = readClock();
-    const std::uint64_t number = ++this->callNumber;
-    const auto status = std::make_shared<unsigned>(0);
-    const auto body = std::make_shared<std::string>();
-
-    http::ExchangeHooks exchange;
-    exchange.onHeader = [status](const http::AnswerHeader &header) {
-        *status = header.result_int();
-        return true;
-    };
-    exchange.onBody = [body](std::string_view part) { *body += part; };
-    exchange.onEnd = [this, number, status, body, sentAt](const http::ExchangeEnd &end) {
-        if (number != this->callNumber) {
-            return;
-        }
-        this->timer.cancel();
-        this->hooks.onCall(end.kind == http::EndKind::Complete ? *status : 0);
-        if (end.kind == http::EndKind::Complete) {
-            this->onAnswer(*status, *body, sentAt);
+    ++this->turn;
+    const http::CallTimeouts timeouts {connectTimeout, (isWatch ? wait : Duration(0)) + answerTimeout};
+    this->client.call(http::Request(boost::beast::http::verb::get, target, 11), timeouts, [this, sentAt](const http::CallResult &result) {
+        this->hooks.onCall(result.status);
+        if (result.status != 0) {
+            this->onAnswer(result.status, result.body, sentAt);
         } else {
-            this->onFailure(end.detail, 0);
-        }
-    };
-    this->timer.expires_after((isWatch ? wait : Duration(0)) + answerTimeout);
-    this->timer.async_wait([this, number](boost::system::error_code error) {
-        if (error || number != this->callNumber) {
-            return;
+            this->onFailure(result.failure);
         }
-        ++this->callNumber;
-        this->link->cancel();
-        this->hooks.onCall(0);
-        this->onFailure("no answer in time", 0);
     });
-    this->link->send(request, connectTimeout, std::move(exchange));
 }
 
 void CollectionWatcher::onAnswer(unsigned status, const std::string &body, Time sentAt)
@@ -152,7 +121,7 @@
         return;
     }
     if (status != statusOk) {
-        this->onFailure("status " + std::to_string(status), status);
+        this->onFailure("status " + std::to_string(status));
         return;
     }
     try {
@@ -162,7 +131,7 @@
             this->takePage(body, sentAt);
         }
     } catch (const std::exception &error) {
-        this->onFailure(error.what(), status);
+        this->onFailure(error.what());
     }
 }
 
@@ -201,7 +170,7 @@
     this->again(page.changes.empty() ? Duration(0) : this->pace.pause);
 }
 
-void CollectionWatcher::onFailure(const std::string &cause, unsigned)
+void CollectionWatcher::onFailure(const std::string &cause)
 {
     ++this->failures;
     if (this->failures >= failuresUntilLost && this->isReachable) {
@@ -233,8 +202,8 @@
         return;
     }
     this->timer.expires_after(pause);
-    this->timer.async_wait([this, number = this->callNumber](boost::system::error_code error) {
-        if (!error && number == this->callNumber) {
+    this->timer.async_wait([this, begun = this->turn](boost::system::error_code error) {
+        if (!error && begun == this->turn) {
             this->call();
         }
     });
--- a/src/process/store/collection_watcher.h
+++ b/src/process/store/collection_watcher.h
@@ -2,7 +2,7 @@
 
 /** @file Follows one collection of the store: a list, then watches from its revision on. */
 
-#include "connection/http/client_connection.h"
+#include "connection/http/call_client.h"
 #include "process/store/objects.h"
 
 #include <boost/asio/io_context.hpp>
@@ -21,8 +21,9 @@
 class StoreDialect
 {
 public:
-    virtual ~StoreDialect()
-        = default; /** @param mayBeStale Whether an answer that is some seconds old will do; such calls cost the store less. */
+    virtual ~StoreDialect() = default;
+
+    /** @param mayBeStale Whether an answer that is some seconds old will do; such calls cost the store less. */
     virtual std::string listTarget(Collection collection, const std::string &afterName, bool mayBeStale) const = 0;
     virtual std::string watchTarget(Collection collection, std::uint64_t revision, Duration wait) const = 0;
     virtual std::string objectTarget(Collection collection, const std::string &name) const = 0;
@@ -72,26 +73,24 @@
 private:
     void call();
     void onAnswer(unsigned status, const std::string &body, Time sentAt);
-    void onFailure(const std::string &cause, unsigned status);
+    void onFailure(const std::string &cause);
     void takePage(const std::string &body, Time sentAt);
     void takeChanges(const std::string &body, Time sentAt);
     bool isPolling() const;
     void noteReachable();
     void again(Duration pause);
 
-    connection::http::Endpoint address;
+    connection::http::CallClient client;
     std::shared_ptr<const StoreDialect> dialect;
     Collection collection;
     WatchPace pace;
     WatcherHooks hooks;
-    boost::asio::io_context &context;
     boost::asio::steady_timer timer;
-    std::shared_ptr<connection::http::ClientConnection> link;
     std::optional<std::uint64_t> revision; ///< Watch from here; list first without it.
     std::vector<StoredObject> listed; ///< Objects of the pages read so far.
     Time listBegun {0};
     std::uint32_t failures = 0;
-    std::uint64_t callNumber = 0;
+    std::uint64_t turn = 0; ///< Of calls and pauses; a pause that an earlier turn began does nothing.
     bool isReachable = true;
     bool isStopped = true;
 };
--- a/src/process/store/object_writer.cpp
+++ b/src/process/store/object_writer.cpp
@@ -24,13 +24,11 @@
 ObjectWriter::ObjectWriter(boost::asio::io_context &ioContext, http::Endpoint storeAddress,
                            std::shared_ptr<const StoreDialect> storeDialect, Collection written, std::string objectName,
                            std::function<void(unsigned status)> callHook)
-    : context(ioContext)
-    , address(std::move(storeAddress))
+    : client(ioContext, std::move(storeAddress))
     , dialect(std::move(storeDialect))
     , collection(written)
     , name(std::move(objectName))
     , onCall(std::move(callHook))
-    , timer(ioContext)
     , retryTimer(ioContext)
 {
 }
@@ -63,52 +61,27 @@
                });
 }
 
-void ObjectWriter::remove(std::function<void()> onDone)
+void ObjectWriter::remove()
 {
     this->isRemoved = true;
     this->retryTimer.cancel();
-    this->call(verb::delete_, this->dialect->objectTarget(this->collection, this->name), "",
-               [onDone = std::move(onDone)](unsigned) { onDone(); });
+    this->call(verb::delete_, this->dialect->objectTarget(this->collection, this->name), "", [](unsigned) {});
 }
 
 void ObjectWriter::call(verb method, const std::string &target, std::string body, std::function<void(unsigned status)> onDone)
 {
-    const std::uint64_t number = ++this->callNumber;
-    if (this->link) {
-        this->link->cancel();
-    }
-    this->link = std::make_shared<http::ClientConnection>(this->context.get_executor(), this->address);
-    const auto request = std::make_shared<http::Request>(method, target, 11);
-    request->set(boost::beast::http::field::host, this->address.address().to_string());
+    // Calls are far apart, so a kept connection may have gone stale.
+    this->client.cancel();
+    http::Request request(method, target, 11);
     if (!body.empty()) {
-        request->set(boost::beast::http::field::content_type, "application/json");
+        request.set(boost::beast::http::field::content_type, "application/json");
     }
-    request->body() = std::move(body);
-    request->prepare_payload();
-    const auto status = std::make_shared<unsigned>(0);
-    const auto finish = [this, number, onDone = std::move(onDone)](unsigned result) {
-        if (number == this->callNumber) {
-            ++this->callNumber;
-            this->timer.cancel();
-            this->onCall(result);
-            onDone(result);
-        }
-    };
-    http::ExchangeHooks exchange;
-    exchange.onHeader = [status](const http::AnswerHeader &header) {
-        *status = header.result_int();
-        return true;
-    };
-    exchange.onBody = [](std::string_view) {};
-    exchange.onEnd = [status, finish](const http::ExchangeEnd &end) { finish(end.kind == http::EndKind::Complete ? *status : 0); };
-    this->timer.expires_after(writeTimeout);
-    this->timer.async_wait([this, number, finish](boost::system::error_code error) {
-        if (!error && number == this->callNumber) {
-            this->link->cancel();
-            finish(0);
-        }
-    });
-    this->link->send(request, connectTimeout, std::move(exchange));
+    request.body() = std::move(body);
+    this->client.call(std::move(request), {connectTimeout, writeTimeout},
+                      [this, onDone = std::move(onDone)](const http::CallResult &result) {
+                          this->onCall(result.status);
+                          onDone(result.status);
+                      });
 }
 
 }
--- a/src/process/store/object_writer.h
+++ b/src/process/store/object_writer.h
@@ -20,24 +20,20 @@
     /** @brief Creates the object, and tries until the store has it. @param storedHook Called once it has. */
     void create(nlohmann::json objectContent, std::function<void()> storedHook);
     /** @brief Removes the object once; a lost call leaves it behind. */
-    void remove(std::function<void()> onDone);
+    void remove();
 
 private:
     void tryCreate();
     void call(boost::beast::http::verb method, const std::string &target, std::string body, std::function<void(unsigned status)> onDone);
 
-    boost::asio::io_context &context;
-    connection::http::Endpoint address;
+    connection::http::CallClient client;
     std::shared_ptr<const StoreDialect> dialect;
     Collection collection;
     std::string name;
     nlohmann::json content;
     std::function<void()> onStored;
     std::function<void(unsigned status)> onCall;
-    boost::asio::steady_timer timer;
     boost::asio::steady_timer retryTimer;
-    std::shared_ptr<connection::http::ClientConnection> link;
-    std::uint64_t callNumber = 0;
     bool isRemoved = false;
 };
 
