Aligned bytes are asked for by type instead of being copied

The mend of the misaligned read copied every frame that a link receives. Links read into a vector, whose storage is aligned already; the odd address came from the fuzzer, and from tests and the emulator, which pass a part of a buffer. decodeFrame() now takes a vector, so that callers who hold a part copy it, and the link does not. The mirror's codec takes strings for the same reason, and the buffer of the load socket is declared aligned.

--- a/src/connection/frame_codec.cpp
+++ b/src/connection/frame_codec.cpp
@@ -44,16 +44,14 @@
     return length;
 }
 
-wire::FrameT decodeFrame(std::span<const std::uint8_t> body)
+wire::FrameT decodeFrame(const std::vector<std::uint8_t> &body)
 {
-    // Numbers are read in place, so the bytes must begin at an aligned address.
-    const std::vector<std::uint8_t> aligned(body.begin(), body.end());
-    flatbuffers::Verifier verifier(aligned.data(), aligned.size(), maxTableDepth, maxTables);
+    flatbuffers::Verifier verifier(body.data(), body.size(), maxTableDepth, maxTables);
     if (!wire::VerifyFrameBuffer(verifier)) {
         throw FrameError("frame does not verify");
     }
     wire::FrameT frame;
-    wire::GetFrame(aligned.data())->UnPackTo(&frame);
+    wire::GetFrame(body.data())->UnPackTo(&frame);
     return frame;
 }
 
--- a/src/connection/frame_codec.h
+++ b/src/connection/frame_codec.h
@@ -32,8 +32,9 @@
 
 /**
  * @brief Verifies and reads the body of a frame.
+ * @param body A vector, as its storage is aligned for the numbers that are read in place.
  * @throws FrameError when any offset or size in it is out of bounds.
  */
-wire::FrameT decodeFrame(std::span<const std::uint8_t> body);
+wire::FrameT decodeFrame(const std::vector<std::uint8_t> &body);
 
 }
--- a/src/connection/http/call_client.cpp
+++ b/src/connection/http/call_client.cpp
@@ -16,7 +16,7 @@
     this->server = serverAddress;
 }
 
-void CallClient::call(Request request, const CallTimeouts &timeouts, OnDone onDone)
+void CallClient::call(Request request, const CallTimeouts &timeouts, const OnDone &onDone)
 {
     if (!this->link) {
         this->link = std::make_shared<ClientConnection>(this->context.get_executor(), this->server);
--- a/src/connection/http/call_client.h
+++ b/src/connection/http/call_client.h
@@ -37,7 +37,7 @@
     /** @brief Cancels a call in progress, and makes calls to another server. */
     void setServer(const Endpoint &serverAddress);
     /** @brief Begins a call; none may be in progress. @param request Its host is set. @param onDone May begin the next call. */
-    void call(Request request, const CallTimeouts &timeouts, OnDone onDone);
+    void call(Request request, const CallTimeouts &timeouts, const OnDone &onDone);
     /** @brief Ends a call in progress, and the connection. */
     void cancel();
 
--- a/src/process/exchange/load_codec.h
+++ b/src/process/exchange/load_codec.h
@@ -13,7 +13,7 @@
 {
 
 std::vector<std::uint8_t> encode(const Message &message);
-/** @returns nothing when the bytes are no message. */
+/** @returns nothing when the bytes are no message. @param bytes Aligned for 32-bit numbers, which are read in place. */
 std::optional<Message> decode(std::span<const std::uint8_t> bytes);
 
 }
--- a/src/process/exchange/load_socket.h
+++ b/src/process/exchange/load_socket.h
@@ -33,7 +33,7 @@
     boost::asio::ip::udp::socket socket;
     std::uint16_t port;
     OnMessage onMessage;
-    std::array<std::uint8_t, maxDatagramBytes> buffer {};
+    alignas(std::uint64_t) std::array<std::uint8_t, maxDatagramBytes> buffer {}; ///< Numbers are read in place.
     boost::asio::ip::udp::endpoint sender;
 };
 
--- a/src/process/mirror/mirror_codec.cpp
+++ b/src/process/mirror/mirror_codec.cpp
@@ -20,7 +20,7 @@
 }
 
 template <class Root>
-const Root *verified(std::string_view bytes)
+const Root *verified(const std::string &bytes)
 {
     const auto *data = reinterpret_cast<const std::uint8_t *>(bytes.data());
     flatbuffers::Verifier verifier(data, bytes.size());
@@ -54,7 +54,7 @@
     return bytesOf(builder);
 }
 
-std::optional<Positions> decodeRequest(std::string_view bytes)
+std::optional<Positions> decodeRequest(const std::string &bytes)
 {
     const auto *request = verified<wire::SyncRequest>(bytes);
     if (request == nullptr) {
@@ -93,7 +93,7 @@
     return bytesOf(builder);
 }
 
-std::optional<SyncReply> decodeReply(std::string_view bytes)
+std::optional<SyncReply> decodeReply(const std::string &bytes)
 {
     const auto *root = verified<wire::SyncReply>(bytes);
     if (root == nullptr || root->held_us() > maxTimeUs) {
--- a/src/process/mirror/mirror_codec.h
+++ b/src/process/mirror/mirror_codec.h
@@ -7,7 +7,6 @@
 #include <map>
 #include <optional>
 #include <string>
-#include <string_view>
 #include <vector>
 
 namespace eelgrassnotch::process::mirror
@@ -24,10 +23,10 @@
 };
 
 std::string encodeRequest(const Positions &positions);
-/** @returns nothing when the bytes are no request. */
-std::optional<Positions> decodeRequest(std::string_view bytes);
+/** @returns nothing when the bytes are no request. @param bytes A string, as its storage is aligned for the numbers read in place. */
+std::optional<Positions> decodeRequest(const std::string &bytes);
 std::string encodeReply(const SyncReply &reply);
-/** @returns nothing when the bytes are no reply. */
-std::optional<SyncReply> decodeReply(std::string_view bytes);
+/** @returns nothing when the bytes are no reply. @param bytes As for a request. */
+std::optional<SyncReply> decodeReply(const std::string &bytes);
 
 }
--- a/tests/unit/test_frame_codec.cpp
+++ b/tests/unit/test_frame_codec.cpp
@@ -24,9 +24,9 @@
     return frame;
 }
 
-std::span<const std::uint8_t> bodyOf(const std::vector<std::uint8_t> &bytes)
+std::vector<std::uint8_t> bodyOf(const std::vector<std::uint8_t> &bytes)
 {
-    return {bytes.data() + frameHeaderBytes, bytes.size() - frameHeaderBytes};
+    return {bytes.begin() + frameHeaderBytes, bytes.end()};
 }
 
 }
--- a/tools/emulator/fleet.cpp
+++ b/tools/emulator/fleet.cpp
@@ -245,8 +245,7 @@
             return;
         }
         this->deliver(target, [this, sender, &target, bytes] {
-            const std::span<const std::uint8_t> body(bytes->data() + connection::frameHeaderBytes,
-                                                     bytes->size() - connection::frameHeaderBytes);
+            const std::vector<std::uint8_t> body(bytes->begin() + connection::frameHeaderBytes, bytes->end());
             target.node->receive(sender, connection::decodeFrame(body), this->events.now());
         });
     });
--- a/tools/fuzz.cpp
+++ b/tools/fuzz.cpp
@@ -37,7 +37,7 @@
     const std::string text(reinterpret_cast<const char *>(data) + 1, size - 1);
     switch (kind) {
     case 0:
-        accept<connection::FrameError>([&] { connection::decodeFrame({data + 1, size - 1}); });
+        accept<connection::FrameError>([&] { connection::decodeFrame(std::vector<std::uint8_t>(data + 1, data + size)); });
         break;
     case 1:
         accept<version::ConfigurationError>([&] { version::parseConfiguration(text); });
