Repeated lookups, dead branches and set-ups made one

- The load exchange chose the relays of every data centre by hashing in each period and with each message; it does so once a list of daemons.
- Placement treated the service as possibly absent; a request always has one, with a name alone when the configuration does not describe it.
- The region of a data centre was looked up in a copy of Proxy::regionOf(), and consumers were told of the store in two equal loops.
- A relay refused requests in two places; the answer itself refuses.
- Tests of the daemon start with a list of backend servers (17 places).
- Defaults of callers' timeouts are named constants.
Three doc comments that formatting had moved behind other declarations stand where they belong.

No behaviour changed.

--- a/src/connection/http/server_session.h
+++ b/src/connection/http/server_session.h
@@ -69,7 +69,8 @@
     /** @brief Ends the answer that startStream() began. */
     void finishStream();
     /** @brief Resets the connection, so that no answer, or none that looks complete, reaches the caller. */
-    void abort(); /** @returns whether the caller has closed, as far as the socket tells at once. */
+    void abort();
+    /** @returns whether the caller has closed, as far as the socket tells at once. */
     bool hasCallerLeft();
 
 private:
--- a/src/process/dispatch/placement.cpp
+++ b/src/process/dispatch/placement.cpp
@@ -65,7 +65,7 @@
 {
     const double kilobytes = static_cast<double>(bodyBytes) / bytesPerKilobyte;
     const Duration perKilobyte
-        = candidate.isNear ? 0us : (candidate.isInRegion ? dataCentreCrossingPerKilobyte : regionCrossingPerKilobyte);
+        = candidate.isNear ? Duration(0) : (candidate.isInRegion ? dataCentreCrossingPerKilobyte : regionCrossingPerKilobyte);
     return Duration(static_cast<std::int64_t>(static_cast<double>(perKilobyte.count()) * kilobytes));
 }
 
--- a/src/process/edge_knowledge.cpp
+++ b/src/process/edge_knowledge.cpp
@@ -234,16 +234,12 @@
 
 void EdgeKnowledge::setRelays()
 {
-    const auto regionOf = [this](const std::string &dataCentre) {
-        const auto found = this->settings.regions.find(dataCentre);
-        return found == this->settings.regions.end() ? dataCentre : found->second;
-    };
-    const std::string ownRegion = regionOf(this->settings.dataCentre);
+    const std::string &ownRegion = this->proxy.regionOf(this->settings.dataCentre);
     std::map<DaemonHandle, mirror::PossibleRelay> possible;
     // Members outlast the lists that miss them, so that followers do not move with each list.
     for (const DaemonHandle member : this->proxy.daemons().members()) {
         const auto record = this->records.find(member);
-        if (record != this->records.end() && regionOf(record->second.dataCentre) == ownRegion) {
+        if (record != this->records.end() && this->proxy.regionOf(record->second.dataCentre) == ownRegion) {
             const http::Endpoint address(boost::asio::ip::make_address(record->second.address), this->settings.loadPort);
             possible.insert_or_assign(member, mirror::PossibleRelay {record->second.name, address, record->second.cores});
         }
--- a/src/process/exchange/load_exchange.cpp
+++ b/src/process/exchange/load_exchange.cpp
@@ -3,7 +3,6 @@
 #include "process/rendezvous.h"
 
 #include <algorithm>
-#include <set>
 
 namespace eelgrassnotch::process::exchange
 {
@@ -63,6 +62,18 @@
     return sum;
 }
 
+std::vector<Peer> chooseRelays(DataCentreHandle dataCentre, std::vector<Peer> inside)
+{
+    std::vector<DaemonHandle> handles;
+    handles.reserve(inside.size());
+    for (const Peer &peer : inside) {
+        handles.push_back(peer.daemon);
+    }
+    const std::vector<DaemonHandle> chosen = chooseDaemons(dataCentre.id, handles, relayCount);
+    std::erase_if(inside, [&chosen](const Peer &peer) { return std::find(chosen.begin(), chosen.end(), peer.daemon) == chosen.end(); });
+    return inside;
+}
+
 }
 
 LoadSummary LoadSummary::plus(const LoadSummary &other) const
@@ -74,36 +85,23 @@
     : self(std::move(ownIdentity))
     , send(std::move(sendHook))
 {
+    this->setPeers({});
 }
 
 void LoadExchange::setPeers(std::vector<Peer> allPeers)
 {
     std::erase_if(allPeers, [this](const Peer &peer) { return peer.daemon == this->self.daemon; });
     this->peers = std::move(allPeers);
-}
-
-std::vector<Peer> LoadExchange::relaysOf(DataCentreHandle dataCentre) const
-{
-    std::vector<Peer> inside;
-    std::copy_if(this->peers.begin(), this->peers.end(), std::back_inserter(inside),
-                 [dataCentre](const Peer &peer) { return peer.dataCentre == dataCentre; });
-    if (this->self.dataCentre == dataCentre) {
-        inside.push_back(this->self);
+    std::map<DataCentreHandle, std::vector<Peer>> byDataCentre {{this->self.dataCentre, {this->self}}};
+    for (const Peer &peer : this->peers) {
+        byDataCentre[peer.dataCentre].push_back(peer);
     }
-    std::vector<DaemonHandle> handles;
-    handles.reserve(inside.size());
-    for (const Peer &peer : inside) {
-        handles.push_back(peer.daemon);
+    this->relays.clear();
+    for (const auto &[dataCentre, inside] : byDataCentre) {
+        this->relays[dataCentre] = chooseRelays(dataCentre, inside);
     }
-    const std::vector<DaemonHandle> chosen = chooseDaemons(dataCentre.id, handles, relayCount);
-    std::erase_if(inside, [&chosen](const Peer &peer) { return std::find(chosen.begin(), chosen.end(), peer.daemon) == chosen.end(); });
-    return inside;
-}
-
-bool LoadExchange::isRelay() const
-{
-    const auto relays = this->relaysOf(this->self.dataCentre);
-    return std::any_of(relays.begin(), relays.end(), [this](const Peer &relay) { return relay.daemon == this->self.daemon; });
+    const std::vector<Peer> &own = this->relays.at(this->self.dataCentre);
+    this->relay = std::find(own.begin(), own.end(), this->self) != own.end();
 }
 
 LoadSummary LoadExchange::sumOfDataCentre(const LoadSummary &own, Time now) const
@@ -120,24 +118,21 @@
 void LoadExchange::tick(const LoadSummary &own, Time now)
 {
     this->sentOwn = own;
-    for (const Peer &relay : this->relaysOf(this->self.dataCentre)) {
-        if (relay.daemon != this->self.daemon) {
-            this->send(relay, {MessageKind::Member, this->self.daemon, this->self.dataCentre, own});
+    for (const Peer &relayPeer : this->relays.at(this->self.dataCentre)) {
+        if (relayPeer.daemon != this->self.daemon) {
+            this->send(relayPeer, {MessageKind::Member, this->self.daemon, this->self.dataCentre, own});
         }
     }
-    if (!this->isRelay()) {
+    if (!this->relay) {
         return;
     }
     const LoadSummary inside = this->sumOfDataCentre(own, now);
-    std::set<DataCentreHandle> others;
-    for (const Peer &peer : this->peers) {
-        if (peer.dataCentre != this->self.dataCentre) {
-            others.insert(peer.dataCentre);
+    for (const auto &[dataCentre, itsRelays] : this->relays) {
+        if (dataCentre == this->self.dataCentre) {
+            continue;
         }
-    }
-    for (const DataCentreHandle dataCentre : others) {
-        for (const Peer &relay : this->relaysOf(dataCentre)) {
-            this->send(relay, {MessageKind::DataCentre, this->self.daemon, this->self.dataCentre, inside});
+        for (const Peer &relayPeer : itsRelays) {
+            this->send(relayPeer, {MessageKind::DataCentre, this->self.daemon, this->self.dataCentre, inside});
         }
     }
     LoadSummary total = inside;
@@ -164,7 +159,7 @@
         this->dataCentres[message.dataCentre] = {message.load, now};
         break;
     case MessageKind::Fleet:
-        if (!this->isRelay()) {
+        if (!this->relay) {
             this->fleet = Received {message.load, now};
         }
         break;
--- a/src/process/exchange/load_exchange.h
+++ b/src/process/exchange/load_exchange.h
@@ -70,13 +70,13 @@
         Time at {0};
     };
 
-    bool isRelay() const;
-    std::vector<Peer> relaysOf(DataCentreHandle dataCentre) const;
     LoadSummary sumOfDataCentre(const LoadSummary &own, Time now) const;
 
     Peer self;
     Send send;
     std::vector<Peer> peers; ///< All others.
+    std::map<DataCentreHandle, std::vector<Peer>> relays; ///< Of each data centre.
+    bool relay = false; ///< Whether this daemon is one.
     std::map<DaemonHandle, Received> members; ///< Of this data centre.
     std::map<DataCentreHandle, Received> dataCentres; ///< Other data centres.
     std::optional<Received> fleet;
--- a/src/process/mirror/collection_source.cpp
+++ b/src/process/mirror/collection_source.cpp
@@ -71,9 +71,7 @@
     if (!isReachable) {
         this->server.noteOutage();
     }
-    for (const auto &[consumed, consumer] : this->hooks) {
-        consumer.onReachability(isReachable, cause);
-    }
+    this->tellReachability(isReachable, cause);
     this->serveIfAble();
     // One watch is enough to find the store again: calls that it refuses cost as much as others.
     for (const auto &[watched, watcher] : this->watchers) {
@@ -85,6 +83,13 @@
     }
 }
 
+void CollectionSource::tellReachability(bool isReachable, const std::string &cause)
+{
+    for (const auto &[collection, consumer] : this->hooks) {
+        consumer.onReachability(isReachable, cause);
+    }
+}
+
 void CollectionSource::serveIfAble()
 {
     this->server.setWatching(this->isWatching && !this->isStoreLost && !this->isRetired && !this->isOverloaded);
@@ -135,19 +140,14 @@
 void CollectionSource::noteOutages(std::uint32_t outages)
 {
     const auto [known, isNew] = this->outagesOf.try_emplace(this->followed, outages);
-    const auto tell = [this](bool isReachable, const std::string &cause) {
-        for (const auto &[collection, consumer] : this->hooks) {
-            consumer.onReachability(isReachable, cause);
-        }
-    };
     if (!isNew && known->second != outages) {
         // Entries that lapsed while the relay had no store are told as removed, and may come back.
         known->second = outages;
         this->isStoreLost = true;
-        tell(false, "relay lost the store");
+        this->tellReachability(false, "relay lost the store");
     }
     if (std::exchange(this->isStoreLost, false)) {
-        tell(true, "relay reaches the store");
+        this->tellReachability(true, "relay reaches the store");
     }
 }
 
--- a/src/process/mirror/collection_source.h
+++ b/src/process/mirror/collection_source.h
@@ -64,6 +64,7 @@
     void watchStore();
     void setPaces();
     void noteReachability(store::Collection collection, bool isReachable, const std::string &cause);
+    void tellReachability(bool isReachable, const std::string &cause);
     void serveIfAble();
 
     SourceSettings settings;
--- a/src/process/mirror/mirror_server.cpp
+++ b/src/process/mirror/mirror_server.cpp
@@ -36,13 +36,12 @@
 {
     const Time now = readClock();
     const auto known = decodeRequest(request.body());
-    if (!known || !this->canServe(now)) {
-        http::Answer refusal(known ? boost::beast::http::status::service_unavailable : boost::beast::http::status::bad_request, 11);
-        session->sendAnswer(std::move(refusal));
+    if (!known) {
+        session->sendAnswer(http::Answer(boost::beast::http::status::bad_request, 11));
         return;
     }
     const Waiting asked {session, *known, now};
-    if (this->hasNewsFor(*known)) {
+    if (!this->canServe(now) || this->hasNewsFor(*known)) {
         this->answer(asked, now);
         return;
     }
--- a/src/process/proxy/proxy.cpp
+++ b/src/process/proxy/proxy.cpp
@@ -180,11 +180,11 @@
         || (query.workspace != nullptr && !isAllowedIn(query.workspace->homeRegions, region))) {
         return false;
     }
-    const bool hasColdBound = query.service != nullptr && query.service->coldRate > 0;
-    if (hasColdBound && backend.isCold(now) && backend.starts.count(now) >= this->coldAllotmentOf(backend, *query.service, now)) {
+    if (query.service->coldRate > 0 && backend.isCold(now)
+        && backend.starts.count(now) >= this->coldAllotmentOf(backend, *query.service, now)) {
         return false;
     }
-    if (query.service != nullptr && query.service->maxConnections > 0 && backend.idle.empty()) {
+    if (query.service->maxConnections > 0 && backend.idle.empty()) {
         const double part = connectionPart * query.service->maxConnections / static_cast<double>(this->daemonRoll.count());
         if (static_cast<double>(backend.openConnections) >= std::max(1.0, std::floor(part))) {
             return false;
@@ -202,7 +202,7 @@
     candidate.isInRegion = locality.isInRegion;
     candidate.roundTrip = locality.roundTrip;
     candidate.failureShare = backend.failureShare.value(now);
-    if (query.service != nullptr && query.service->engine) {
+    if (query.service->engine) {
         const Duration own = dispatch::prefillTime(backend.unreadTokens);
         candidate.queueDelay = std::max(backend.queueDelay(now) + own, backend.slotDelay(now));
         // What the others have sent is known late; it counts where this daemon has hardly seen the engine itself.
@@ -223,8 +223,7 @@
 PlacedBackend Proxy::choose(const PlacementQuery &query, Time now)
 {
     PlacedBackend placed;
-    const std::string &service = query.service == nullptr ? query.route->split.front().service : query.service->name;
-    const auto &backends = this->directory.ofService(service);
+    const auto &backends = this->directory.ofService(query.service->name);
     std::vector<dispatch::Candidate> candidates;
     candidates.reserve(backends.size());
     for (const BackendServerPtr &backend : backends) {
--- a/src/process/proxy/proxy.h
+++ b/src/process/proxy/proxy.h
@@ -27,7 +27,7 @@
 /** @brief A request as placement sees it. */
 struct PlacementQuery {
     const version::Route *route = nullptr;
-    const version::Service *service = nullptr; ///< Null when the configuration does not describe it.
+    const version::Service *service = nullptr; ///< Has a name alone when the configuration does not describe it.
     const version::RoutedWorkspace *workspace = nullptr; ///< Null on public routes.
     const request::Prompt *prompt = nullptr;
     std::size_t bodyBytes = 0;
@@ -60,7 +60,8 @@
     /** @brief Notes that the configuration in force was the newest at this time. */
     void confirmConfiguration(Time asOf);
     /** @returns how old the confirmation of the configuration is. */
-    Duration configurationAge(Time now) const; /** @returns for how long keys hold after a confirmation. */
+    Duration configurationAge(Time now) const;
+    /** @returns for how long keys hold after a confirmation. */
     Duration keyLifetime() const;
     /** @returns whether a key in the configuration may still be taken as valid. */
     bool areKeysFresh(Time now) const;
@@ -71,8 +72,8 @@
         return this->daemonRoll;
     }
     /** @brief Takes other bounds or addresses after a change of the settings file. */
-    void setSettings(const EdgeSettings &newSettings); /** @brief Notes by how much the daemon's timers ran late, which tells how long
-                                                          requests wait before they are read. */
+    void setSettings(const EdgeSettings &newSettings);
+    /** @brief Notes by how much the daemon's timers ran late, which tells how long requests wait before they are read. */
     void noteLag(Duration lag, Time now);
     /** @returns how late this daemon reads what callers send. */
     Duration lag() const
@@ -109,6 +110,8 @@
     {
         return this->directory;
     }
+    /** @returns the region of a data centre; its own name when the settings tell none. */
+    const std::string &regionOf(const std::string &dataCentre) const;
     dispatch::FairShare &shares()
     {
         return this->fairShare;
@@ -140,7 +143,6 @@
     /** @returns how many requests this daemon may start at a cold backend server within a window. */
     std::uint32_t coldAllotmentOf(const directory::BackendServer &backend, const version::Service &service, Time now) const;
     dispatch::RetryAllowance &allowanceOf(const std::string &service);
-    const std::string &regionOf(const std::string &dataCentre) const;
     const directory::Locality &localityOf(directory::BackendServer &backend) const;
 
     boost::asio::io_context &io;
--- a/src/version/route_table.h
+++ b/src/version/route_table.h
@@ -68,12 +68,16 @@
     bool operator==(const Service &) const = default;
 };
 
+/** Time for a caller's header, and between its requests, where the configuration names none. Source: what deployments configure. */
+constexpr Duration defaultHeaderTimeout = std::chrono::seconds(3);
+constexpr Duration defaultIdleTimeout = std::chrono::seconds(15);
+
 /** @brief Bounds on what callers send. */
 struct CallerLimits {
     std::uint32_t maxHeaderBytes = 16384;
     std::uint64_t maxBodyBytes = 4194304;
-    Duration headerTimeout = std::chrono::seconds(3);
-    Duration idleTimeout = std::chrono::seconds(15);
+    Duration headerTimeout = defaultHeaderTimeout;
+    Duration idleTimeout = defaultIdleTimeout;
 
     bool operator==(const CallerLimits &) const = default;
 };
--- a/tests/proxy/test_edge_daemon.cpp
+++ b/tests/proxy/test_edge_daemon.cpp
@@ -142,6 +142,15 @@
         REQUIRE(eventually([this] { return this->statusOfProbe() == 200; }));
     }
 
+    /** Starts the daemon with backend servers i-1, i-2 and so on. */
+    void startWith(const std::vector<const RawServer *> &servers)
+    {
+        for (std::size_t index = 0; index < servers.size(); ++index) {
+            this->addBackend("i-" + std::to_string(index + 1), *servers[index]);
+        }
+        this->start();
+    }
+
     unsigned statusOfProbe() const
     {
         return ask(this->settings.readyAddress, "GET /-/readyz HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n").result_int();
@@ -199,8 +208,7 @@
 {
     RawServer backend(answerOk);
     World world;
-    world.addBackend("i-1", backend);
-    world.start();
+    world.startWith({&backend});
     const auto answer = world.call("/order/x", "q1", "X-Eelgrassnotch-Tenant: forged\r\nX-Eelgrassnotch-Hold: forged\r\nX-Other: kept\r\n");
     CHECK(answer.result_int() == 200);
     CHECK(answer.body() == "fine");
@@ -230,9 +238,7 @@
         return false;
     });
     World world;
-    world.addBackend("i-1", first);
-    world.addBackend("i-2", second);
-    world.start();
+    world.startWith({&first, &second});
     CHECK(world.call("/order/x", "q1").result_int() == 502);
     CHECK(first.requests().size() + second.requests().size() == 1);
 }
@@ -250,9 +256,7 @@
     RawServer first(failFirst);
     RawServer second(failFirst);
     World world;
-    world.addBackend("i-1", first);
-    world.addBackend("i-2", second);
-    world.start();
+    world.startWith({&first, &second});
     CHECK(world.call("/check/x", "q1").result_int() == 200);
     CHECK(first.requests().size() == 1);
     CHECK(second.requests().size() == 1);
@@ -267,9 +271,7 @@
     RawServer full(shed);
     RawServer alsoFull(shed);
     World world;
-    world.addBackend("i-1", full);
-    world.addBackend("i-2", alsoFull);
-    world.start();
+    world.startWith({&full, &alsoFull});
     const auto refused = world.call("/order/x", "q1");
     CHECK(refused.result_int() == 503);
     CHECK(refused.count("Retry-After") == 1);
@@ -284,9 +286,7 @@
     });
     RawServer backend(answerOk);
     World world;
-    world.addBackend("i-1", stranger);
-    world.addBackend("i-2", backend);
-    world.start();
+    world.startWith({&stranger, &backend});
     for (int round = 0; round < 10; ++round) {
         CHECK(world.call("/order/x", "q" + std::to_string(round)).result_int() == 200);
     }
@@ -302,8 +302,7 @@
         return answerOk(socket, request);
     });
     World world;
-    world.addBackend("i-1", backend);
-    world.start();
+    world.startWith({&backend});
     CHECK(world.call("/order/x", "q1").body() == "fine");
 }
 
@@ -315,8 +314,7 @@
             return true;
         });
         World world;
-        world.addBackend("i-1", backend);
-        world.start();
+        world.startWith({&backend});
         CHECK(world.call("/order/x", "q1").result_int() == 502);
     }
 }
@@ -337,9 +335,7 @@
     RawServer first(script);
     RawServer second(script);
     World world;
-    world.addBackend("i-1", first);
-    world.addBackend("i-2", second);
-    world.start();
+    world.startWith({&first, &second});
     const auto answer = world.call("/resume/x", "q1");
     CHECK(answer.result_int() == 200);
     CHECK(answer.body() == "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n");
@@ -355,9 +351,7 @@
     RawServer first(script);
     RawServer second(script);
     World world;
-    world.addBackend("i-1", first);
-    world.addBackend("i-2", second);
-    world.start();
+    world.startWith({&first, &second});
     boost::system::error_code error;
     World::ask(world.settings.callersAddress, World::requestText("/stream/x", "q1"), &error);
     CHECK(error);
@@ -377,8 +371,7 @@
         return false;
     });
     World world;
-    world.addBackend("i-1", backend);
-    world.start();
+    world.startWith({&backend});
     {
         boost::asio::io_context context;
         tcp::socket caller(context);
@@ -405,8 +398,7 @@
         return true;
     });
     World world;
-    world.addBackend("i-1", backend);
-    world.start();
+    world.startWith({&backend});
     boost::asio::io_context context;
     tcp::socket caller(context);
     caller.connect(connection::http::parseEndpoint(world.settings.callersAddress));
@@ -425,8 +417,7 @@
 {
     RawServer backend(answerOk);
     World world;
-    world.addBackend("i-1", backend);
-    world.start();
+    world.startWith({&backend});
     CHECK(world.call("/order/x", "q1", "", "key-2").result_int() == 401);
     CHECK(world.call("/nowhere/x", "q2").result_int() == 404);
     CHECK(world.call("/open/x", "q3", "", "").result_int() == 200);
@@ -437,8 +428,7 @@
 {
     RawServer backend(answerOk);
     World world;
-    world.addBackend("i-1", backend);
-    world.start();
+    world.startWith({&backend});
     CHECK(world.call("/order/x", "q1").result_int() == 200);
     json next = makeConfiguration(9);
     next["tenants"][0]["api_keys"] = {"key-2"};
@@ -455,8 +445,7 @@
 {
     RawServer backend(answerOk);
     World world(2500ms);
-    world.addBackend("i-1", backend);
-    world.start();
+    world.startWith({&backend});
     world.store.refusesAll = true;
     CHECK(eventually([&] { return world.call("/order/x", "q1").result_int() == 503; }));
     const std::size_t before = backend.requests().size();
@@ -498,8 +487,7 @@
     RawServer backend(answerOk);
     World world;
     world.store.losesNextWrite = true;
-    world.addBackend("i-1", backend);
-    world.start();
+    world.startWith({&backend});
     CHECK(world.store.has("eelgrassnotch-daemons", "d-1"));
     CHECK(world.call("/order/x", "q1").result_int() == 200);
 }
@@ -508,8 +496,7 @@
 {
     RawServer backend(answerOk);
     World world;
-    world.addBackend("i-1", backend);
-    world.start();
+    world.startWith({&backend});
     const std::string head = "POST /open/x HTTP/1.1\r\nHost: h.example\r\nX-Eelgrassnotch-Attempt-Id: q1\r\n";
     const std::string hidden = "POST /open/x HTTP/1.1\r\nHost: h.example\r\nX-Eelgrassnotch-Attempt-Id: q2\r\nContent-Length: 0\r\n\r\n";
     for (const std::string framing : {"Transfer-Encoding: xchunked\r\n\r\n", "Transfer-Encoding: chunked\r\nContent-Length: 3\r\n\r\nabc",
@@ -526,8 +513,7 @@
 {
     RawServer backend(answerOk);
     World world;
-    world.addBackend("i-1", backend);
-    world.start();
+    world.startWith({&backend});
     const std::string head = "POST /open/x HTTP/1.1\r\nHost: h.example\r\nX-Eelgrassnotch-Attempt-Id: q1\r\n";
     CHECK(World::ask(world.settings.callersAddress, head + "Content-Length: 70000\r\n\r\n").result_int() == 413);
     CHECK(World::ask(world.settings.callersAddress, head + "X-Long: " + std::string(20000, 'x') + "\r\n\r\n").result_int() == 431);
