One send to a backend server has a class of its own

Change: BackendSend adds to the account when it begins and takes away when it ends. Behaviour stays as it was. Ruled out: undoing in the destructor, which does not know the time.

--- /dev/null
+++ b/src/process/proxy/backend_send.cpp
@@ -0,0 +1,62 @@
+#include "process/proxy/backend_send.h"
+
+#include <algorithm>
+
+namespace eelgrassnotch::process::proxy
+{
+
+BackendSend::BackendSend(BackendPool &backendPool, directory::BackendServerPtr target, const dispatch::Placement &placement,
+                         const request::Prompt &prompt, Duration longestIdle, Time now)
+    : backend(std::move(target))
+    , prediction(placement)
+    , at(now)
+    , pool(backendPool)
+{
+    ++this->backend->inFlight;
+    this->backend->noteStart(now);
+    this->backend->unreadTokens += this->prediction.uncachedTokens;
+    this->backend->prefixes.note(prompt);
+    this->connection = this->pool.acquire(this->backend, longestIdle, now);
+}
+
+void BackendSend::noteHeader(const connection::http::AnswerHeader &answerHeader, const request::AnswerAttributes &attributes, Time now)
+{
+    this->header = answerHeader;
+    this->answer = attributes;
+    this->hasAnswered = true;
+    this->backend->noteEndOfWait(this->at, true, now);
+    if (attributes.running) {
+        this->backend->report = directory::LoadReport {*attributes.running, attributes.waiting.value_or(0), now};
+    }
+    if (attributes.coldLeft && *attributes.coldLeft > Duration(0)) {
+        this->backend->coldUntil = std::max(this->backend->coldUntil, now + *attributes.coldLeft);
+    }
+}
+
+void BackendSend::noteFirstEvent(Time now)
+{
+    this->hasEvent = true;
+    this->forgetUnreadTokens();
+    const Duration undelayed = this->prediction.firstEvent - this->prediction.queueDelay;
+    this->backend->noteExcessDelay(now - this->at - undelayed, now);
+}
+
+void BackendSend::end(bool isCancelled, Time now)
+{
+    --this->backend->inFlight;
+    if (!this->hasEvent) {
+        this->forgetUnreadTokens();
+    }
+    this->backend->noteEndOfWait(this->at, this->hasAnswered, now);
+    if (isCancelled) {
+        this->connection->cancel();
+    }
+    this->pool.release(this->backend, this->connection, now);
+}
+
+void BackendSend::forgetUnreadTokens()
+{
+    this->backend->unreadTokens = std::max(0.0, this->backend->unreadTokens - this->prediction.uncachedTokens);
+}
+
+}
--- /dev/null
+++ b/src/process/proxy/backend_send.h
@@ -0,0 +1,50 @@
+#pragma once
+
+/** @file One send of a request to one backend server. */
+
+#include "connection/http/client_connection.h"
+#include "process/dispatch/placement.h"
+#include "process/proxy/backend_pool.h"
+#include "request/attributes.h"
+
+#include <memory>
+#include <string>
+
+namespace eelgrassnotch::process::proxy
+{
+
+/**
+ * @brief Holds a connection, and keeps the account of what the request adds to its backend server's load.
+ * @remarks end() must be called once; nothing is undone by the destructor, which does not know the time.
+ */
+class BackendSend
+{
+public:
+    /** @param longestIdle A connection that was idle for longer is not used. */
+    BackendSend(BackendPool &backendPool, directory::BackendServerPtr target, const dispatch::Placement &placement,
+                const request::Prompt &prompt, Duration longestIdle, Time now);
+
+    /** @brief Takes the header of the answer, with what it tells of the backend server. */
+    void noteHeader(const connection::http::AnswerHeader &answerHeader, const request::AnswerAttributes &attributes, Time now);
+    /** @brief Notes that the first whole event has come. */
+    void noteFirstEvent(Time now);
+    /** @brief Ends the account and gives the connection back. @param isCancelled Closes it, so that the backend server stops its work. */
+    void end(bool isCancelled, Time now);
+
+    directory::BackendServerPtr backend;
+    std::shared_ptr<connection::http::ClientConnection> connection;
+    dispatch::Placement prediction;
+    Time at {0};
+    connection::http::AnswerHeader header;
+    request::AnswerAttributes answer;
+    std::string body;
+    bool hasAnswered = false; ///< The header of the answer is here.
+    bool hasEvent = false; ///< A whole event is here.
+
+private:
+    void forgetUnreadTokens();
+
+    BackendPool &pool;
+};
+
+}
--- a/src/process/proxy/forwarding.cpp
+++ b/src/process/proxy/forwarding.cpp
@@ -287,32 +287,24 @@
     }
     ++this->sends;
     this->tried.push_back(placed.backend);
-    this->current = std::make_unique<Send>();
-    Send &sent = *this->current;
-    sent.backend = placed.backend;
-    sent.prediction = placed.prediction;
     this->lastPrediction = placed.prediction;
-    sent.at = now;
-    ++sent.backend->inFlight;
-    sent.backend->noteStart(now);
-    sent.backend->unreadTokens += sent.prediction.uncachedTokens;
-    sent.backend->prefixes.note(this->attributes.prompt);
+    const Duration longestIdle = this->isRepeatable() ? longestIdleRepeatable : longestIdleUnrepeatable;
+    this->current
+        = std::make_unique<BackendSend>(this->proxy.pool(), placed.backend, placed.prediction, this->attributes.prompt, longestIdle, now);
 
     BackendCall call;
-    call.expectedInstance = sent.backend->record.id;
+    call.expectedInstance = placed.backend->record.id;
     call.workspace = this->workspaceName();
     call.timeLeft = this->timeLeft(now);
     call.resumeAfter = this->splitter.lastEventId();
     const auto outgoing = std::make_shared<const http::Request>(this->proxy.dialect().toBackend(this->request, call));
 
-    const Duration longestIdle = this->isRepeatable() ? longestIdleRepeatable : longestIdleUnrepeatable;
-    sent.connection = this->proxy.pool().acquire(sent.backend, longestIdle, now);
     http::ExchangeHooks hooks;
     hooks.onHeader = [self = this->shared_from_this()](const http::AnswerHeader &header) { return self->onHeader(header); };
     hooks.onBody = [self = this->shared_from_this()](std::string_view part) { self->onBody(part); };
     hooks.onEnd = [self = this->shared_from_this()](const http::ExchangeEnd &end) { self->onEnd(end); };
     this->armAttemptTimer();
-    sent.connection->send(outgoing, connectTimeout, std::move(hooks));
+    this->current->connection->send(outgoing, connectTimeout, std::move(hooks));
 }
 
 void Forwarding::armAttemptTimer()
@@ -330,32 +322,25 @@
 
 bool Forwarding::onHeader(const http::AnswerHeader &header)
 {
-    Send &sent = *this->current;
+    BackendSend &sent = *this->current;
     const request::AnswerAttributes answer = this->proxy.dialect().readAnswer(header);
     if (!answer.id.empty() && answer.id != this->attributes.id) {
         logEvent("foreign_answer", {{"request", this->attributes.id}, {"backend", sent.backend->record.id}, {"answers", answer.id}});
         return false;
     }
     const Time now = readClock();
-    sent.header = header;
-    sent.answer = answer;
-    sent.hasAnswered = true;
+    sent.noteHeader(header, answer, now);
     this->attemptTimer.cancel();
-    sent.backend->noteEndOfWait(sent.at, true, now);
     if (answer.running) {
-        sent.backend->report = directory::LoadReport {*answer.running, answer.waiting.value_or(0), now};
         this->lastRunning = *answer.running;
         this->lastWaiting = answer.waiting.value_or(0);
     }
-    if (answer.coldLeft && *answer.coldLeft > Duration(0)) {
-        sent.backend->coldUntil = std::max(sent.backend->coldUntil, now + *answer.coldLeft);
-    }
     return true;
 }
 
 void Forwarding::onBody(std::string_view part)
 {
-    Send &sent = *this->current;
+    BackendSend &sent = *this->current;
     if (!this->isForwardedStream()) {
         sent.body += part;
         if (sent.body.size() > mostBufferedBytes) {
@@ -375,12 +360,9 @@
 
 void Forwarding::forwardEvents(std::string_view events, Time now)
 {
-    Send &sent = *this->current;
+    BackendSend &sent = *this->current;
     if (!sent.hasEvent) {
-        sent.hasEvent = true;
-        sent.backend->unreadTokens = std::max(0.0, sent.backend->unreadTokens - sent.prediction.uncachedTokens);
-        const Duration undelayed = sent.prediction.firstEvent - sent.prediction.queueDelay;
-        sent.backend->noteExcessDelay(now - sent.at - undelayed, now);
+        sent.noteFirstEvent(now);
         this->proxy.metrics().observePredictionError(this->route->name, now - sent.at - sent.prediction.firstEvent);
     }
     if (!this->hasStarted) {
@@ -430,7 +412,7 @@
 
 void Forwarding::onWholeAnswer(Time now)
 {
-    Send &sent = *this->current;
+    BackendSend &sent = *this->current;
     const unsigned status = sent.header.result_int();
     const bool isSuccess = status < firstFailureStatus;
     if (isSuccess && (!sent.answer.isSigned || sent.answer.isEncoded)) {
@@ -479,7 +461,7 @@
 
 void Forwarding::onNotRun(Time now)
 {
-    Send &sent = *this->current;
+    BackendSend &sent = *this->current;
     if (sent.answer.isWrongInstance) {
         this->proxy.backends().noteWrongInstance(sent.backend);
     } else {
@@ -572,17 +554,9 @@
     if (!this->current) {
         return;
     }
-    const std::unique_ptr<Send> sent = std::move(this->current);
+    const std::unique_ptr<BackendSend> sent = std::move(this->current);
     this->attemptTimer.cancel();
-    --sent->backend->inFlight;
-    if (!sent->hasEvent) {
-        sent->backend->unreadTokens = std::max(0.0, sent->backend->unreadTokens - sent->prediction.uncachedTokens);
-    }
-    sent->backend->noteEndOfWait(sent->at, sent->hasAnswered, now);
-    if (isCancelled) {
-        sent->connection->cancel();
-    }
-    this->proxy.pool().release(sent->backend, sent->connection, now);
+    sent->end(isCancelled, now);
 }
 
 void Forwarding::onAttemptTimeout()
--- a/src/process/proxy/forwarding.h
+++ b/src/process/proxy/forwarding.h
@@ -2,9 +2,9 @@
 
 /** @file One request of a caller on its way to backend servers and back. */
 
-#include "connection/http/client_connection.h"
 #include "connection/http/server_session.h"
 #include "eelgrassnotch/verdict.h"
+#include "process/proxy/backend_send.h"
 #include "process/proxy/proxy.h"
 #include "request/event_splitter.h"
 
@@ -26,19 +26,6 @@
     void start();
 
 private:
-    /** @brief One send to one backend server. */
-    struct Send {
-        directory::BackendServerPtr backend;
-        std::shared_ptr<connection::http::ClientConnection> connection;
-        dispatch::Placement prediction;
-        Time at {0};
-        connection::http::AnswerHeader header;
-        request::AnswerAttributes answer;
-        std::string body;
-        bool hasAnswered = false; ///< The header of the answer is here.
-        bool hasEvent = false; ///< A whole event is here.
-    };
-
     bool findRoute();
     bool checkKey(Time now);
     /** @brief Refuses a request that would outlive a stopping daemon. */
@@ -94,7 +81,7 @@
     Time limit {0}; ///< The caller or the route waits no longer.
     Time roomUntil {0}; ///< Longest wait for a backend server to become usable.
     std::vector<directory::BackendServerPtr> tried;
-    std::unique_ptr<Send> current;
+    std::unique_ptr<BackendSend> current;
     request::EventSplitter splitter;
     Verdict verdict = Verdict::NotRun; ///< The least certain of all sends so far.
     std::uint32_t sends = 0;
