Daemons start and search for the store through their relays

At a start, 295 daemons each list and watch three collections before they know a relay: 1,800 calls that are charged in full, and 1,474 more after all processes were killed. When the store is down, every follower looks for it: 284 daemons, three collections until the first two refusals, then a call each 0.8 s: 4,100 refused calls in 8 s.

Change: a daemon that starts reads the cheap list of daemons and follows a relay; one watch asks whether the store answers before the others begin; followers look for a lost store every 3 s, as relays look every 0.8 s and tell; one relay for every 120 daemons of a region, not 40.

--- a/src/process/edge_knowledge.cpp
+++ b/src/process/edge_knowledge.cpp
@@ -25,6 +25,10 @@
 constexpr store::WatchPace daemonsPace {0ms, 3s};
 /** All daemons may start within some tenths of a second, so the second list comes soon. */
 constexpr store::WatchPace firstDaemonsPace {0ms, 700ms};
+/** When the whole fleet starts, the others' entries are in the store after this time. */
+constexpr Duration firstStartSpread = 700ms;
+/** A daemon that can't read the list of daemons by then, and so knows no relay, watches the store. */
+constexpr Duration firstListTimeout = 500ms;
 /** Backend servers of a data centre that comes back are taken as cold for this long. Source: cold periods of the deployments. */
 constexpr Duration coldAfterReturn = 3s;
 
@@ -70,12 +74,26 @@
 void EdgeKnowledge::start()
 {
     this->writeOwnEntry();
-    this->source.start();
-    this->daemonsWatcher.start();
+    this->listDaemonsAt = readClock() + (this->settings.isFirstStart ? firstStartSpread : Duration(0));
+    this->startSourceAt = this->listDaemonsAt + firstListTimeout;
+    this->tick(readClock());
+}
+
+void EdgeKnowledge::startSource()
+{
+    if (!std::exchange(this->isSourceStarted, true)) {
+        this->source.start();
+    }
 }
 
 void EdgeKnowledge::tick(Time now)
 {
+    if (now >= this->listDaemonsAt) {
+        this->daemonsWatcher.start();
+    }
+    if (now >= this->startSourceAt) {
+        this->startSource();
+    }
     this->source.tick(now, this->proxy.isOverloaded(now));
 }
 
@@ -224,6 +242,7 @@
         this->writeOwnEntry();
     }
     this->setRelays();
+    this->startSource();
     if (this->peers == listed) {
         return;
     }
--- a/src/process/edge_knowledge.h
+++ b/src/process/edge_knowledge.h
@@ -23,6 +23,7 @@
 
     /** @brief Writes this daemon's entry and follows the collections. */
     void start();
+    /** @brief Does what is due; called several times a second. */
     void tick(Time now);
     /** @brief Removes this daemon's entry, before it stops. */
     void withdraw();
@@ -41,6 +42,7 @@
     void applyTakenOut();
     void writeOwnEntry();
     void applyDaemons(const std::vector<DaemonRecord> &daemons);
+    void startSource();
     /** @brief Tells the source which daemons of the region may be followed. */
     void setRelays();
 
@@ -55,6 +57,9 @@
     bool hasBackends = false;
     bool hasTakenOut = false;
     bool hasDaemons = false;
+    Time listDaemonsAt {0};
+    Time startSourceAt {0}; ///< Whether or not the daemons are known by then.
+    bool isSourceStarted = false;
     store::ObjectWriter writer;
     mirror::CollectionSource source;
     store::CollectionWatcher daemonsWatcher;
--- a/src/process/mirror/collection_source.cpp
+++ b/src/process/mirror/collection_source.cpp
@@ -30,7 +30,12 @@
 
 void CollectionSource::start()
 {
-    this->watchStore();
+    const Time now = readClock();
+    this->startedAt = now;
+    this->chooseSource(now);
+    if (!this->followed.isValid()) {
+        this->watchStore();
+    }
 }
 
 store::WatcherHooks CollectionSource::watcherHooks(Collection collection)
@@ -55,6 +60,7 @@
         consumer.onConfirmed(confirmedAt, revision);
         this->server.mirror(collection).confirm(revision, confirmedAt);
         this->server.noteConfirmed(collection, readClock());
+        this->startWatchers();
     };
     watcher.onReachability
         = [this, collection](bool isReachable, const std::string &cause) { this->noteReachability(collection, isReachable, cause); };
@@ -74,10 +80,12 @@
     this->tellReachability(isReachable, cause);
     this->serveIfAble();
     // One watch is enough to find the store again: calls that it refuses cost as much as others.
+    if (isReachable) {
+        this->startWatchers();
+        return;
+    }
     for (const auto &[watched, watcher] : this->watchers) {
-        if (isReachable) {
-            watcher->start();
-        } else if (watched != collection) {
+        if (watched != collection) {
             watcher->stop();
         }
     }
@@ -106,7 +114,7 @@
 
 void CollectionSource::leaveRelay(RelayFailure failure, const std::string &cause, Time now)
 {
-    const bool hasLostSource = !this->isWatching;
+    const bool hasLostSource = !this->isWatching && !this->asOf.empty();
     if (std::exchange(this->hasReplied, false)) {
         logEvent("relay_lost", {{"relay", this->relays[this->followed].name}, {"cause", cause}});
     }
@@ -185,7 +193,9 @@
     this->relays = std::move(daemons);
     this->choice.setRegion(region, std::move(coresOf));
     this->setPaces();
-    this->chooseSource(readClock());
+    if (this->startedAt) {
+        this->chooseSource(readClock());
+    }
 }
 
 void CollectionSource::stopServing()
@@ -200,6 +210,8 @@
         store::WatchPace pace = this->settings.paces.at(collection);
         if (this->choice.isCandidate()) {
             pace.longestWait = std::min(pace.longestWait, relayWait);
+        } else if (!this->choice.isRelay()) {
+            pace.searchPause = followerSearchPause;
         }
         if (watcher->setPace(pace) && this->isWatching && !this->isStoreLost) {
             // A call in progress would still wait for as long as before.
@@ -216,8 +228,10 @@
         this->serveIfAble();
     }
     this->server.tick(now);
-    const bool isOld = std::any_of(this->asOf.begin(), this->asOf.end(), [now](const auto &known) { return now - known.second > maxAge; });
-    if (!this->isWatching && isOld) {
+    if (!this->startedAt) {
+        return;
+    }
+    if (!this->isWatching && this->needsStore(now)) {
         if (this->followed.isValid()) {
             this->client.stop();
             this->leaveRelay(RelayFailure::Silent, "knowledge is too old", now);
@@ -227,6 +241,14 @@
     this->chooseSource(now);
 }
 
+bool CollectionSource::needsStore(Time now) const
+{
+    if (this->asOf.empty()) {
+        return now - *this->startedAt > startPatience;
+    }
+    return std::any_of(this->asOf.begin(), this->asOf.end(), [now](const auto &known) { return now - known.second > maxAge; });
+}
+
 void CollectionSource::chooseSource(Time now)
 {
     if (this->isWatching && now < this->actsUntil) {
@@ -256,9 +278,17 @@
         if (const auto known = this->positions.find(collection); known != this->positions.end()) {
             watcher->skipTo(known->second);
         }
-        watcher->start();
     }
+    // Whether the store answers is asked by one watch; the others begin when it does.
+    this->watchers.at(mirroredCollections.front())->start();
     this->serveIfAble();
 }
 
+void CollectionSource::startWatchers()
+{
+    for (const auto &[collection, watcher] : this->watchers) {
+        watcher->start();
+    }
+}
+
 }
--- a/src/process/mirror/collection_source.h
+++ b/src/process/mirror/collection_source.h
@@ -44,7 +44,7 @@
     CollectionSource(boost::asio::io_context &ioContext, const SourceSettings &sourceSettings,
                      const std::shared_ptr<const store::StoreDialect> &dialect, std::map<store::Collection, store::WatcherHooks> consumers);
 
-    /** @brief Begins to watch the store. */
+    /** @brief Begins to follow a relay, where setRegion() has told one, or to watch the store. */
     void start();
     /** @brief Takes the daemons of this daemon's region. */
     void setRegion(std::uint32_t region, std::map<DaemonHandle, PossibleRelay> daemons);
@@ -62,6 +62,9 @@
     void noteOutages(std::uint32_t outages);
     void chooseSource(Time now);
     void watchStore();
+    void startWatchers();
+    /** @returns whether what is known is too old, or a relay has let a daemon that knows nothing wait for too long. */
+    bool needsStore(Time now) const;
     void setPaces();
     void noteReachability(store::Collection collection, bool isReachable, const std::string &cause);
     void tellReachability(bool isReachable, const std::string &cause);
@@ -78,6 +81,7 @@
     DaemonHandle followed; ///< Relay that is asked; invalid without one.
     bool hasReplied = false; ///< The relay that is asked.
     std::map<DaemonHandle, std::uint32_t> outagesOf; ///< As each relay told last.
+    std::optional<Time> startedAt;
     std::map<store::Collection, Time> asOf; ///< When each collection was the newest, as far as known.
     Time actsUntil {0}; ///< A substitute that took over goes on for a while, so that its followers need not move again soon.
     bool isStoreLost = false; ///< As the watches found, or a relay told.
--- a/src/process/mirror/limits.h
+++ b/src/process/mirror/limits.h
@@ -22,6 +22,10 @@
 constexpr Duration replyTimeout = std::chrono::milliseconds(800);
 /** A substitute that took over from a relay watches the store for this long at least: several times what an overload lasts. */
 constexpr Duration substituteTime = std::chrono::seconds(20);
+/** A daemon that has just started waits this long for the answer of a relay. */
+constexpr Duration startPatience = std::chrono::milliseconds(1000);
+/** Pause between a follower's calls to a lost store: its relays look for the store more often, and tell when it is back. */
+constexpr Duration followerSearchPause = std::chrono::seconds(3);
 constexpr Duration connectTimeout = std::chrono::milliseconds(500);
 /** Followers of one relay: all daemons of a region of the largest deployment, and room. */
 constexpr std::size_t maxFollowers = 512;
--- a/src/process/mirror/source_choice.cpp
+++ b/src/process/mirror/source_choice.cpp
@@ -12,8 +12,8 @@
 
 using namespace std::chrono_literals;
 
-/** Followers of a relay: at one request a second and some hundred microseconds each, a few percent of the smallest VM. */
-constexpr std::size_t followersPerRelay = 40;
+/** Followers of a relay: at one or two requests a second and a hundred microseconds each, a few percent of a core. */
+constexpr std::size_t followersPerRelay = 120;
 /** Daemons that take over in order, when relays are lost or have lost the store. */
 constexpr std::size_t substitutes = 3;
 /** Regions with fewer daemons have no relays: they would save a few calls, and a relay's loss would be felt by most. */
--- a/src/process/store/collection_watcher.cpp
+++ b/src/process/store/collection_watcher.cpp
@@ -179,7 +179,8 @@
     }
     const std::uint32_t doublings = std::min(this->failures - 1, mostDoublings);
     const Duration pause = std::min(firstPause * (1 << doublings), longestPause);
-    this->again(this->isPolling() ? std::max(pause, this->pace.pause) : pause);
+    const Duration least = this->isPolling() ? this->pace.pause : (this->isReachable ? Duration(0) : this->pace.searchPause);
+    this->again(std::max(pause, least));
 }
 
 bool CollectionWatcher::isPolling() const
--- a/src/process/store/collection_watcher.h
+++ b/src/process/store/collection_watcher.h
@@ -51,6 +51,7 @@
 struct WatchPace {
     Duration longestWait {0}; ///< How long the store may hold a watch that has no change to tell; zero to list again instead.
     Duration pause {0}; ///< After an answer with changes, or between lists.
+    Duration searchPause {0}; ///< Least pause between calls while the store is lost.
 
     bool operator==(const WatchPace &) const = default;
 };
