A daemon does nothing with the store before it is told to start

Change: the times are unset until start() sets them. The test reads when the second call reaches the store: 8 ms without the change, 700 ms with it.

Ruled out: relays that answer too late (all were followed within 1.1 s).

--- a/src/process/edge_knowledge.h
+++ b/src/process/edge_knowledge.h
@@ -57,8 +57,8 @@
     bool hasBackends = false;
     bool hasTakenOut = false;
     bool hasDaemons = false;
-    Time listDaemonsAt {0};
-    Time startSourceAt {0}; ///< Whether or not the daemons are known by then.
+    Time listDaemonsAt = Time::max(); ///< Set by start().
+    Time startSourceAt = Time::max(); ///< Whether or not the daemons are known by then; set by start().
     bool isSourceStarted = false;
     store::ObjectWriter writer;
     mirror::CollectionSource source;
--- a/tests/proxy/test_edge_daemon.cpp
+++ b/tests/proxy/test_edge_daemon.cpp
@@ -1,6 +1,7 @@
 /** @file A whole daemon between raw callers and backend servers that misbehave. */
 
 #include "platform/dialect.h"
+#include "process/clock.h"
 #include "process/edge_daemon.h"
 #include "standin/object_store.h"
 
@@ -482,6 +483,24 @@
     CHECK(onlyStaying());
 }
 
+TEST_CASE("a daemon of a fleet that starts for the first time asks for no list before the others have written their entries")
+{
+    World world;
+    world.settings.isFirstStart = true;
+    const Time begun = process::readClock();
+    Time secondCall {0};
+    std::thread watch([&world, &secondCall] {
+        while (world.store.calls < 2) {
+            std::this_thread::sleep_for(5ms);
+        }
+        secondCall = process::readClock();
+    });
+    world.start();
+    watch.join();
+    // The first call writes its own entry.
+    CHECK(secondCall - begun >= 600ms);
+}
+
 TEST_CASE("a write whose answer is lost is found done")
 {
     RawServer backend(answerOk);
