A daemon that can't keep up refuses what its neighbours can serve

Cause: the balancer hashes callers.

Change: LoadShedding, a module without I/O or clock: while timers run late by 25 ms and the daemon takes over twice what one takes in the mean, a smaller part of the requests is taken and the rest refused at once as not run, with a Retry-After of 50 ms; the repeat reaches another daemon. Connections stay open. A daemon leaves rotation only when it is late by 120 ms nevertheless.

Tests: the replay of the pattern serves under 0.2 of the flood in time without shedding and over 0.95 with it; a daemon no busier than others sheds nothing; a flood's end restores all within 4 s.

The repeats of one caller all meet the same second daemon, so a flood beyond two VMs still can't be spread.

--- a/include/eelgrassnotch/verdict.h
+++ b/include/eelgrassnotch/verdict.h
@@ -40,7 +40,8 @@
     UnknownRoute,
     UnknownKey,
     KeysUnconfirmed, ///< Whether keys still hold has not been confirmed for too long.
-    Overloaded,
+    Overloaded, ///< The backend servers can't begin with the request in time.
+    DaemonOverloaded, ///< This daemon can't; others may.
     count,
 };
 
--- a/src/process/proxy/forwarding.cpp
+++ b/src/process/proxy/forwarding.cpp
@@ -99,6 +99,10 @@
 {
     const Time now = this->receivedAt;
     this->attributes = this->proxy.dialect().readRequest(this->request);
+    if (!this->proxy.takesNext()) {
+        this->refuse(RefusalReason::DaemonOverloaded, shortestReturn, "this daemon can't keep up with its callers");
+        return;
+    }
     if (!this->table) {
         this->refuse(RefusalReason::NoConfiguration, returnWithoutKnowledge, "no configuration is known yet");
         return;
--- a/src/process/proxy/proxy.cpp
+++ b/src/process/proxy/proxy.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <numeric>
 
 namespace eelgrassnotch::process::proxy
 {
@@ -27,8 +28,8 @@
 constexpr Duration keyMargin = 700ms;
 /** Even under a bound below the margin, a confirmation holds for the length of one request to the store. */
 constexpr Duration shortestKeyLifetime = 200ms;
-/** A daemon whose timers run this late can't keep up: on an idle one they are late by 7 ms at most. */
-constexpr Duration overloadLag = 18ms;
+/** A daemon whose timers run this late can't keep up although it sheds requests: the shortest latency targets are as long. */
+constexpr Duration overloadLag = 120ms;
 /** It sends callers elsewhere for this long: two missed probes, a second apart, and time to reconnect. */
 constexpr Duration overloadHold = 3s;
 /** Weight of a first event that this daemon saw against what the others tell of an engine. */
@@ -276,12 +277,32 @@
     return load;
 }
 
+void Proxy::adaptShedding(const std::optional<exchange::LoadSummary> &others, Time now)
+{
+    const auto askedIn = [](const std::vector<exchange::WorkspaceLoad> &workspaces) {
+        return std::accumulate(workspaces.begin(), workspaces.end(), 0.0,
+                               [](double sum, const exchange::WorkspaceLoad &load) { return sum + load.asked; });
+    };
+    const double asked = askedIn(this->fairShare.ownLoad(now));
+    const double mean = others ? (asked + askedIn(others->workspaces)) / (others->daemons + 1.0) : 0;
+    const bool wasShedding = this->shedding.takenPart() < 1.0;
+    this->shedding.update({this->currentLag, asked, mean});
+    if (const bool isShedding = this->shedding.takenPart() < 1.0; isShedding != wasShedding) {
+        logEvent("shedding_changed",
+                 {{"sheds", isShedding ? "true" : "false"},
+                  {"lag_ms", std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(this->currentLag).count())},
+                  {"asked", std::to_string(std::llround(asked))},
+                  {"mean_asked", std::to_string(std::llround(mean))}});
+    }
+}
+
 void Proxy::takeLoadOfOthers(const std::optional<exchange::LoadSummary> &others, Time now)
 {
     const auto routes = this->routeTable();
     this->daemonRoll.noteHeard(others ? others->daemons + 1 : 1, now);
     const exchange::LoadSummary known = others.value_or(exchange::LoadSummary());
     this->fairShare.update(known.workspaces, routes ? routes->tokensPerSecond() : 0, now);
+    this->adaptShedding(others, now);
     std::map<std::uint32_t, exchange::BackendLoad> elsewhere;
     for (const exchange::BackendLoad &load : known.backends) {
         elsewhere[load.backend] = load;
--- a/src/process/proxy/proxy.h
+++ b/src/process/proxy/proxy.h
@@ -6,6 +6,7 @@
 #include "process/directory/backend_directory.h"
 #include "process/dispatch/daemon_roll.h"
 #include "process/dispatch/fair_share.h"
+#include "process/dispatch/load_shedding.h"
 #include "process/dispatch/placement.h"
 #include "process/dispatch/retry_allowance.h"
 #include "process/edge_settings.h"
@@ -85,6 +86,11 @@
     {
         return now < this->overloadedUntil;
     }
+    /** @returns whether this daemon takes the next request, or sends its caller to another daemon. */
+    bool takesNext()
+    {
+        return this->shedding.takesNext();
+    }
     void setStopping(Time since);
     bool isStopping() const
     {
@@ -143,6 +149,7 @@
     /** @returns how many requests this daemon may start at a cold backend server within a window. */
     std::uint32_t coldAllotmentOf(const directory::BackendServer &backend, const version::Service &service, Time now) const;
     dispatch::RetryAllowance &allowanceOf(const std::string &service);
+    void adaptShedding(const std::optional<exchange::LoadSummary> &others, Time now);
     const directory::Locality &localityOf(directory::BackendServer &backend) const;
 
     boost::asio::io_context &io;
@@ -152,6 +159,7 @@
     Published<version::RouteTablePtr> table;
     directory::BackendDirectory directory;
     dispatch::FairShare fairShare;
+    dispatch::LoadShedding shedding;
     BackendPool backendPool;
     std::map<std::string, dispatch::RetryAllowance> allowances;
     dispatch::DaemonRoll daemonRoll;
--- /dev/null
+++ b/tests/proxy/test_load_shedding.cpp
@@ -0,0 +1,132 @@
+/** @file A daemon that gets more requests than its VM can handle, beside neighbours that idle. */
+
+#include "process/dispatch/load_shedding.h"
+
+#include <doctest/doctest.h>
+
+#include <deque>
+#include <random>
+
+using namespace eelgrassnotch;
+using namespace std::chrono_literals;
+using process::dispatch::DaemonLoad;
+using process::dispatch::LoadShedding;
+
+namespace
+{
+
+constexpr std::size_t daemonCount = 40;
+constexpr Duration period = 100ms;
+constexpr int periods = 150;
+constexpr int warmUpPeriods = 30;
+/** Processor time of a VM in a period, and of what it does. */
+constexpr Duration processorTime = 12ms;
+constexpr Duration timeToServe = 450us;
+constexpr Duration timeToRefuse = 80us;
+/** Callers of the replay want an answer to begin within this time, and give up unread requests later. */
+constexpr Duration inTime = 250ms;
+constexpr Duration givenUp = 1s;
+constexpr double cost = 1000;
+
+/** One VM with its queue of unread requests. */
+struct Vm {
+    LoadShedding shedding;
+    std::deque<Time> unread;
+    Duration left {0}; ///< Processor time of the period.
+    int taken = 0; ///< In the period.
+};
+
+struct Outcome {
+    int asked = 0;
+    int served = 0; ///< In time.
+
+    double share() const
+    {
+        return static_cast<double>(this->served) / this->asked;
+    }
+};
+
+/** Plays callers who hit one VM, and repeat once, elsewhere, what it refuses. */
+Outcome replay(int perPeriodAtHot, int perPeriodElsewhere, bool isShedding)
+{
+    std::mt19937_64 random(7);
+    std::vector<Vm> vms(daemonCount);
+    Outcome outcome;
+    const auto serve = [&outcome](Vm &vm, Time arrived, Time now, bool isCounted) {
+        vm.left -= timeToServe;
+        ++vm.taken;
+        outcome.served += isCounted && now - arrived <= inTime ? 1 : 0;
+    };
+    for (int step = 0; step < periods; ++step) {
+        const Time now = period * step;
+        const bool isCounted = step >= warmUpPeriods;
+        for (std::size_t index = 0; index < vms.size(); ++index) {
+            const int arriving = index == 0 ? perPeriodAtHot : perPeriodElsewhere;
+            vms[index].unread.insert(vms[index].unread.end(), static_cast<std::size_t>(arriving), now);
+            vms[index].left = processorTime;
+            vms[index].taken = 0;
+            outcome.asked += isCounted && index == 0 ? arriving : 0;
+        }
+        for (std::size_t index = vms.size(); index-- > 0;) {
+            Vm &vm = vms[index];
+            while (!vm.unread.empty() && vm.left > Duration(0)) {
+                const Time arrived = vm.unread.front();
+                vm.unread.pop_front();
+                if (now - arrived > givenUp) {
+                    vm.left -= timeToRefuse;
+                } else if (!isShedding || vm.shedding.takesNext()) {
+                    serve(vm, arrived, now, isCounted && index == 0);
+                } else {
+                    vm.left -= timeToRefuse;
+                    Vm &other = vms[1 + random() % (vms.size() - 1)];
+                    if (other.left > Duration(0)) {
+                        serve(other, arrived, now, isCounted && index == 0);
+                    }
+                }
+            }
+        }
+        double total = 0;
+        for (const Vm &vm : vms) {
+            total += vm.taken * cost;
+        }
+        for (Vm &vm : vms) {
+            const Duration lag = vm.unread.empty() ? Duration(0) : now + period - vm.unread.front();
+            vm.shedding.update({lag, vm.taken * cost, total / static_cast<double>(vms.size())});
+        }
+    }
+    return outcome;
+}
+
+}
+
+TEST_CASE("a caller whose requests all meet one VM is served by its neighbours")
+{
+    constexpr int flood = 80;
+    constexpr int usual = 2;
+    CHECK(replay(flood, usual, false).share() < 0.2);
+    CHECK(replay(flood, usual, true).share() > 0.95);
+}
+
+TEST_CASE("a daemon that gets no more than the others sheds nothing, however busy it is")
+{
+    LoadShedding shedding;
+    for (int step = 0; step < 50; ++step) {
+        shedding.update({200ms, 1500, 1000});
+        CHECK(shedding.takesNext());
+    }
+    shedding.update({200ms, 5000, 0});
+    CHECK(shedding.takenPart() == 1.0);
+}
+
+TEST_CASE("a daemon takes all again soon after a flood has ended")
+{
+    LoadShedding shedding;
+    for (int step = 0; step < 20; ++step) {
+        shedding.update({300ms, 5000, 1000});
+    }
+    CHECK(shedding.takenPart() < 0.1);
+    for (int step = 0; step < 40; ++step) {
+        shedding.update({0ms, 100, 1000});
+    }
+    CHECK(shedding.takenPart() == 1.0);
+}
