Prompts that a busy daemon has just sent are no queue

A daemon that sends 2,000 requests a second has that much of its own on the way to each engine, and the limit for a workspace over its share, 0.05 of the latency target, is below it. What is refused raises what is asked over what is served, which lowers the share again.

Change: admission leaves up to 45 ms of the daemon's own unread prompts out of the queue, as it does already for the sum of all engines. Placement still counts them.

--- a/src/process/dispatch/placement.cpp
+++ b/src/process/dispatch/placement.cpp
@@ -100,7 +100,7 @@
         const Duration cost = served + again + crossingCost(candidate, request.bodyBytes) + failures;
         if (cost < lowestCost) {
             lowestCost = cost;
-            best = Placement {index, candidate.queueDelay, served + firstEventOverhead, uncached, index == home};
+            best = Placement {index, candidate.queueDelay, candidate.ownUnread, served + firstEventOverhead, uncached, index == home};
         }
     }
     return best;
--- a/src/process/dispatch/placement.h
+++ b/src/process/dispatch/placement.h
@@ -19,6 +19,7 @@
     bool isNear = true; ///< In this daemon's data centre.
     bool isInRegion = true;
     Duration queueDelay {0}; ///< Predicted wait before it begins with the prompt, from what this daemon saw.
+    Duration ownUnread {0}; ///< Part of queueDelay: prompts of this daemon whose first event is not here yet.
     Duration queueElsewhere {0}; ///< Wait caused by the other daemons' requests, as of a moment ago.
     Duration roundTrip {0}; ///< Network time to it and back.
     std::uint32_t cachedTokens = 0; ///< Leading tokens of the prompt that it is known to keep.
@@ -42,6 +43,7 @@
 struct Placement {
     std::size_t index = 0; ///< Into the candidates.
     Duration queueDelay {0}; ///< Predicted wait before the prompt is read.
+    Duration ownUnread {0}; ///< Part of it, see Candidate.
     Duration firstEvent {0}; ///< Predicted time to the first event.
     std::uint32_t uncachedTokens = 0; ///< Tokens that it will probably have to read.
     bool isHome = false; ///< It is the session's home.
--- a/src/process/proxy/admission.cpp
+++ b/src/process/proxy/admission.cpp
@@ -51,7 +51,8 @@
     if (input.isRepeat || input.latencyTarget == Duration(0)) {
         return {};
     }
-    const Duration beyondBest = input.queueDelay - longestQueue(bestQueueParts, input.shareUsed, input.latencyTarget);
+    const Duration ownUnderWay = std::min(input.ownUnread, promptsUnderWay);
+    const Duration beyondBest = input.queueDelay - ownUnderWay - longestQueue(bestQueueParts, input.shareUsed, input.latencyTarget);
     const Duration beyondFleet = input.fleetQueue - promptsUnderWay - longestQueue(fleetQueueParts, input.shareUsed, input.latencyTarget);
     const Duration beyond = std::max(beyondBest, beyondFleet);
     if (beyond <= Duration(0)) {
--- a/src/process/proxy/admission.h
+++ b/src/process/proxy/admission.h
@@ -14,6 +14,7 @@
 /** @brief What decides on a request for a model engine. */
 struct AdmissionInput {
     Duration queueDelay {0}; ///< Predicted at the best backend server, from what this daemon saw.
+    Duration ownUnread {0}; ///< Part of it: prompts that this daemon has sent there, and whose first event is not here yet.
     Duration fleetQueue {0}; ///< Mean time in which the engines read what all daemons have sent them.
     Duration latencyTarget {0};
     dispatch::ShareUsed shareUsed; ///< What its workspace gets in the fleet.
--- a/src/process/proxy/forwarding.cpp
+++ b/src/process/proxy/forwarding.cpp
@@ -266,6 +266,7 @@
 {
     AdmissionInput input;
     input.queueDelay = placed.prediction.queueDelay;
+    input.ownUnread = placed.prediction.ownUnread;
     input.fleetQueue = placed.meanQueue;
     input.latencyTarget = this->route->latencyTarget;
     input.shareUsed = this->proxy.shares().shareUsed(this->workspaceHandle(), now);
--- a/src/process/proxy/proxy.cpp
+++ b/src/process/proxy/proxy.cpp
@@ -205,7 +205,10 @@
     candidate.failureShare = backend.failureShare.value(now);
     if (query.service->engine) {
         const Duration own = dispatch::prefillTime(backend.unreadTokens);
-        candidate.queueDelay = std::max(backend.queueDelay(now) + own, backend.slotDelay(now));
+        const Duration unread = backend.queueDelay(now) + own;
+        const Duration forSlot = backend.slotDelay(now);
+        candidate.queueDelay = std::max(unread, forSlot);
+        candidate.ownUnread = forSlot > unread ? Duration(0) : own;
         // What the others have sent is known late; it counts where this daemon has hardly seen the engine itself.
         const double ignorance = 1.0 / (1.0 + ownEventWeight * backend.firstEvents.value(now));
         candidate.queueElsewhere = dispatch::prefillTime(backend.elsewhere.unreadTokens * ignorance) + own;
--- a/tests/proxy/test_dispatch.cpp
+++ b/tests/proxy/test_dispatch.cpp
@@ -205,6 +205,22 @@
     CHECK(proxy::decideAdmission(input).isAdmitted);
 }
 
+TEST_CASE("prompts that a busy daemon has just sent are on their way, and no queue")
+{
+    // Pattern: one client's requests all meet one daemon, which alone has 40 ms of unread prompts at each engine.
+    proxy::AdmissionInput input;
+    input.latencyTarget = 500ms;
+    input.shareUsed = {1.2, 3.0};
+    input.queueDelay = 60ms;
+    CHECK_FALSE(proxy::decideAdmission(input).isAdmitted);
+    input.ownUnread = 40ms;
+    CHECK(proxy::decideAdmission(input).isAdmitted);
+    // What waits is more than what was sent a moment ago.
+    input.queueDelay = 120ms;
+    input.ownUnread = 120ms;
+    CHECK_FALSE(proxy::decideAdmission(input).isAdmitted);
+}
+
 TEST_CASE("refused callers come back spread over as long again")
 {
     Duration earliest = 1h;
