A daemon that sheds more than half leaves rotation; idle connections give up their buffers

Repeats of one caller all meet the same second VM, so a flood beyond two VMs stayed on them; and connections that were kept open, each with a request buffer of 24 KiB of which ten were in use, filled the memory.

Change: a daemon that takes less than half of its requests is out of rotation for 3 s and closes connections after its answers, as it did for late timers before. A session that waits for its next request holds no buffer.

--- a/src/connection/http/server_session.cpp
+++ b/src/connection/http/server_session.cpp
@@ -122,6 +122,8 @@
         this->readHeader();
         return;
     }
+    // Thousands of idle connections would hold most of a small VM's memory.
+    this->buffer.shrink_to_fit();
     this->arm(this->hooks->limits().idleTimeout, [this] { this->closeIfIdle(); });
     this->socket.async_wait(Socket::wait_read, [self = this->shared_from_this()](boost::system::error_code error) {
         if (error || self->closed) {
--- a/src/process/edge_daemon.cpp
+++ b/src/process/edge_daemon.cpp
@@ -124,7 +124,7 @@
             this->metrics.countAnswer("", status);
             logEvent("request_rejected", {{"status", std::to_string(status)}, {"reason", reason}});
         };
-        hooks.isClosing = [this] { return this->proxy.isStopping(); };
+        hooks.isClosing = [this] { return this->proxy.isStopping() || this->proxy.isOverloaded(readClock()); };
         return hooks;
     }
 
--- a/src/process/proxy/proxy.cpp
+++ b/src/process/proxy/proxy.cpp
@@ -30,6 +30,8 @@
 constexpr Duration shortestKeyLifetime = 200ms;
 /** A daemon whose timers run this late can't keep up although it sheds requests: the shortest latency targets are as long. */
 constexpr Duration overloadLag = 120ms;
+/** A daemon that has to shed more than half of its requests sends callers elsewhere, also those that keep their connections. */
+constexpr double overloadTakenPart = 0.5;
 /** It sends callers elsewhere for this long: two missed probes, a second apart, and time to reconnect. */
 constexpr Duration overloadHold = 3s;
 /** Weight of a first event that this daemon saw against what the others tell of an engine. */
@@ -128,11 +130,13 @@
 void Proxy::noteLag(Duration lag, Time now)
 {
     this->currentLag = lag;
-    if (lag < overloadLag) {
+    const double taken = this->shedding.takenPart();
+    if (lag < overloadLag && taken >= overloadTakenPart) {
         return;
     }
     if (!this->isOverloaded(now)) {
-        logEvent("overloaded", {{"lag_ms", std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(lag).count())}});
+        const auto lagMs = std::chrono::duration_cast<std::chrono::milliseconds>(lag).count();
+        logEvent("overloaded", {{"lag_ms", std::to_string(lagMs)}, {"taken_part", std::to_string(taken)}});
     }
     this->overloadedUntil = now + overloadHold;
 }
--- a/tests/proxy/test_edge_daemon.cpp
+++ b/tests/proxy/test_edge_daemon.cpp
@@ -12,9 +12,12 @@
 #include <doctest/doctest.h>
 
 #include <atomic>
+#include <fstream>
 #include <memory>
 #include <thread>
 
+#include <unistd.h>
+
 using namespace eelgrassnotch;
 using namespace std::chrono_literals;
 using boost::asio::ip::tcp;
@@ -511,6 +514,50 @@
     CHECK(world.call("/order/x", "q1").result_int() == 200);
 }
 
+namespace
+{
+
+/** Resident memory of this process, in bytes. */
+std::size_t residentBytes()
+{
+    std::ifstream statm("/proc/self/statm");
+    std::size_t total = 0;
+    std::size_t resident = 0;
+    statm >> total >> resident;
+    return resident * static_cast<std::size_t>(::sysconf(_SC_PAGESIZE));
+}
+
+}
+
+TEST_CASE("idle connections that have carried a request hold little memory")
+{
+    constexpr std::size_t connections = 400;
+    // A quarter of the smallest VM's memory, for as many connections as its descriptors allow.
+    constexpr std::size_t mostBytesEach = (88u << 20) / 4 / 2900;
+    const std::string body(9000, 'x');
+    World world;
+    world.start();
+    const std::string request
+        = "POST /none/ HTTP/1.1\r\nHost: h.example\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+    boost::asio::io_context context;
+    std::vector<tcp::socket> idle;
+    const auto askOnce = [&] {
+        tcp::socket &socket = idle.emplace_back(context);
+        socket.connect(connection::http::parseEndpoint(world.settings.callersAddress));
+        boost::asio::write(socket, boost::asio::buffer(request));
+        boost::beast::flat_buffer buffer;
+        World::Answer answer;
+        boost::beast::http::read(socket, buffer, answer);
+        REQUIRE(answer.result_int() == 404);
+    };
+    askOnce();
+    const std::size_t before = residentBytes();
+    while (idle.size() < connections) {
+        askOnce();
+    }
+    CHECK(residentBytes() - before < connections * mostBytesEach);
+}
+
 TEST_CASE("bytes that could hide a second request are refused")
 {
     RawServer backend(answerOk);
