A request that is given up resets its connection

All three daemons that could have sent it knew by 13.2 s; the request was sent on at 8.3 s while they were cut off, its caller's deadline passed at 9.4 s, and it arrived at 15.06 s when the cut had ended. ClientConnection closed the connection in order, and the kernel sends on what was written before such a close.

Change: a connection on which a request is given up, fails or leaves bytes behind is reset. Idle connections that are dropped are reset, too.

Ruled out: knowledge that comes late (store_regained at 13.17 s, data_centre_taken_out 50 ms later); an earlier bound on unacknowledged bytes (2.5 s, which does not act after a close).

Test: the server reads what it was sent and finds a reset; end of file before.

--- a/src/connection/http/client_connection.cpp
+++ b/src/connection/http/client_connection.cpp
@@ -190,8 +190,7 @@
     // A request that was answered before it was written in full leaves the server waiting for the rest.
     const bool isClean = kind == EndKind::Complete && this->keepsAlive && this->isWritten && this->buffer.size() == 0;
     if (!isClean) {
-        boost::system::error_code ignored; // The socket is given up either way.
-        this->socket.close(ignored);
+        resetSocket(this->socket);
         this->isOpen = false;
         this->buffer.clear();
     }
@@ -209,8 +208,8 @@
     this->onIdleClosed = nullptr;
     this->request.reset();
     this->connectTimer.cancel();
-    boost::system::error_code ignored; // The socket is given up either way.
-    this->socket.close(ignored);
+    // After an orderly close the kernel would go on sending a request that nobody waits for, also seconds later.
+    resetSocket(this->socket);
 }
 
 void ClientConnection::watchIdle(std::function<void()> onClosed)
--- a/tests/proxy/test_client_connection.cpp
+++ b/tests/proxy/test_client_connection.cpp
@@ -5,6 +5,8 @@
 
 #include <doctest/doctest.h>
 
+#include <array>
+
 using namespace eelgrassnotch::connection::http;
 using namespace std::chrono_literals;
 
@@ -176,3 +178,30 @@
     boost::asio::io_context context;
     CHECK(sendOne(context, connectTo(context, server)).end->kind == EndKind::Malformed);
 }
+
+TEST_CASE("a request that is given up is not delivered by an orderly close")
+{
+    boost::asio::io_context context;
+    boost::asio::ip::tcp::acceptor server(context, {boost::asio::ip::make_address("127.0.0.1"), 0});
+    const auto connection = std::make_shared<ClientConnection>(context.get_executor(), server.local_endpoint());
+    ExchangeHooks hooks;
+    hooks.onHeader = [](const AnswerHeader &) { return true; };
+    hooks.onBody = [](std::string_view) {};
+    hooks.onEnd = [](const ExchangeEnd &) {};
+    const auto request = std::make_shared<Request>(boost::beast::http::verb::post, "/x", 11);
+    // More than the kernel takes at once, so that the rest waits for the server to read.
+    request->body() = std::string(32u << 20, 'x');
+    request->prepare_payload();
+    connection->send(request, 1s, std::move(hooks));
+    context.run_for(200ms);
+    Socket peer(context);
+    server.accept(peer);
+    connection->cancel();
+
+    boost::system::error_code error;
+    std::array<char, 65536> bytes {};
+    while (!error) {
+        peer.read_some(boost::asio::buffer(bytes), error);
+    }
+    CHECK(error == boost::asio::error::connection_reset);
+}
