A backend server's own word that it leaves, and its Retry-After, are obeyed

Cause: nothing read the two fields. A backend server whose store entry still said that it was ready kept getting requests, and one that refused with a time to come back got the next ones at once.

A leaving is final for that start of the backend server: it holds before and without the store, and for entries that vanish and are written again late. A refusal with Retry-After closes the backend server for this daemon; then single requests try it. When all are closed, callers are refused at once with the earliest end.

The daemon world of the tests is now a header of its own.

--- a/src/process/directory/backend_directory.cpp
+++ b/src/process/directory/backend_directory.cpp
@@ -14,6 +14,8 @@
 constexpr Duration entryReturnTime = 2s;
 /** A published cold period is this much older than its arrival at most. Source: the lag of published entries. */
 constexpr Duration coldReportLag = 500ms;
+/** Entries of a backend server that has left may be written late; none is expected any more after this. */
+constexpr Duration departureKeptFor = 10min;
 
 }
 
@@ -45,6 +47,9 @@
         backend.coldUntil = std::max(backend.coldUntil, now + record.coldLeft + coldReportLag);
     }
     if (record.isDraining) {
+        this->noteDeparture(record, now);
+    }
+    if (this->hasLeft(record)) {
         this->setAvailability(backend, Availability::Draining, "published");
     } else if (backend.availability != Availability::Draining) {
         this->setAvailability(backend, Availability::Ready, isSameIncarnation ? "published" : "new");
@@ -115,6 +120,7 @@
 
 void BackendDirectory::expire(Time now)
 {
+    std::erase_if(this->departures, [now](const auto &entry) { return now - entry.second.notedAt > departureKeptFor; });
     if (this->isStoreAway) {
         return;
     }
@@ -129,6 +135,27 @@
     }
 }
 
+void BackendDirectory::noteLeaving(const BackendServerPtr &backend, Time now)
+{
+    this->noteDeparture(backend->record, now);
+    if (backend->availability != Availability::Gone) {
+        this->setAvailability(*backend, Availability::Draining, "its answer says so");
+    }
+}
+
+void BackendDirectory::noteDeparture(const BackendRecord &record, Time now)
+{
+    Departure &departure = this->departures.try_emplace(record.id, Departure {record.startedAt, now}).first->second;
+    departure.startedAt = std::max(departure.startedAt, record.startedAt);
+    departure.notedAt = now;
+}
+
+bool BackendDirectory::hasLeft(const BackendRecord &record) const
+{
+    const auto departure = this->departures.find(record.id);
+    return departure != this->departures.end() && record.startedAt <= departure->second.startedAt;
+}
+
 void BackendDirectory::noteWrongInstance(const BackendServerPtr &backend)
 {
     const auto known = this->backends.find(backend->record.id);
--- a/src/process/directory/backend_directory.h
+++ b/src/process/directory/backend_directory.h
@@ -50,6 +50,8 @@
     void noteStoreBack(Time now);
     /** @brief Ends the grace of entries that did not come back. */
     void expire(Time now);
+    /** @brief Takes a backend server's own word that it leaves: final for this start of it, whatever its entries say. */
+    void noteLeaving(const BackendServerPtr &backend, Time now);
     /** @brief Takes the address of a backend server for another's, as that one has answered. */
     void noteWrongInstance(const BackendServerPtr &backend);
 
@@ -68,6 +70,14 @@
     }
 
 private:
+    /** @brief A start of a backend server that has left, or is about to. */
+    struct Departure {
+        std::int64_t startedAt = 0;
+        Time notedAt {0};
+    };
+
+    void noteDeparture(const BackendRecord &record, Time now);
+    bool hasLeft(const BackendRecord &record) const;
     void setAvailability(BackendServer &backend, Availability availability, const std::string &cause);
     void forget(const std::string &id, const std::string &cause);
     void index();
@@ -76,6 +86,7 @@
     OnChange onChange;
     std::map<std::string, BackendServerPtr> backends;
     std::map<std::string, std::vector<BackendServerPtr>> byService;
+    std::map<std::string, Departure> departures; ///< The newest one of each id.
     std::set<std::string> takenOut;
     bool isStoreAway = false;
     Time graceUntil {0}; ///< Entries that vanish before this may yet come back.
--- a/src/process/directory/backend_server.cpp
+++ b/src/process/directory/backend_server.cpp
@@ -60,12 +60,22 @@
 
 bool BackendServer::isTrialAllowed(Time now) const
 {
-    if (this->failuresInARow >= failuresUntilSuspect) {
+    if (now < this->closedEnd) {
+        return false;
+    }
+    if (this->isReopening || this->failuresInARow >= failuresUntilSuspect) {
         return now >= this->trialAt;
     }
     return !this->isSilent(now);
 }
 
+void BackendServer::noteClosed(Duration closedFor, Time now)
+{
+    this->closedEnd = std::max(this->closedEnd, now + closedFor);
+    this->isReopening = true;
+    this->trialAt = std::max(this->trialAt, this->closedEnd);
+}
+
 void BackendServer::noteSuccess(Time now, Duration coldPeriod)
 {
     if (this->failuresInARow >= failuresUntilSuspect) {
@@ -96,7 +106,7 @@
 {
     this->starts.add(now);
     this->unanswered.insert(now);
-    if (this->failuresInARow >= failuresUntilSuspect) {
+    if (this->isReopening || this->failuresInARow >= failuresUntilSuspect) {
         this->trialAt = now + firstTrialPause;
     }
 }
--- a/src/process/directory/backend_server.h
+++ b/src/process/directory/backend_server.h
@@ -66,6 +66,18 @@
     {
         return now < this->coldUntil;
     }
+    /** @brief Notes that it wants no requests for so long; it is then tried by single requests until it takes one. */
+    void noteClosed(Duration closedFor, Time now);
+    /** @brief Notes that it has taken a request. */
+    void noteTaken()
+    {
+        this->isReopening = false;
+    }
+    /** @returns the time until which it wants no requests; in the past when it takes them. */
+    Time closedUntil() const
+    {
+        return this->closedEnd;
+    }
     /** @brief Notes an answer that a working backend server would give. */
     void noteSuccess(Time now, Duration coldPeriod);
     /** @brief Notes that it did not connect, was silent or broke off. */
@@ -109,6 +121,8 @@
 private:
     std::uint32_t failuresInARow = 0;
     Time trialAt {0};
+    Time closedEnd {0};
+    bool isReopening = false; ///< It was closed, and has not taken a request since.
     Time lastAnswerAt {0};
     std::multiset<Time> unanswered; ///< When requests were sent whose answers have not begun.
 };
--- a/src/process/proxy/backend_send.cpp
+++ b/src/process/proxy/backend_send.cpp
@@ -25,6 +25,11 @@
     this->answer = attributes;
     this->hasAnswered = true;
     this->backend->noteEndOfWait(this->at, true, now);
+    if (attributes.closedFor) {
+        this->backend->noteClosed(*attributes.closedFor, now);
+    } else if (!attributes.isNotRun) {
+        this->backend->noteTaken();
+    }
     if (attributes.running) {
         this->backend->report = directory::LoadReport {*attributes.running, attributes.waiting.value_or(0), now};
     }
--- a/src/process/proxy/forwarding.cpp
+++ b/src/process/proxy/forwarding.cpp
@@ -249,9 +249,11 @@
 
 void Forwarding::waitForRoom(const PlacedBackend &placed, Time now)
 {
-    if (now >= this->roomUntil) {
+    const bool isClosedForLonger = placed.reopensAt && *placed.reopensAt > this->roomUntil;
+    if (now >= this->roomUntil || isClosedForLonger) {
+        const Duration comeBackAfter = this->returnAfter(placed, now);
         const std::string detail = "none of " + std::to_string(placed.candidates) + " backend servers is usable";
-        this->refuse(RefusalReason::NoBackend, spreadReturn(returnWithoutKnowledge, hashName(this->attributes.id)), detail);
+        this->refuse(RefusalReason::NoBackend, comeBackAfter, detail);
         return;
     }
     this->roomTimer.expires_after(roomCheckPeriod);
@@ -262,6 +264,12 @@
     });
 }
 
+Duration Forwarding::returnAfter(const PlacedBackend &placed, Time now) const
+{
+    const Duration untilOpen = placed.reopensAt ? std::max(*placed.reopensAt - now, shortestReturn) : returnWithoutKnowledge;
+    return spreadReturn(untilOpen, hashName(this->attributes.id));
+}
+
 bool Forwarding::isAdmitted(const PlacedBackend &placed, Time now)
 {
     AdmissionInput input;
@@ -335,6 +343,7 @@
     }
     const Time now = readClock();
     sent.noteHeader(header, answer, now);
+    this->noteStatements(answer, now);
     this->attemptTimer.cancel();
     if (answer.running) {
         this->lastRunning = *answer.running;
@@ -343,6 +352,19 @@
     return true;
 }
 
+void Forwarding::noteStatements(const request::AnswerAttributes &answer, Time now)
+{
+    if (answer.isLeaving) {
+        this->proxy.backends().noteLeaving(this->current->backend, now);
+    }
+    if (answer.closedFor) {
+        logEvent("backend_closed",
+                 {{"request", this->attributes.id},
+                  {"backend", this->current->backend->record.id},
+                  {"for_ms", milliseconds(*answer.closedFor)}});
+    }
+}
+
 void Forwarding::onBody(std::string_view part)
 {
     BackendSend &sent = *this->current;
@@ -489,7 +511,8 @@
     }
     this->endSend(now, false);
     const bool neverRan = this->verdict == Verdict::NotRun;
-    this->refuse(neverRan ? RefusalReason::Overloaded : RefusalReason::BackendFailed, neverRan ? returnWithoutKnowledge : Duration(0),
+    this->refuse(neverRan ? RefusalReason::Overloaded : RefusalReason::BackendFailed,
+                 neverRan ? this->returnAfter(this->choose(now), now) : Duration(0),
                  "backend server refused with status " + std::to_string(status));
 }
 
--- a/src/process/proxy/forwarding.h
+++ b/src/process/proxy/forwarding.h
@@ -35,9 +35,13 @@
     PlacedBackend choose(Time now);
     void place();
     void waitForRoom(const PlacedBackend &placed, Time now);
+    /** @returns when a caller for whom no backend server is usable should come back. */
+    Duration returnAfter(const PlacedBackend &placed, Time now) const;
     bool isAdmitted(const PlacedBackend &placed, Time now);
     void send(const PlacedBackend &placed, Time now);
     bool onHeader(const connection::http::AnswerHeader &header);
+    /** @brief Takes what a backend server's answer states of its own availability. */
+    void noteStatements(const request::AnswerAttributes &answer, Time now);
     void onBody(std::string_view part);
     void forwardEvents(std::string_view events, Time now);
     void onEnd(const connection::http::ExchangeEnd &end);
--- a/src/process/proxy/proxy.cpp
+++ b/src/process/proxy/proxy.cpp
@@ -228,6 +228,19 @@
     return candidate;
 }
 
+std::optional<Time> Proxy::earliestReopening(const std::vector<BackendServerPtr> &backends, Time now) const
+{
+    std::optional<Time> earliest;
+    for (const BackendServerPtr &backend : backends) {
+        const bool isClosed = backend->availability == Availability::Ready && now < backend->closedUntil()
+            && !this->directory.isTakenOut(backend->record.dataCentre);
+        if (isClosed) {
+            earliest = std::min(earliest.value_or(backend->closedUntil()), backend->closedUntil());
+        }
+    }
+    return earliest;
+}
+
 PlacedBackend Proxy::choose(const PlacementQuery &query, Time now)
 {
     PlacedBackend placed;
@@ -242,6 +255,9 @@
         placed.meanQueue += candidate.isUsable ? candidate.queueElsewhere : Duration(0);
         candidates.push_back(candidate);
     }
+    if (placed.usable == 0) {
+        placed.reopensAt = this->earliestReopening(backends, now);
+    }
     placed.candidates = candidates.size();
     placed.meanQueue /= static_cast<std::int64_t>(std::max<std::size_t>(placed.usable, 1));
     const dispatch::PlacementRequest request {query.prompt->tokens, query.prompt->sharedTokens(), query.prompt->session(), query.bodyBytes,
--- a/src/process/proxy/proxy.h
+++ b/src/process/proxy/proxy.h
@@ -42,6 +42,7 @@
     dispatch::Placement prediction;
     std::size_t candidates = 0; ///< Backend servers of the service.
     std::size_t usable = 0;
+    std::optional<Time> reopensAt; ///< Where none is usable: the first time at which one wants requests again.
     Duration meanQueue {0}; ///< Over the usable model engines, with the requests of all daemons.
 };
 
@@ -148,6 +149,8 @@
     bool isUsable(directory::BackendServer &backend, const PlacementQuery &query, Time now) const;
     /** @returns how many requests this daemon may start at a cold backend server within a window. */
     std::uint32_t coldAllotmentOf(const directory::BackendServer &backend, const version::Service &service, Time now) const;
+    /** @returns the first end of a time for which a backend server wants no requests; nothing when none is closed so. */
+    std::optional<Time> earliestReopening(const std::vector<directory::BackendServerPtr> &backends, Time now) const;
     dispatch::RetryAllowance &allowanceOf(const std::string &service);
     void adaptShedding(const std::optional<exchange::LoadSummary> &others, Time now);
     const directory::Locality &localityOf(directory::BackendServer &backend) const;
--- a/src/request/attributes.h
+++ b/src/request/attributes.h
@@ -51,7 +51,9 @@
     bool isNotRun = false; ///< Whether the backend server states that it did not run the request.
     bool isWrongInstance = false; ///< The address belongs to another instance than expected.
     bool isEventStream = false;
+    bool isLeaving = false; ///< The backend server wants no new requests any more.
     bool isEncoded = false; ///< The body went through a coding that nobody asked for.
+    std::optional<Duration> closedFor; ///< It refused, and wants nothing for so long.
     std::optional<Duration> coldLeft; ///< How long the backend server stays cold.
     std::optional<std::uint32_t> running; ///< Requests running there when it answered.
     std::optional<std::uint32_t> waiting; ///< Requests queued there when it answered.
--- a/tests/proxy/test_edge_daemon.cpp
+++ b/tests/proxy/test_edge_daemon.cpp
@@ -1,19 +1,12 @@
 /** @file A whole daemon between raw callers and backend servers that misbehave. */
 
-#include "platform/dialect.h"
 #include "process/clock.h"
-#include "process/edge_daemon.h"
-#include "standin/object_store.h"
+#include "proxy/daemon_world.h"
 
-#include <boost/asio/connect.hpp>
-#include <boost/asio/write.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/http/read.hpp>
 #include <doctest/doctest.h>
 
 #include <atomic>
 #include <fstream>
-#include <memory>
 #include <thread>
 
 #include <unistd.h>
@@ -22,189 +15,12 @@
 using namespace std::chrono_literals;
 using boost::asio::ip::tcp;
 using nlohmann::json;
-using standin::RawServer;
+using namespace standin;
 
 namespace
 {
 
-/** Waits for a condition; fails the test when it does not come in a time that no healthy machine needs. */
-template <class Condition>
-bool eventually(Condition &&condition)
-{
-    constexpr auto patience = 20s;
-    const auto until = std::chrono::steady_clock::now() + patience;
-    while (std::chrono::steady_clock::now() < until) {
-        if (condition()) {
-            return true;
-        }
-        std::this_thread::sleep_for(10ms);
-    }
-    return false;
-}
-
-json makeRoute(const std::string &prefix, const std::string &kind, bool isResumable = false, bool isPublic = false)
-{
-    return {{"name", "r-" + prefix},
-            {"host", "h.example"},
-            {"path_prefix", "/" + prefix + "/"},
-            {"route_kind", kind},
-            {"timeout_ms", 8000},
-            {"latency_goal_ms", 4000},
-            {"service", "svc"},
-            {"max_attempts", 2},
-            {"public", isPublic},
-            {"resumable", isResumable},
-            {"home_regions", json::array()}};
-}
-
-json makeConfiguration(int version)
-{
-    return {{"version", version},
-            {"routes",
-             {makeRoute("order", "non_idempotent"), makeRoute("check", "idempotent"), makeRoute("stream", "streaming"),
-              makeRoute("resume", "streaming", true), makeRoute("open", "idempotent", false, true)}},
-            {"services", {{{"name", "svc"}, {"max_conns", 100}, {"cold_s", 0.0}, {"cold_per_s", 0.0}}}},
-            {"limits", {{"max_header_bytes", 16384}, {"max_body_bytes", 65536}, {"header_timeout_ms", 3000}, {"idle_timeout_ms", 15000}}},
-            {"tenants", {{{"name", "w1"}, {"api_keys", {"key-1"}}}}}};
-}
-
-std::string idOf(const standin::Request &request)
-{
-    const auto id = request["X-Eelgrassnotch-Attempt-Id"];
-    return {id.data(), id.size()};
-}
-
-std::string signedAnswer(const standin::Request &request, const std::string &body, const std::string &status = "200 OK")
-{
-    return "HTTP/1.1 " + status + "\r\nX-Eelgrassnotch-Attempt-Id: " + idOf(request)
-        + "\r\nX-Eelgrassnotch-Response-Signature: s\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
-}
-
-std::string streamHeader(const standin::Request &request)
-{
-    return "HTTP/1.1 200 OK\r\nX-Eelgrassnotch-Attempt-Id: " + idOf(request)
-        + "\r\nX-Eelgrassnotch-Response-Signature: s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
-}
-
-std::string chunk(const std::string &text)
-{
-    std::ostringstream out;
-    out << std::hex << text.size() << "\r\n" << text << "\r\n";
-    return out.str();
-}
-
-bool answerOk(standin::Socket &socket, const standin::Request &request)
-{
-    standin::sendBytes(socket, signedAnswer(request, "fine"));
-    return true;
-}
-
-/** One daemon on loopback with its store. */
-class World
-{
-public:
-    explicit World(Duration keyRevocation = 60s)
-    {
-        this->store.put("config", "main", makeConfiguration(3));
-        this->settings.name = "d-1";
-        this->settings.ip = "127.0.0.1";
-        this->settings.dataCentre = "a";
-        this->settings.regions = {{"a", "ra"}, {"b", "rb"}};
-        this->settings.callersAddress = "127.0.0.1:" + std::to_string(standin::findFreePort());
-        this->settings.readyAddress = "127.0.0.1:" + std::to_string(standin::findFreePort());
-        this->settings.metricsAddress = "127.0.0.1:" + std::to_string(standin::findFreePort());
-        this->settings.loadPort = standin::findFreePort();
-        this->settings.storeAddress = this->store.address();
-        this->settings.bounds = {keyRevocation, 8s, 0.2, 50, 10s, 1.5, 5};
-    }
-
-    ~World()
-    {
-        this->daemon->requestStop();
-        this->thread.join();
-    }
-
-    void addBackend(const std::string &id, const RawServer &server, const std::string &state = "ready", const std::string &dataCentre = "a")
-    {
-        this->store.put("servers", id,
-                        {{"service", "svc"},
-                         {"address", server.address()},
-                         {"zone", dataCentre},
-                         {"version", "v1"},
-                         {"slots", 8},
-                         {"state", state},
-                         {"cold_left_ms", 0},
-                         {"seq", 1},
-                         {"born", 1000}});
-    }
-
-    void start()
-    {
-        this->daemon = std::make_unique<process::EdgeDaemon>(this->settings, std::make_shared<const platform::Dialect>(),
-                                                             [this] { return this->settings; });
-        this->thread = std::thread([this] { this->daemon->run(); });
-        REQUIRE(eventually([this] { return this->statusOfProbe() == 200; }));
-    }
-
-    /** Starts the daemon with backend servers i-1, i-2 and so on. */
-    void startWith(const std::vector<const RawServer *> &servers)
-    {
-        for (std::size_t index = 0; index < servers.size(); ++index) {
-            this->addBackend("i-" + std::to_string(index + 1), *servers[index]);
-        }
-        this->start();
-    }
-
-    unsigned statusOfProbe() const
-    {
-        return ask(this->settings.readyAddress, "GET /-/readyz HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n").result_int();
-    }
-
-    static std::string requestText(const std::string &path, const std::string &id, const std::string &extra = "",
-                                   const std::string &key = "key-1")
-    {
-        return "POST " + path + " HTTP/1.1\r\nHost: h.example\r\nX-Eelgrassnotch-Attempt-Id: " + id
-            + "\r\nX-Eelgrassnotch-Deadline-Ms: 8000\r\nX-Eelgrassnotch-Credential: " + key + "\r\n" + extra
-            + "Content-Length: 3\r\n\r\nabc";
-    }
-
-    using Answer = boost::beast::http::response<boost::beast::http::string_body>;
-
-    static Answer ask(const std::string &address, const std::string &text, boost::system::error_code *result = nullptr)
-    {
-        boost::asio::io_context context;
-        tcp::socket socket(context);
-        boost::system::error_code error;
-        boost::beast::http::response_parser<boost::beast::http::string_body> parser;
-        socket.connect(connection::http::parseEndpoint(address), error);
-        if (!error) {
-            boost::asio::write(socket, boost::asio::buffer(text), error);
-            boost::beast::flat_buffer buffer;
-            boost::beast::http::read(socket, buffer, parser, error);
-        }
-        if (result != nullptr) {
-            *result = error;
-        }
-        Answer answer;
-        if (error) {
-            answer.result(boost::beast::http::status::unknown);
-            return answer;
-        }
-        return parser.release();
-    }
-
-    Answer call(const std::string &path, const std::string &id, const std::string &extra = "", const std::string &key = "key-1") const
-    {
-        return ask(this->settings.callersAddress, requestText(path, id, extra, key));
-    }
-
-    standin::ObjectStore store;
-    process::EdgeSettings settings;
-
-private:
-    std::unique_ptr<process::EdgeDaemon> daemon;
-    std::thread thread;
-};
+using World = standin::DaemonWorld;
 
 }
 
