--- a/src/process/dispatch/placement.cpp
+++ b/src/process/dispatch/placement.cpp
@@ -3,8 +3,8 @@
 #include "process/rendezvous.h"
 
 #include <algorithm>
+#include <array>
 #include <cmath>
-#include <limits>
 
 namespace eelgrassnotch::process::dispatch
 {
@@ -25,7 +25,9 @@
 constexpr Duration failurePenalty = 800ms;
 constexpr double bytesPerKilobyte = 1024.0;
 
-/** Backend servers considered besides the home: a part of all, and no fewer than this. */
+/** A copy of prompt parts takes this long besides the bytes, which take a small part of the reading time. */
+constexpr Duration fetchOverhead = 5ms;
+/** Backend servers considered besides the homes: a part of all, and no fewer than this. */
 constexpr std::size_t leastSample = 16;
 constexpr std::size_t samplePart = 8;
 
@@ -36,30 +38,69 @@
     return count <= size || mixBits(request.draw ^ (static_cast<std::uint64_t>(candidate.backend) << 32)) % count < size;
 }
 
-constexpr std::size_t noHome = std::numeric_limits<std::size_t>::max();
+/** Part of a shared prefix that the homes are expected to keep, by rank. */
+constexpr std::array<double, 4> keptAtHomes {1.0, 0.6, 0.4, 0.2};
 
-/** Index of the session's home among the candidates. */
-std::size_t homeOf(const PlacementRequest &request, std::span<const Candidate> candidates)
+/** Indexes of a session's homes among the candidates, the first home first. */
+class Homes
 {
-    if (request.session == 0) {
-        return noHome;
+public:
+    Homes(const PlacementRequest &request, std::span<const Candidate> candidates)
+    {
+        if (request.session == 0) {
+            return;
+        }
+        const bool isFleetWide = request.sharedTokens >= fleetHomeTokens;
+        for (std::size_t index = 0; index < candidates.size(); ++index) {
+            if (isFleetWide || candidates[index].isInRegion) {
+                const std::uint64_t backend = candidates[index].backend;
+                this->insert({mixBits(request.session ^ (backend << 32 | backend)), index});
+            }
+        }
     }
-    const bool isFleetWide = request.sharedTokens >= fleetHomeTokens;
-    std::size_t home = noHome;
-    std::uint64_t highest = 0;
-    for (std::size_t index = 0; index < candidates.size(); ++index) {
-        if (!isFleetWide && !candidates[index].isInRegion) {
-            continue;
+
+    /** @returns the rank of a candidate; nothing when it is no home. */
+    std::optional<std::size_t> rankOf(std::size_t index) const
+    {
+        for (std::size_t rank = 0; rank < this->count; ++rank) {
+            if (this->ranked[rank].index == index) {
+                return rank;
+            }
         }
-        const std::uint64_t weight
-            = mixBits(request.session ^ (static_cast<std::uint64_t>(candidates[index].backend) << 32 | candidates[index].backend));
-        if (home == noHome || weight > highest) {
-            home = index;
-            highest = weight;
+        return std::nullopt;
+    }
+    std::size_t size() const
+    {
+        return this->count;
+    }
+    std::size_t at(std::size_t rank) const
+    {
+        return this->ranked[rank].index;
+    }
+
+private:
+    struct Home {
+        std::uint64_t weight = 0;
+        std::size_t index = 0;
+    };
+
+    void insert(Home home)
+    {
+        std::size_t rank = this->count;
+        while (rank > 0 && home.weight > this->ranked[rank - 1].weight) {
+            --rank;
         }
+        if (rank == this->ranked.size()) {
+            return;
+        }
+        this->count = std::min(this->count + 1, this->ranked.size());
+        std::move_backward(this->ranked.begin() + rank, this->ranked.begin() + this->count - 1, this->ranked.begin() + this->count);
+        this->ranked[rank] = home;
     }
-    return home;
-}
+
+    std::array<Home, keptAtHomes.size()> ranked {};
+    std::size_t count = 0;
+};
 
 Duration crossingCost(const Candidate &candidate, std::size_t bodyBytes)
 {
@@ -80,16 +121,18 @@
 namespace
 {
 
-std::optional<Placement> placeAmong(const PlacementRequest &request, std::span<const Candidate> candidates, std::size_t home, bool takesAll)
+std::optional<Placement> placeAmong(const PlacementRequest &request, std::span<const Candidate> candidates, const Homes &homes,
+                                    bool takesAll)
 {
     std::optional<Placement> best;
     Duration lowestCost = Duration::max();
     for (std::size_t index = 0; index < candidates.size(); ++index) {
         const Candidate &candidate = candidates[index];
-        if (!candidate.isUsable || (!takesAll && index != home && !isSampled(request, candidate, candidates.size()))) {
+        const std::optional<std::size_t> rank = homes.rankOf(index);
+        if (!candidate.isUsable || (!takesAll && !rank && !isSampled(request, candidate, candidates.size()))) {
             continue;
         }
-        const std::uint32_t expectedAtHome = index == home ? request.sharedTokens : 0;
+        const auto expectedAtHome = static_cast<std::uint32_t>(rank ? request.sharedTokens * keptAtHomes[*rank] : 0);
         const std::uint32_t cached = std::min(std::max(candidate.cachedTokens, expectedAtHome), request.promptTokens);
         const std::uint32_t uncached = request.promptTokens - cached;
         const Duration queue = std::max(candidate.queueDelay, candidate.queueElsewhere);
@@ -100,19 +143,45 @@
         const Duration cost = served + again + crossingCost(candidate, request.bodyBytes) + failures;
         if (cost < lowestCost) {
             lowestCost = cost;
-            best = Placement {index, candidate.queueDelay, candidate.ownUnread, served + firstEventOverhead, uncached, index == home};
+            best = Placement {index,     candidate.queueDelay, candidate.ownUnread, served + firstEventOverhead, uncached,
+                              rank == 0, std::nullopt};
         }
     }
     return best;
 }
 
+/** Where the chosen backend server should copy the shared prefix from; nothing when it probably keeps it, or reading is as fast. */
+std::optional<std::size_t> sourceFor(const PlacementRequest &request, std::span<const Candidate> candidates, const Homes &homes,
+                                     std::size_t chosen)
+{
+    if (prefillTime(request.sharedTokens) < fetchOverhead || candidates[chosen].cachedTokens >= request.sharedTokens) {
+        return std::nullopt;
+    }
+    for (std::size_t rank = 0; rank < homes.size(); ++rank) {
+        const std::size_t index = homes.at(rank);
+        if (index == chosen) {
+            return std::nullopt; // No higher home could be a source: this one is the likeliest to keep the prefix.
+        }
+        if (candidates[index].isSource) {
+            return index;
+        }
+    }
+    return std::nullopt;
+}
+
 }
 
 std::optional<Placement> place(const PlacementRequest &request, std::span<const Candidate> candidates)
 {
-    const std::size_t home = homeOf(request, candidates);
-    const auto sampled = placeAmong(request, candidates, home, false);
-    return sampled ? sampled : placeAmong(request, candidates, home, true);
+    const Homes homes(request, candidates);
+    auto placement = placeAmong(request, candidates, homes, false);
+    if (!placement) {
+        placement = placeAmong(request, candidates, homes, true);
+    }
+    if (placement) {
+        placement->fetchFrom = sourceFor(request, candidates, homes, placement->index);
+    }
+    return placement;
 }
 
 }
--- a/src/process/dispatch/placement.h
+++ b/src/process/dispatch/placement.h
@@ -16,6 +16,7 @@
 struct Candidate {
     std::uint32_t backend = 0; ///< Hash of its id.
     bool isUsable = true; ///< It is ready, its data centre is in use, and its bounds leave room.
+    bool isSource = true; ///< Another backend server may copy prompt parts from it.
     bool isNear = true; ///< In this daemon's data centre.
     bool isInRegion = true;
     Duration queueDelay {0}; ///< Predicted wait before it begins with the prompt, from what this daemon saw.
@@ -46,7 +47,8 @@
     Duration ownUnread {0}; ///< Part of it, see Candidate.
     Duration firstEvent {0}; ///< Predicted time to the first event.
     std::uint32_t uncachedTokens = 0; ///< Tokens that it will probably have to read.
-    bool isHome = false; ///< It is the session's home.
+    bool isHome = false; ///< It is the session's first home.
+    std::optional<std::size_t> fetchFrom; ///< Where it should copy the shared prefix from, instead of reading it.
 
     bool operator==(const Placement &) const = default;
 };
@@ -62,13 +64,20 @@
 /**
  * @brief Picks the backend server with the lowest predicted cost.
  *
- * Sessions with a long shared prefix have one home in the fleet, chosen by
+ * Sessions with a long shared prefix have a few homes in the fleet, ranked by
  * rendezvous hashing, so that all daemons come to the same choice without
- * asking; short ones have a home in each region. Queue, network and bytes
- * moved between regions are weighed against the tokens that need not be read.
- * Apart from the home, only a sample that differs from request to request is
- * considered: daemons with the same old loads would otherwise all meet at the
- * same backend server.
+ * asking; short ones have homes in each region. What does not fit at the first
+ * home mostly goes to the next, so that few copies of the prefix are made and
+ * each is found again. Queue, network and bytes moved between regions are
+ * weighed against the tokens that need not be read. Apart from the homes, only
+ * a sample that differs from request to request is considered: daemons with
+ * the same old loads would otherwise all meet at the same backend server.
+ *
+ * A backend server that probably lacks a long prefix is told where to copy it
+ * from. The choice counts on no copy: requests that left the homes because
+ * copies are cheap would leave nothing there to copy.
+ *
+ * @remarks Load pattern: prefixes hotter than what one engine can serve, under more load than the engines can read again and again.
  *
  * @param candidates All backend servers of the service, usable or not: homes don't move with short troubles.
  * @returns nothing when no candidate is usable.
--- a/src/process/proxy/forwarding.cpp
+++ b/src/process/proxy/forwarding.cpp
@@ -309,6 +309,7 @@
     call.expectedInstance = placed.backend->record.id;
     call.workspace = this->workspaceName();
     call.timeLeft = this->timeLeft(now);
+    call.fetchFrom = placed.source ? placed.source->record.address : std::string();
     call.resumeAfter = this->splitter.lastEventId();
     const auto outgoing = std::make_shared<const http::Request>(this->proxy.dialect().toBackend(this->request, call));
 
@@ -679,6 +680,7 @@
               {"queue_ms", milliseconds(this->lastPrediction.queueDelay)},
               {"uncached", std::to_string(this->lastPrediction.uncachedTokens)},
               {"home", this->lastPrediction.isHome ? "true" : "false"},
+              {"copied", this->lastPrediction.fetchFrom ? "true" : "false"},
               {"running", std::to_string(this->lastRunning)},
               {"waiting", std::to_string(this->lastWaiting)},
               {"first_ms", milliseconds(this->firstEventAfter)},
--- a/src/process/proxy/proxy.cpp
+++ b/src/process/proxy/proxy.cpp
@@ -172,7 +172,7 @@
     return this->daemonRoll.allotment(static_cast<std::uint32_t>(std::floor(bound)), backend.handle, now);
 }
 
-bool Proxy::isUsable(BackendServer &backend, const PlacementQuery &query, Time now) const
+bool Proxy::isEligible(BackendServer &backend, const PlacementQuery &query, Time now) const
 {
     if (backend.availability != Availability::Ready && backend.availability != Availability::Unconfirmed) {
         return false;
@@ -181,10 +181,12 @@
         return false;
     }
     const std::string &region = this->localityOf(backend).region;
-    if (!isAllowedIn(query.route->homeRegions, region)
-        || (query.workspace != nullptr && !isAllowedIn(query.workspace->homeRegions, region))) {
-        return false;
-    }
+    return isAllowedIn(query.route->homeRegions, region)
+        && (query.workspace == nullptr || isAllowedIn(query.workspace->homeRegions, region));
+}
+
+bool Proxy::hasRoom(BackendServer &backend, const PlacementQuery &query, Time now) const
+{
     if (query.service->coldRate > 0 && backend.isCold(now)
         && backend.starts.count(now) >= this->coldAllotmentOf(backend, *query.service, now)) {
         return false;
@@ -250,7 +252,8 @@
     for (const BackendServerPtr &backend : backends) {
         dispatch::Candidate candidate = this->describe(*backend, query, now);
         const bool isTried = std::find(query.tried->begin(), query.tried->end(), backend) != query.tried->end();
-        candidate.isUsable = !isTried && this->isUsable(*backend, query, now);
+        candidate.isSource = !isTried && this->isEligible(*backend, query, now);
+        candidate.isUsable = candidate.isSource && this->hasRoom(*backend, query, now);
         placed.usable += candidate.isUsable ? 1 : 0;
         placed.meanQueue += candidate.isUsable ? candidate.queueElsewhere : Duration(0);
         candidates.push_back(candidate);
@@ -265,6 +268,7 @@
     if (const auto placement = dispatch::place(request, candidates)) {
         placed.backend = backends[placement->index];
         placed.prediction = *placement;
+        placed.source = placement->fetchFrom ? backends[*placement->fetchFrom] : nullptr;
     }
     return placed;
 }
--- a/src/process/proxy/proxy.h
+++ b/src/process/proxy/proxy.h
@@ -39,6 +39,7 @@
 /** @brief A backend server for a request, with the prediction that chose it. */
 struct PlacedBackend {
     directory::BackendServerPtr backend; ///< Null when none is usable.
+    directory::BackendServerPtr source; ///< It should copy the shared prefix from there; null for none.
     dispatch::Placement prediction;
     std::size_t candidates = 0; ///< Backend servers of the service.
     std::size_t usable = 0;
@@ -146,7 +147,10 @@
 
 private:
     dispatch::Candidate describe(directory::BackendServer &backend, const PlacementQuery &query, Time now) const;
-    bool isUsable(directory::BackendServer &backend, const PlacementQuery &query, Time now) const;
+    /** @returns whether it is there, in use, and in a region that may see the request. */
+    bool isEligible(directory::BackendServer &backend, const PlacementQuery &query, Time now) const;
+    /** @returns whether its bounds also leave room for the request. */
+    bool hasRoom(directory::BackendServer &backend, const PlacementQuery &query, Time now) const;
     /** @returns how many requests this daemon may start at a cold backend server within a window. */
     std::uint32_t coldAllotmentOf(const directory::BackendServer &backend, const version::Service &service, Time now) const;
     /** @returns the first end of a time for which a backend server wants no requests; nothing when none is closed so. */
--- a/src/process/proxy_dialect.h
+++ b/src/process/proxy_dialect.h
@@ -19,6 +19,7 @@
     std::string expectedInstance; ///< Any other instance refuses.
     std::string workspace; ///< Empty when the route needs no key.
     Duration timeLeft {0}; ///< The backend server stops work after this.
+    std::string fetchFrom; ///< IP:PORT of a backend server that keeps the shared prefix; empty for none.
     std::optional<std::uint64_t> resumeAfter; ///< Last event that the caller has.
 
     bool operator==(const BackendCall &) const = default;
