Every request with a long prefix names a home to copy it from

Cause: whether an engine keeps a prefix was taken from what this daemon sent there, but the engine's memory is shared by the requests of all daemons, and parts were read again where they were believed to be kept.

--- a/src/process/dispatch/placement.cpp
+++ b/src/process/dispatch/placement.cpp
@@ -150,19 +150,18 @@
     return best;
 }
 
-/** Where the chosen backend server should copy the shared prefix from; nothing when it probably keeps it, or reading is as fast. */
+/**
+ * Where the chosen backend server should copy the shared prefix from; nothing when reading is as fast.
+ * What it keeps itself is not copied, and whether it keeps the prefix is not known for sure: its memory is shared by all daemons' requests.
+ */
 std::optional<std::size_t> sourceFor(const PlacementRequest &request, std::span<const Candidate> candidates, const Homes &homes,
                                      std::size_t chosen)
 {
-    if (prefillTime(request.sharedTokens) < fetchOverhead || candidates[chosen].cachedTokens >= request.sharedTokens) {
+    if (prefillTime(request.sharedTokens) < fetchOverhead) {
         return std::nullopt;
     }
     for (std::size_t rank = 0; rank < homes.size(); ++rank) {
-        const std::size_t index = homes.at(rank);
-        if (index == chosen) {
-            return std::nullopt; // No higher home could be a source: this one is the likeliest to keep the prefix.
-        }
-        if (candidates[index].isSource) {
+        if (const std::size_t index = homes.at(rank); index != chosen && candidates[index].isSource) {
             return index;
         }
     }
--- a/src/process/dispatch/placement.h
+++ b/src/process/dispatch/placement.h
@@ -73,8 +73,8 @@
  * a sample that differs from request to request is considered: daemons with
  * the same old loads would otherwise all meet at the same backend server.
  *
- * A backend server that probably lacks a long prefix is told where to copy it
- * from. The choice counts on no copy: requests that left the homes because
+ * The backend server is told where to copy a long prefix from, should it lack
+ * it. The choice counts on no copy: requests that left the homes because
  * copies are cheap would leave nothing there to copy.
  *
  * @remarks Load pattern: prefixes hotter than what one engine can serve, under more load than the engines can read again and again.
