Beyond a workspace's share, small requests are taken before large ones

Cause: workspaces over their share were refused from a mean queue of the engines that grew with the latency target.

Within its share nothing changes.

Tests: replays of overload in test_overload.cpp; homes and copies in test_dispatch.cpp and test_platform.cpp.

--- a/src/process/proxy/admission.cpp
+++ b/src/process/proxy/admission.cpp
@@ -1,6 +1,7 @@
 #include "process/proxy/admission.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace eelgrassnotch::process::proxy
 {
@@ -26,14 +27,22 @@
 /** Between these multiples of its fair share, a workspace's part goes from the first to the second. */
 constexpr double shareUnbound = 0.8;
 constexpr double shareBound = 1.1;
+/** Bounds on the factor by which a request's cost changes the limit of a workspace over its share. */
+constexpr double leastCostFactor = 0.5;
+constexpr double mostCostFactor = 3.0;
 /** Shortest time after which a refused caller is asked back. */
 constexpr Duration shortestReturn = 150ms;
 constexpr std::uint64_t spreadSteps = 1024;
 
+/** How far a workspace is beyond its share, from 0 to 1. */
+double excessOf(double shareUsed)
+{
+    return std::clamp((shareUsed - shareUnbound) / (shareBound - shareUnbound), 0.0, 1.0);
+}
+
 double partAt(double shareUsed, double within, double over)
 {
-    const double excess = std::clamp((shareUsed - shareUnbound) / (shareBound - shareUnbound), 0.0, 1.0);
-    return within + (over - within) * excess;
+    return within + (over - within) * excessOf(shareUsed);
 }
 
 /** Longest queue of this kind for a workspace that uses these multiples of its shares. */
@@ -44,6 +53,16 @@
     return Duration(static_cast<std::int64_t>(static_cast<double>(latencyTarget.count()) * part));
 }
 
+/** Longest mean queue of the engines at which a request is still sent. */
+Duration longestFleetQueue(const AdmissionInput &input)
+{
+    const Duration limit = promptsUnderWay + longestQueue(fleetQueueParts, input.shareUsed, input.latencyTarget);
+    const double excess = excessOf(std::max(input.shareUsed.ofServed, input.shareUsed.ofGuaranteed));
+    const double byCost = std::clamp(1.0 / std::sqrt(input.relativeCost), leastCostFactor, mostCostFactor);
+    const double factor = input.isBehind ? mostCostFactor : byCost;
+    return Duration(std::llround(static_cast<double>(limit.count()) * (1.0 + (factor - 1.0) * excess)));
+}
+
 }
 
 AdmissionDecision decideAdmission(const AdmissionInput &input)
@@ -53,7 +72,7 @@
     }
     const Duration ownUnderWay = std::min(input.ownUnread, promptsUnderWay);
     const Duration beyondBest = input.queueDelay - ownUnderWay - longestQueue(bestQueueParts, input.shareUsed, input.latencyTarget);
-    const Duration beyondFleet = input.fleetQueue - promptsUnderWay - longestQueue(fleetQueueParts, input.shareUsed, input.latencyTarget);
+    const Duration beyondFleet = input.fleetQueue - longestFleetQueue(input);
     const Duration beyond = std::max(beyondBest, beyondFleet);
     if (beyond <= Duration(0)) {
         return {};
--- a/src/process/proxy/admission.h
+++ b/src/process/proxy/admission.h
@@ -18,6 +18,8 @@
     Duration fleetQueue {0}; ///< Mean time in which the engines read what all daemons have sent them.
     Duration latencyTarget {0};
     dispatch::ShareUsed shareUsed; ///< What its workspace gets in the fleet.
+    double relativeCost = 1; ///< Its cost as a multiple of the mean request's.
+    bool isBehind = false; ///< Requests of its kind and size are taken much less often than others.
     bool isRepeat = false; ///< It has been sent before.
 
     bool operator==(const AdmissionInput &) const = default;
@@ -34,9 +36,12 @@
 /**
  * @brief Compares the predicted queue with a part of the latency target.
  *
- * The limit is on the queue, not on the request's own prompt, so that long
- * prompts are turned away no more often than short ones. Workspaces over
- * their share are turned away from a shorter queue on.
+ * The limit is on the queue, not on the request's own prompt, so that within
+ * a workspace's share long prompts are turned away no more often than short
+ * ones. Workspaces over their share are turned away from a shorter queue of
+ * the engines on. What they get beyond it goes to more callers when small
+ * requests are taken first: their limit is longer, and that of large ones
+ * shorter, unless that kind and size has fallen behind.
  *
  * @remarks Load pattern: more prompt tokens arrive than the engines can read; without a limit all answers come late.
  */
--- a/src/process/proxy/forwarding.cpp
+++ b/src/process/proxy/forwarding.cpp
@@ -130,6 +130,7 @@
     }
     if (this->isEngine()) {
         this->proxy.shares().noteAsked(this->workspaceHandle(), this->cost(), now);
+        this->proxy.costs().noteAsked(this->route->name, this->cost(), now);
     }
     this->session->watchCaller([weak = this->weak_from_this()] {
         if (const auto self = weak.lock()) {
@@ -278,6 +279,8 @@
     input.fleetQueue = placed.meanQueue;
     input.latencyTarget = this->route->latencyTarget;
     input.shareUsed = this->proxy.shares().shareUsed(this->workspaceHandle(), now);
+    input.relativeCost = this->proxy.costs().relativeCost(this->cost(), now);
+    input.isBehind = this->proxy.costs().isBehind(this->route->name, this->cost(), now);
     input.isRepeat = this->sends > 0;
     const AdmissionDecision decision = decideAdmission(input);
     if (!decision.isAdmitted) {
@@ -296,6 +299,7 @@
         this->proxy.countRequest(this->service->name, now);
         if (this->isEngine()) {
             this->proxy.shares().noteServed(this->workspaceHandle(), this->cost(), now);
+            this->proxy.costs().noteTaken(this->route->name, this->cost(), now);
         }
     }
     ++this->sends;
--- a/src/process/proxy/proxy.cpp
+++ b/src/process/proxy/proxy.cpp
@@ -329,6 +329,7 @@
     this->daemonRoll.noteHeard(others ? others->daemons + 1 : 1, now);
     const exchange::LoadSummary known = others.value_or(exchange::LoadSummary());
     this->fairShare.update(known.workspaces, routes ? routes->tokensPerSecond() : 0, now);
+    this->requestCosts.forgetUnused(now);
     this->adaptShedding(others, now);
     std::map<std::uint32_t, exchange::BackendLoad> elsewhere;
     for (const exchange::BackendLoad &load : known.backends) {
--- a/src/process/proxy/proxy.h
+++ b/src/process/proxy/proxy.h
@@ -8,6 +8,7 @@
 #include "process/dispatch/fair_share.h"
 #include "process/dispatch/load_shedding.h"
 #include "process/dispatch/placement.h"
+#include "process/dispatch/request_costs.h"
 #include "process/dispatch/retry_allowance.h"
 #include "process/edge_settings.h"
 #include "process/proxy/backend_pool.h"
@@ -124,6 +125,10 @@
     {
         return this->fairShare;
     }
+    dispatch::RequestCosts &costs()
+    {
+        return this->requestCosts;
+    }
     BackendPool &pool()
     {
         return this->backendPool;
@@ -166,6 +171,7 @@
     Published<version::RouteTablePtr> table;
     directory::BackendDirectory directory;
     dispatch::FairShare fairShare;
+    dispatch::RequestCosts requestCosts;
     dispatch::LoadShedding shedding;
     BackendPool backendPool;
     std::map<std::string, dispatch::RetryAllowance> allowances;
--- a/tests/proxy/test_dispatch.cpp
+++ b/tests/proxy/test_dispatch.cpp
@@ -6,6 +6,7 @@
 #include "process/dispatch/prefix_memory.h"
 #include "process/dispatch/retry_allowance.h"
 #include "process/proxy/admission.h"
+#include "process/rendezvous.h"
 
 #include <doctest/doctest.h>
 
@@ -191,6 +192,63 @@
     CHECK_FALSE(dispatch::place({2368, 90, 3, 4700}, candidates));
 }
 
+namespace
+{
+
+/** Engines that are alike, with a queue at one of them. */
+std::vector<dispatch::Candidate> makeEngines(std::size_t count)
+{
+    std::vector<dispatch::Candidate> candidates(count);
+    for (std::size_t index = 0; index < count; ++index) {
+        candidates[index].backend = hashName("engine-" + std::to_string(index));
+    }
+    return candidates;
+}
+
+/** A request of 12000 tokens, 5400 of them shared. */
+dispatch::PlacementRequest longRequest(std::uint64_t session, std::uint64_t draw)
+{
+    return {12000, 5400, session, 12000, draw};
+}
+
+}
+
+TEST_CASE("what does not fit at a session's home goes to the same few engines, whoever sends it")
+{
+    // Pattern: a hot prefix asks for more than one engine can read; 100 engines, each request drawn differently.
+    auto candidates = makeEngines(100);
+    const std::size_t home = dispatch::place(longRequest(77, 1), candidates)->index;
+    candidates[home].queueDelay = 400ms;
+    std::map<std::size_t, int> chosen;
+    for (std::uint64_t draw = 0; draw < 200; ++draw) {
+        ++chosen[dispatch::place(longRequest(77, mixBits(draw)), candidates)->index];
+    }
+    CHECK(chosen.size() == 1);
+    CHECK_FALSE(chosen.contains(home));
+}
+
+TEST_CASE("a long prefix is copied from a home that may be asked, and never from the engine itself")
+{
+    auto candidates = makeEngines(20);
+    const auto first = dispatch::place(longRequest(77, 1), candidates);
+    REQUIRE(first->fetchFrom);
+    CHECK(first->isHome);
+    CHECK(*first->fetchFrom != first->index);
+    // Away from the home, the home is the source.
+    candidates[first->index].isUsable = false;
+    const auto second = dispatch::place(longRequest(77, 1), candidates);
+    REQUIRE(second->fetchFrom);
+    CHECK(*second->fetchFrom == first->index);
+    // A home that is leaving or out of reach is no source.
+    candidates[first->index].isSource = false;
+    const auto third = dispatch::place(longRequest(77, 1), candidates);
+    REQUIRE(third->fetchFrom);
+    CHECK(*third->fetchFrom != first->index);
+    CHECK(*third->fetchFrom != third->index);
+    // A prefix that is read as fast as it is copied is not.
+    CHECK_FALSE(dispatch::place({800, 200, 77, 800, 1}, candidates)->fetchFrom);
+}
+
 TEST_CASE("admission looks at the queue and not at the request's size")
 {
     proxy::AdmissionInput input;
--- /dev/null
+++ b/tests/proxy/test_overload.cpp
@@ -0,0 +1,210 @@
+/** @file Replays of overload against the admission decision, with a model of engines that read prompts in order of arrival. */
+
+#include "process/dispatch/request_costs.h"
+#include "process/proxy/admission.h"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <cmath>
+#include <numeric>
+#include <random>
+#include <string>
+#include <vector>
+
+using namespace eelgrassnotch;
+using namespace eelgrassnotch::process;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+constexpr double tokensPerMs = 80;
+constexpr std::size_t engineCount = 8;
+/** Time of a prompt on its way to an engine and of its first event back. */
+constexpr Duration underWay = 55ms;
+
+struct Arrival {
+    Time at {0};
+    double tokens = 0;
+    Duration latencyTarget {0};
+    double kindTokens = 0; ///< Mean of its kind.
+};
+
+struct Outcome {
+    std::vector<Arrival> served; ///< Within their target.
+    std::size_t late = 0;
+
+    std::size_t servedOf(double kindTokens) const
+    {
+        return static_cast<std::size_t>(std::count_if(this->served.begin(), this->served.end(),
+                                                      [kindTokens](const Arrival &arrival) { return arrival.kindTokens == kindTokens; }));
+    }
+};
+
+/** Requests of a given mean size whose sizes spread as those of conversations do, asked at a constant rate. */
+void addKind(std::vector<Arrival> &arrivals, double meanTokens, double spread, Duration latencyTarget, double perSecond, unsigned seed)
+{
+    constexpr Duration length = 20s;
+    std::mt19937 random(seed);
+    std::lognormal_distribution<double> sizes(std::log(meanTokens) - spread * spread / 2, spread);
+    std::exponential_distribution<double> pauses(perSecond);
+    double seconds = pauses(random);
+    while (seconds < std::chrono::duration<double>(length).count()) {
+        const double size = std::min(sizes(random), 8 * meanTokens);
+        arrivals.push_back({std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds)), size, latencyTarget, meanTokens});
+        seconds += pauses(random);
+    }
+}
+
+/** Engines' queues as all daemons together see them. */
+class Engines
+{
+public:
+    std::size_t leastLoaded() const
+    {
+        return static_cast<std::size_t>(std::min_element(this->freeAt.begin(), this->freeAt.end()) - this->freeAt.begin());
+    }
+    Duration queueOf(std::size_t engine, Time now) const
+    {
+        return std::max(this->freeAt[engine] - now, Duration(0));
+    }
+    /** Prompts that were sent and whose first event has not come, per engine, as reading time. */
+    Duration meanQueue(Time now)
+    {
+        std::erase_if(this->unread, [now](const Unread &prompt) { return prompt.firstEvent <= now; });
+        const auto sum = std::accumulate(this->unread.begin(), this->unread.end(), Duration(0),
+                                         [](Duration total, const Unread &prompt) { return total + prompt.reading; });
+        return sum / static_cast<std::int64_t>(engineCount);
+    }
+    /** @returns the time of the first event. */
+    Time send(std::size_t engine, double tokens, Time now)
+    {
+        const auto reading = std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::milli>(tokens / tokensPerMs));
+        this->freeAt[engine] = std::max(this->freeAt[engine], now) + reading;
+        this->unread.push_back({reading, this->freeAt[engine] + underWay});
+        return this->freeAt[engine] + underWay;
+    }
+
+private:
+    struct Unread {
+        Duration reading {0};
+        Time firstEvent {0};
+    };
+    std::vector<Time> freeAt = std::vector<Time>(engineCount);
+    std::vector<Unread> unread;
+};
+
+Outcome replay(std::vector<Arrival> arrivals, bool knowsCost)
+{
+    std::sort(arrivals.begin(), arrivals.end(), [](const Arrival &left, const Arrival &right) { return left.at < right.at; });
+    dispatch::RequestCosts costs;
+    Engines engines;
+    Outcome outcome;
+    for (const Arrival &arrival : arrivals) {
+        const std::size_t engine = engines.leastLoaded();
+        proxy::AdmissionInput input;
+        input.queueDelay = engines.queueOf(engine, arrival.at);
+        input.fleetQueue = engines.meanQueue(arrival.at);
+        input.latencyTarget = arrival.latencyTarget;
+        input.shareUsed = {1.5, 3.0};
+        const std::string route = std::to_string(arrival.kindTokens);
+        costs.noteAsked(route, arrival.tokens, arrival.at);
+        if (knowsCost) {
+            input.relativeCost = costs.relativeCost(arrival.tokens, arrival.at);
+            input.isBehind = costs.isBehind(route, arrival.tokens, arrival.at);
+        }
+        if (!proxy::decideAdmission(input).isAdmitted) {
+            continue;
+        }
+        costs.noteTaken(route, arrival.tokens, arrival.at);
+        if (engines.send(engine, arrival.tokens, arrival.at) - arrival.at <= arrival.latencyTarget) {
+            outcome.served.push_back(arrival);
+        } else {
+            ++outcome.late;
+        }
+    }
+    return outcome;
+}
+
+/** Consultations, chats and short tasks that ask for this many times what the engines can read. */
+std::vector<Arrival> mixedLoad(double load, unsigned seed)
+{
+    constexpr double meanCost = (0.25 * 6600 + 0.35 * 630 + 0.4 * 1800);
+    const double perSecond = load * engineCount * tokensPerMs * 1000 / meanCost;
+    std::vector<Arrival> arrivals;
+    addKind(arrivals, 6600, 1.4, 800ms, 0.25 * perSecond, seed);
+    addKind(arrivals, 630, 1.0, 400ms, 0.35 * perSecond, seed + 1);
+    addKind(arrivals, 1800, 1.3, 500ms, 0.4 * perSecond, seed + 2);
+    return arrivals;
+}
+
+}
+
+TEST_CASE("beyond a workspace's share, overloaded engines serve more callers when small requests are taken first")
+{
+    for (const double load : {1.5, 2.0, 4.0}) {
+        for (const unsigned seed : {1u, 11u, 21u}) {
+            const Outcome blind = replay(mixedLoad(load, seed), false);
+            const Outcome informed = replay(mixedLoad(load, seed), true);
+            CAPTURE(load);
+            CAPTURE(seed);
+            CHECK(informed.served.size() > blind.served.size());
+        }
+    }
+}
+
+TEST_CASE("the largest tenth of a kind is served at least half as often as the kind")
+{
+    constexpr double load = 1.5;
+    for (const unsigned seed : {1u, 11u, 21u}) {
+        std::vector<Arrival> arrivals;
+        addKind(arrivals, 6600, 0.7, 2s, load * engineCount * tokensPerMs * 1000 / 6600, seed);
+        std::vector<double> sizes;
+        for (const Arrival &arrival : arrivals) {
+            sizes.push_back(arrival.tokens);
+        }
+        const auto tenth = sizes.begin() + static_cast<std::ptrdiff_t>(sizes.size() * 9 / 10);
+        std::nth_element(sizes.begin(), tenth, sizes.end());
+        const Outcome outcome = replay(arrivals, true);
+        const auto isLargest = [bound = *tenth](const Arrival &arrival) { return arrival.tokens >= bound; };
+        const auto largest = static_cast<double>(std::count_if(outcome.served.begin(), outcome.served.end(), isLargest));
+        const double ofKind = static_cast<double>(outcome.served.size()) / static_cast<double>(sizes.size());
+        CAPTURE(seed);
+        CAPTURE(ofKind);
+        CHECK(largest / (static_cast<double>(sizes.size()) / 10) >= 0.5 * ofKind);
+    }
+}
+
+TEST_CASE("an expensive kind is served at least a quarter as often as all requests beside a flood of a cheap one")
+{
+    constexpr double expensive = 6600;
+    constexpr double cheap = 630;
+    const double capacity = engineCount * tokensPerMs * 1000;
+    for (const unsigned seed : {1u, 11u, 21u}) {
+        std::vector<Arrival> arrivals;
+        addKind(arrivals, expensive, 1.0, 800ms, 0.3 * capacity / expensive, seed);
+        addKind(arrivals, cheap, 1.0, 400ms, 2.0 * capacity / cheap, seed + 1);
+        const auto asked = static_cast<double>(
+            std::count_if(arrivals.begin(), arrivals.end(), [](const Arrival &arrival) { return arrival.kindTokens == expensive; }));
+        const Outcome outcome = replay(arrivals, true);
+        const double servedPart = static_cast<double>(outcome.served.size()) / static_cast<double>(arrivals.size());
+        CAPTURE(seed);
+        CAPTURE(servedPart);
+        CHECK(static_cast<double>(outcome.servedOf(expensive)) / asked >= 0.25 * servedPart);
+    }
+}
+
+TEST_CASE("cost changes nothing within a workspace's share")
+{
+    for (const Duration queue : {50ms, 150ms, 290ms, 310ms, 400ms}) {
+        proxy::AdmissionInput input;
+        input.latencyTarget = 400ms;
+        input.fleetQueue = queue;
+        const auto decision = proxy::decideAdmission(input);
+        for (const double relativeCost : {0.01, 0.5, 4.0, 100.0}) {
+            input.relativeCost = relativeCost;
+            CHECK(proxy::decideAdmission(input) == decision);
+        }
+    }
+}
--- a/tests/proxy/test_platform.cpp
+++ b/tests/proxy/test_platform.cpp
@@ -96,3 +96,15 @@
     CHECK_THROWS_WITH_AS(platform::readSettings("/nowhere/settings.json"), "settings file /nowhere/settings.json can't be opened",
                          std::runtime_error);
 }
+
+TEST_CASE("only the daemon names a source to copy prompt parts from")
+{
+    const platform::Dialect dialect;
+    connection::http::Request request(boost::beast::http::verb::post, "/x", 11);
+    request.set("Kv-Fetch", "10.0.0.66:80");
+    process::BackendCall call;
+    call.expectedInstance = "i-1";
+    CHECK(dialect.toBackend(request, call).count("Kv-Fetch") == 0);
+    call.fetchFrom = "10.0.0.9:8080";
+    CHECK(dialect.toBackend(request, call)["Kv-Fetch"] == "10.0.0.9:8080");
+}
