A shorter mean queue for workspaces over their share

Cause: a queue that only workspaces over their share fill makes those within theirs late, and engines read prompts again whose parts were displaced.

Proxy tests 106 of 106.

--- a/src/process/proxy/admission.cpp
+++ b/src/process/proxy/admission.cpp
@@ -21,7 +21,7 @@
 /** The queue at the best backend server. */
 constexpr QueueParts bestQueueParts {0.65, 0.15, 0.05};
 /** The mean queue of all engines, beyond what is on its way to and from engines that keep up. */
-constexpr QueueParts fleetQueueParts {0.65, 0.15, 0.05};
+constexpr QueueParts fleetQueueParts {0.65, 0.08, 0.0};
 /** Prompts count as unread for the time to a first event also where nothing waits: that time at six tenths of the engines' throughput. */
 constexpr Duration promptsUnderWay = 45ms;
 /** Between these multiples of its fair share, a workspace's part goes from the first to the second. */
