--- a/tests/proxy/test_overload.cpp
+++ b/tests/proxy/test_overload.cpp
@@ -161,6 +161,7 @@
         std::vector<Arrival> arrivals;
         addKind(arrivals, 6600, 0.7, 2s, load * engineCount * tokensPerMs * 1000 / 6600, seed);
         std::vector<double> sizes;
+        sizes.reserve(arrivals.size());
         for (const Arrival &arrival : arrivals) {
             sizes.push_back(arrival.tokens);
         }
