--- a/src/process/proxy/forwarding.cpp
+++ b/src/process/proxy/forwarding.cpp
@@ -286,7 +286,8 @@
     if (!decision.isAdmitted) {
         const std::string detail = "queue_ms " + milliseconds(input.queueDelay) + " fleet_queue_ms " + milliseconds(input.fleetQueue)
             + " share_of_served " + std::to_string(input.shareUsed.ofServed) + " share_of_guaranteed "
-            + std::to_string(input.shareUsed.ofGuaranteed);
+            + std::to_string(input.shareUsed.ofGuaranteed) + " relative_cost " + std::to_string(input.relativeCost) + " behind "
+            + (input.isBehind ? "true" : "false");
         this->refuse(RefusalReason::Overloaded, spreadReturn(decision.comeBackAfter, hashName(this->attributes.id)), detail);
     }
     return decision.isAdmitted;
