Tests: ports of a daemon under test are never handed out again

A free port was asked for, closed, and bound again by the daemon later; in between it could be given to an outgoing connection or to the next call. The daemon's constructor then threw, and the destructor of the test world used a daemon that wasn't there.

Ruled out: a fault of the daemon. It logged its stop in the case before, and "started" is its first line. A case whose readiness port is held by another socket gave the same output, a crash at the first line of the case.

Before: that case crashed, each time. After: it fails with the exception's text; ports are taken below the kernel's own range, for TCP and UDP, each once in a process.

Conclusion: the test world was at fault; a taken port now says so.

--- a/tests/proxy/daemon_world.h
+++ b/tests/proxy/daemon_world.h
@@ -119,8 +119,10 @@
 
     ~DaemonWorld()
     {
-        this->daemon->requestStop();
-        this->thread.join();
+        if (this->thread.joinable()) {
+            this->daemon->requestStop();
+            this->thread.join();
+        }
     }
 
     void addBackend(const std::string &id, const RawServer &server, const std::string &state = "ready", const std::string &dataCentre = "a",
--- a/tests/standin/raw_server.cpp
+++ b/tests/standin/raw_server.cpp
@@ -1,10 +1,12 @@
 #include "standin/raw_server.h"
 
+#include <boost/asio/ip/udp.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/read.hpp>
 
 #include <sys/socket.h>
+#include <unistd.h>
 
 namespace standin
 {
@@ -103,10 +105,36 @@
     socket.close(ignored);
 }
 
-std::uint16_t findFreePort()
+namespace
+{
+
+/** Below the ports that the kernel gives to outgoing connections and to listeners that ask for any. */
+constexpr std::uint16_t firstPort = 12000;
+constexpr std::uint16_t portCount = 18000;
+/** Test programs that run side by side begin far from each other. */
+constexpr std::uint16_t portsPerProcess = 600;
+
+template <class Protocol>
+bool isFree(std::uint16_t port)
 {
     boost::asio::io_context context;
-    return tcp::acceptor(context, tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), 0)).local_endpoint().port();
+    typename Protocol::socket socket(context, Protocol::v4());
+    boost::system::error_code error;
+    socket.bind({boost::asio::ip::make_address("127.0.0.1"), port}, error);
+    return !error;
+}
+
+}
+
+std::uint16_t findFreePort()
+{
+    static std::atomic<std::uint32_t> next {static_cast<std::uint32_t>(::getpid()) * portsPerProcess};
+    while (true) {
+        const auto port = static_cast<std::uint16_t>(firstPort + next++ % portCount);
+        if (isFree<tcp>(port) && isFree<boost::asio::ip::udp>(port)) {
+            return port;
+        }
+    }
 }
 
 }
--- a/tests/standin/raw_server.h
+++ b/tests/standin/raw_server.h
@@ -60,7 +60,7 @@
 void sendBytes(Socket &socket, const std::string &bytes);
 /** @brief Closes with a reset. */
 void sendReset(Socket &socket);
-/** @returns a port of loopback that was free a moment ago. */
+/** @returns a port of loopback that is free for TCP and UDP, that no other call got, and that no outgoing connection will take. */
 std::uint16_t findFreePort();
 
 }
