Events of a stream are searched for in new bytes alone

Cause: the splitter looked through all it held for the end of an event each time bytes came. An event that grew to its limit of 256 KB in parts of 3 bytes was given up after the caller's 8 s, with the thread busy all that time, so other callers waited too.

Ruled out: the bounds on answers, which that case doesn't reach before.

Before: the endless event in small chunks ended with 504 at the time limit. After: 502, in 3.1 s of a test that takes 3.0 s to stop its daemon.

--- a/src/request/event_splitter.cpp
+++ b/src/request/event_splitter.cpp
@@ -27,12 +27,14 @@
 {
     this->buffer.erase(0, this->taken);
     this->taken = 0;
+    // What was held has no end of an event; an end may begin in its last byte.
+    const std::size_t searchFrom = this->buffer.empty() ? 0 : this->buffer.size() - 1;
     this->buffer += bytes;
-    const std::size_t end = this->buffer.rfind(eventEnd);
-    if (end == std::string::npos) {
+    const std::size_t end = std::string_view(this->buffer).substr(searchFrom).rfind(eventEnd);
+    if (end == std::string_view::npos) {
         return {};
     }
-    this->taken = end + eventEnd.size();
+    this->taken = searchFrom + end + eventEnd.size();
     const std::string_view whole = std::string_view(this->buffer).substr(0, this->taken);
     this->noteIds(whole);
     return whole;
