Answers without end are given up, and answers together have a bound

Cause: the HTTP client read informational answers, chunk extensions, trailers and the bodies of unwanted answers without a bound, and each whole answer could hold 8 MiB in a process of 88 MB. A call to the store or another daemon had no bound either.

Ruled out: status lines, headers, bodies without length and events without end were given up before.

--- a/src/connection/http/call_client.cpp
+++ b/src/connection/http/call_client.cpp
@@ -31,7 +31,14 @@
         result->status = header.result_int();
         return true;
     };
-    exchange.onBody = [result](std::string_view part) { result->body += part; };
+    exchange.onBody = [this, result, onDone](std::string_view part) {
+        result->body += part;
+        if (result->body.size() > maxCallAnswerBytes) {
+            const OnDone done = onDone; // Cancelling destroys this hook.
+            this->cancel();
+            done({0, "", "answer is too large"});
+        }
+    };
     exchange.onEnd = [this, number, result, onDone](const ExchangeEnd &end) {
         if (number != this->callNumber) {
             return;
--- a/src/connection/http/client_connection.cpp
+++ b/src/connection/http/client_connection.cpp
@@ -14,9 +14,6 @@
 namespace
 {
 
-/** Answers to other requests that are read past before the connection is given up. */
-constexpr std::uint32_t maxDroppedAnswers = 3;
-
 bool isHttpError(const boost::system::error_code &error)
 {
     return error.category() == beast::http::make_error_code(beast::http::error::end_of_stream).category()
@@ -29,6 +26,7 @@
     : server(std::move(serverEndpoint))
     , socket(executor)
     , connectTimer(executor)
+    , buffer(maxUnparsedBytes)
 {
 }
 
@@ -41,7 +39,9 @@
     this->onIdleClosed = nullptr;
     this->isBusy = true;
     this->isWritten = false;
+    this->informationalAnswers = 0;
     this->droppedAnswers = 0;
+    this->droppedBytes = 0;
     if (this->isOpen) {
         boost::system::error_code ignored; // Cancelling the idle watch can't fail on an open socket.
         this->socket.cancel(ignored);
@@ -114,6 +114,10 @@
     }
     const AnswerHeader &header = this->parser->get().base();
     if (header.result_int() < 200) {
+        if (++this->informationalAnswers > maxInformationalAnswers) {
+            this->end(EndKind::Malformed, "too many informational answers");
+            return;
+        }
         this->readHeader();
         return;
     }
@@ -166,6 +170,10 @@
         this->end(isHttpError(error) ? EndKind::Malformed : EndKind::BrokenOff, error.message());
         return;
     }
+    if (!this->isWanted && (this->droppedBytes += size) > maxDroppedBytes) {
+        this->end(EndKind::Malformed, "answers to other requests are too large");
+        return;
+    }
     if (this->parser->is_done()) {
         this->finishAnswer();
         return;
--- a/src/connection/http/client_connection.h
+++ b/src/connection/http/client_connection.h
@@ -27,7 +27,7 @@
     ConnectFailed, ///< No connection, so nothing was sent.
     Lost, ///< The connection ended before an answer began.
     BrokenOff, ///< The connection ended inside the answer.
-    Malformed, ///< The bytes are not HTTP.
+    Malformed, ///< The bytes are not HTTP, or more than an answer may have.
 };
 
 /** @brief End of an exchange, with a text for the log. */
@@ -92,7 +92,9 @@
     std::function<void()> onIdleClosed;
     std::uint64_t generation = 0; ///< Handlers of an earlier exchange or watch see another number and do nothing.
     std::uint64_t exchanges = 0;
+    std::uint32_t informationalAnswers = 0;
     std::uint32_t droppedAnswers = 0;
+    std::size_t droppedBytes = 0;
     bool isOpen = false;
     bool isBusy = false;
     bool isWritten = false;
--- a/src/connection/http/limits.h
+++ b/src/connection/http/limits.h
@@ -4,6 +4,7 @@
 
 #include <chrono>
 #include <cstddef>
+#include <cstdint>
 
 namespace eelgrassnotch::connection::http
 {
@@ -16,6 +17,15 @@
 constexpr std::size_t requestBufferBytes = 24u << 10;
 /** Largest header of an answer, in bytes. */
 constexpr std::size_t maxAnswerHeaderBytes = 64u << 10;
+/** Bytes of an answer that are read ahead of its parser: a line, a header or a chunk's extensions may be no longer. */
+constexpr std::size_t maxUnparsedBytes = maxAnswerHeaderBytes + readChunkBytes;
+/** Informational answers (1xx) before an answer, and answers to other requests, that are read past before the connection is given up. */
+constexpr std::uint32_t maxInformationalAnswers = 16;
+constexpr std::uint32_t maxDroppedAnswers = 3;
+/** Bytes of answers to other requests that are read past for one request. */
+constexpr std::size_t maxDroppedBytes = 256u << 10;
+/** Largest answer of the store or of another daemon, in bytes: some thousands of entries. */
+constexpr std::size_t maxCallAnswerBytes = 16u << 20;
 /** Bytes queued for a caller that does not read, before its answer is broken off. */
 constexpr std::size_t maxQueuedAnswerBytes = 1u << 20;
 /** Bytes of a next request that a caller may send while its present one is served. */
--- a/src/process/proxy/backend_send.cpp
+++ b/src/process/proxy/backend_send.cpp
@@ -5,11 +5,12 @@
 namespace eelgrassnotch::process::proxy
 {
 
-BackendSend::BackendSend(BackendPool &backendPool, directory::BackendServerPtr target, const dispatch::Placement &placement,
-                         const request::Prompt &prompt, Duration longestIdle, Time now)
+BackendSend::BackendSend(BackendPool &backendPool, AnswerMemory &answerMemory, directory::BackendServerPtr target,
+                         const dispatch::Placement &placement, const request::Prompt &prompt, Duration longestIdle, Time now)
     : backend(std::move(target))
     , prediction(placement)
     , at(now)
+    , held(answerMemory)
     , pool(backendPool)
 {
     ++this->backend->inFlight;
--- a/src/process/proxy/backend_send.h
+++ b/src/process/proxy/backend_send.h
@@ -4,6 +4,7 @@
 
 #include "connection/http/client_connection.h"
 #include "process/dispatch/placement.h"
+#include "process/proxy/answer_memory.h"
 #include "process/proxy/backend_pool.h"
 #include "request/attributes.h"
 
@@ -21,8 +22,8 @@
 {
 public:
     /** @param longestIdle A connection that was idle for longer is not used. */
-    BackendSend(BackendPool &backendPool, directory::BackendServerPtr target, const dispatch::Placement &placement,
-                const request::Prompt &prompt, Duration longestIdle, Time now);
+    BackendSend(BackendPool &backendPool, AnswerMemory &answerMemory, directory::BackendServerPtr target,
+                const dispatch::Placement &placement, const request::Prompt &prompt, Duration longestIdle, Time now);
 
     /** @brief Takes the header of the answer, with what it tells of the backend server. */
     void noteHeader(const connection::http::AnswerHeader &answerHeader, const request::AnswerAttributes &attributes, Time now);
@@ -38,6 +39,7 @@
     connection::http::AnswerHeader header;
     request::AnswerAttributes answer;
     std::string body;
+    AnswerMemory::Part held; ///< Size of the body.
     bool hasAnswered = false; ///< The header of the answer is here.
     bool hasEvent = false; ///< A whole event is here.
 
--- a/src/process/proxy/forwarding.cpp
+++ b/src/process/proxy/forwarding.cpp
@@ -52,8 +52,6 @@
 /** The process ends this long before it would be killed. */
 constexpr Duration stopMargin = 500ms;
 
-/** Largest answer that is kept in memory until it is whole, in bytes. */
-constexpr std::size_t mostBufferedBytes = 8u << 20;
 /** Largest event of a stream, in bytes. */
 constexpr std::size_t mostEventBytes = 256u << 10;
 /** Generated tokens count twice in the cost of a request. Source: the platform's measure of throughput. */
@@ -307,8 +305,8 @@
     this->tried.push_back(placed.backend);
     this->lastPrediction = placed.prediction;
     const Duration longestIdle = this->isRepeatable() ? longestIdleRepeatable : longestIdleUnrepeatable;
-    this->current
-        = std::make_unique<BackendSend>(this->proxy.pool(), placed.backend, placed.prediction, this->attributes.prompt, longestIdle, now);
+    this->current = std::make_unique<BackendSend>(this->proxy.pool(), this->proxy.answerMemory(), placed.backend, placed.prediction,
+                                                  this->attributes.prompt, longestIdle, now);
 
     BackendCall call;
     call.expectedInstance = placed.backend->record.id;
@@ -376,7 +374,7 @@
     BackendSend &sent = *this->current;
     if (!this->isForwardedStream()) {
         sent.body += part;
-        if (sent.body.size() > mostBufferedBytes) {
+        if (!sent.held.add(part.size())) {
             sent.connection->cancel();
             this->onFailedSend({EndKind::Malformed, "answer is too large"}, readClock());
         }
--- a/src/process/proxy/proxy.h
+++ b/src/process/proxy/proxy.h
@@ -11,6 +11,7 @@
 #include "process/dispatch/request_costs.h"
 #include "process/dispatch/retry_allowance.h"
 #include "process/edge_settings.h"
+#include "process/proxy/answer_memory.h"
 #include "process/proxy/backend_pool.h"
 #include "process/proxy/proxy_metrics.h"
 #include "process/proxy_dialect.h"
@@ -133,6 +134,10 @@
     {
         return this->backendPool;
     }
+    AnswerMemory &answerMemory()
+    {
+        return this->answers;
+    }
     const ProxyDialect &dialect() const
     {
         return *this->wire;
@@ -174,6 +179,7 @@
     dispatch::RequestCosts requestCosts;
     dispatch::LoadShedding shedding;
     BackendPool backendPool;
+    AnswerMemory answers;
     std::map<std::string, dispatch::RetryAllowance> allowances;
     dispatch::DaemonRoll daemonRoll;
     Time configurationAsOf = Time::min();
--- a/tests/proxy/test_client_connection.cpp
+++ b/tests/proxy/test_client_connection.cpp
@@ -1,11 +1,15 @@
 /** @file The HTTP client against servers that misbehave. */
 
+#include "connection/http/call_client.h"
 #include "connection/http/client_connection.h"
 #include "standin/raw_server.h"
 
 #include <doctest/doctest.h>
 
+#include <boost/asio/write.hpp>
+
 #include <array>
+#include <atomic>
 
 using namespace eelgrassnotch::connection::http;
 using namespace std::chrono_literals;
@@ -205,3 +209,29 @@
     }
     CHECK(error == boost::asio::error::connection_reset);
 }
+
+TEST_CASE("a call whose answer has no end is given up before its time limit")
+{
+    constexpr std::size_t mostBytesTaken = 64u << 20;
+    std::atomic<std::size_t> sent {0};
+    standin::RawServer server([&sent](standin::Socket &socket, const standin::Request &) {
+        standin::sendBytes(socket, "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n");
+        const std::string part(65536, 'x');
+        boost::system::error_code error;
+        while (!error && sent <= mostBytesTaken) {
+            sent += boost::asio::write(socket, boost::asio::buffer(part), error);
+        }
+        return false;
+    });
+    boost::asio::io_context context;
+    CallClient client(context, parseEndpoint(server.address()));
+    std::optional<CallResult> result;
+    client.call(Request(boost::beast::http::verb::get, "/x", 11), {1s, 20s}, [&](const CallResult &outcome) { result = outcome; });
+    const auto before = std::chrono::steady_clock::now();
+    while (!result && context.run_one() > 0) {
+    }
+    REQUIRE(result);
+    CHECK(result->status == 0);
+    CHECK(std::chrono::steady_clock::now() - before < 10s);
+    CHECK(sent < mostBytesTaken);
+}
