Relays answer daemons that they don't list yet

Cause, traced from the logs of the open FAIR case (large site, cold return in restarts): a daemon that has restarted is in the others' list of daemons 4 to 7 s later, as the list is asked for every 3 s and may be 4 s old. Until then no relay sent it the load of the fleet. A daemon that knows of no others takes no workspace to be over its share: edge-wlg-a-46 took all 176 requests of the workspace that floods the fleet from 29 s to 33 s, and refused all of them in the seconds before and after. In the six seconds of the broken rule, 1,541 of the 6,012 requests that this workspace got were taken by daemons that were younger than 8 s.

Now relays send the sum to every daemon they hear from, at the address it sent from, and a relay that the others don't list yet takes the sum of one that counts more daemons than itself.

Ruled out: the limits themselves. The flooded caller's own daemons had the sums all along.

Conclusion: a restart must not be a time without knowledge of the others. What remains at an age of 1 s is the time of two load messages.

--- a/src/process/edge_daemon.cpp
+++ b/src/process/edge_daemon.cpp
@@ -70,8 +70,9 @@
         , proxy(this->context, this->settings, this->dialect, this->metrics)
         , signals(this->context, SIGTERM, SIGINT, SIGHUP)
         , tick(this->context)
-        , loadSocket(this->context, this->settings.ip, this->settings.loadPort,
-                     [this](const exchange::Message &message) { this->exchange.receive(message, readClock()); })
+        , loadSocket(
+              this->context, this->settings.ip, this->settings.loadPort,
+              [this](const exchange::Message &message, const std::string &from) { this->exchange.receive(message, from, readClock()); })
         , exchange({handleOf<DaemonHandle>(this->settings.name), handleOf<DataCentreHandle>(this->settings.dataCentre), this->settings.ip},
                    [this](const exchange::Peer &to, const exchange::Message &message) { this->loadSocket.send(to, message); })
         , knowledge(this->context, this->settings, this->dialect, this->metrics, this->proxy, this->exchange)
--- a/src/process/exchange/load_exchange.cpp
+++ b/src/process/exchange/load_exchange.cpp
@@ -3,6 +3,7 @@
 #include "process/rendezvous.h"
 
 #include <algorithm>
+#include <set>
 
 namespace eelgrassnotch::process::exchange
 {
@@ -104,17 +105,32 @@
     this->relay = std::find(own.begin(), own.end(), this->self) != own.end();
 }
 
-LoadSummary LoadExchange::sumOfDataCentre(const LoadSummary &own, Time now) const
+LoadSummary LoadExchange::sumOfDataCentre(const LoadSummary &own) const
 {
     LoadSummary sum = own;
-    for (const auto &[daemon, received] : this->members) {
-        if (now - received.at <= memberFreshFor) {
-            sum = sum.plus(received.load);
-        }
+    for (const auto &[daemon, member] : this->members) {
+        sum = sum.plus(member.received.load);
     }
     return sum;
 }
 
+void LoadExchange::tellFleet(const LoadSummary &total) const
+{
+    const Message message {MessageKind::Fleet, this->self.daemon, this->self.dataCentre, total};
+    std::set<DaemonHandle> listed;
+    for (const Peer &peer : this->peers) {
+        if (peer.dataCentre == this->self.dataCentre) {
+            listed.insert(peer.daemon);
+            this->send(peer, message);
+        }
+    }
+    for (const auto &[daemon, member] : this->members) {
+        if (!listed.contains(daemon)) {
+            this->send({daemon, this->self.dataCentre, member.address}, message);
+        }
+    }
+}
+
 void LoadExchange::tick(const LoadSummary &own, Time now)
 {
     this->sentOwn = own;
@@ -123,10 +139,12 @@
             this->send(relayPeer, {MessageKind::Member, this->self.daemon, this->self.dataCentre, own});
         }
     }
+    std::erase_if(this->members, [now](const auto &entry) { return now - entry.second.received.at > memberFreshFor; });
     if (!this->relay) {
+        this->summed.reset();
         return;
     }
-    const LoadSummary inside = this->sumOfDataCentre(own, now);
+    const LoadSummary inside = this->sumOfDataCentre(own);
     for (const auto &[dataCentre, itsRelays] : this->relays) {
         if (dataCentre == this->self.dataCentre) {
             continue;
@@ -141,37 +159,36 @@
             total = total.plus(received.load);
         }
     }
-    this->fleet = Received {total, now};
-    for (const Peer &peer : this->peers) {
-        if (peer.dataCentre == this->self.dataCentre) {
-            this->send(peer, {MessageKind::Fleet, this->self.daemon, this->self.dataCentre, total});
-        }
-    }
+    this->tellFleet(total);
+    this->summed = Received {std::move(total), now};
 }
 
-void LoadExchange::receive(const Message &message, Time now)
+void LoadExchange::receive(const Message &message, const std::string &from, Time now)
 {
     switch (message.kind) {
     case MessageKind::Member:
-        this->members[message.sender] = {message.load, now};
+        if (message.dataCentre == this->self.dataCentre && message.sender != this->self.daemon) {
+            this->members[message.sender] = {{message.load, now}, from};
+        }
         break;
     case MessageKind::DataCentre:
         this->dataCentres[message.dataCentre] = {message.load, now};
         break;
     case MessageKind::Fleet:
-        if (!this->relay) {
-            this->fleet = Received {message.load, now};
-        }
+        this->told = Received {message.load, now};
         break;
     }
 }
 
 std::optional<LoadSummary> LoadExchange::others(Time now) const
 {
-    if (!this->fleet || now - this->fleet->at > sumFreshFor) {
+    const auto isFresh = [now](const std::optional<Received> &sum) { return sum && now - sum->at <= sumFreshFor; };
+    // A relay that the others don't list yet sums up little, and is told more.
+    const bool isTold = isFresh(this->told) && (!isFresh(this->summed) || this->told->load.daemons > this->summed->load.daemons);
+    if (!isTold && !isFresh(this->summed)) {
         return std::nullopt;
     }
-    return combine(this->fleet->load, this->sentOwn, -1.0);
+    return combine(isTold ? this->told->load : this->summed->load, this->sentOwn, -1.0);
 }
 
 }
--- a/src/process/exchange/load_exchange.h
+++ b/src/process/exchange/load_exchange.h
@@ -46,6 +46,9 @@
  * Relays are chosen by rendezvous hashing; both work all the time, so that the
  * loss of one changes nothing. A daemon sends two messages a period, and a
  * relay as many as its data centre has daemons and the fleet has data centres.
+ * A relay answers daemons that it is not told of yet, so that a daemon knows
+ * the others' load as soon as it has a list of them, although they learn of it
+ * seconds later.
  */
 class LoadExchange
 {
@@ -57,7 +60,8 @@
     void setPeers(std::vector<Peer> allPeers);
     /** @brief Sends what is due in this period. @param own This daemon's load. */
     void tick(const LoadSummary &own, Time now);
-    void receive(const Message &message, Time now);
+    /** @param from IP of the sender, which may not be among the peers yet. */
+    void receive(const Message &message, const std::string &from, Time now);
     /**
      * @returns load of all other daemons; nothing when no sum has come lately.
      * @remarks The sum holds this daemon's load of a moment ago, which is subtracted.
@@ -69,17 +73,23 @@
         LoadSummary load;
         Time at {0};
     };
+    struct Member {
+        Received received;
+        std::string address; ///< IP.
+    };
 
-    LoadSummary sumOfDataCentre(const LoadSummary &own, Time now) const;
+    LoadSummary sumOfDataCentre(const LoadSummary &own) const;
+    void tellFleet(const LoadSummary &total) const;
 
     Peer self;
     Send send;
     std::vector<Peer> peers; ///< All others.
     std::map<DataCentreHandle, std::vector<Peer>> relays; ///< Of each data centre.
     bool relay = false; ///< Whether this daemon is one.
-    std::map<DaemonHandle, Received> members; ///< Of this data centre.
+    std::map<DaemonHandle, Member> members; ///< Of this data centre, heard of lately.
     std::map<DataCentreHandle, Received> dataCentres; ///< Other data centres.
-    std::optional<Received> fleet;
+    std::optional<Received> summed; ///< Sum over the fleet by this daemon, if it is a relay.
+    std::optional<Received> told; ///< The same by another relay.
     LoadSummary sentOwn; ///< Own load as it was last sent.
 };
 
--- a/src/process/exchange/load_socket.cpp
+++ b/src/process/exchange/load_socket.cpp
@@ -39,7 +39,7 @@
             }
             if (!error) {
                 if (const auto message = decode(std::span<const std::uint8_t>(this->buffer.data(), size))) {
-                    this->onMessage(*message);
+                    this->onMessage(*message, this->sender.address().to_string());
                 } else {
                     logWarning("load_message_unreadable", {{"from", this->sender.address().to_string()}, {"bytes", std::to_string(size)}});
                 }
--- a/src/process/exchange/load_socket.h
+++ b/src/process/exchange/load_socket.h
@@ -18,7 +18,8 @@
 class LoadSocket
 {
 public:
-    using OnMessage = std::function<void(const Message &)>;
+    /** Takes a message and the IP of its sender. */
+    using OnMessage = std::function<void(const Message &, const std::string &)>;
 
     /** @param port The same for all daemons. @throws boost::system::system_error when the port can't be bound. */
     LoadSocket(boost::asio::io_context &context, const std::string &ownIp, std::uint16_t daemonPort, OnMessage messageHook);
--- a/tests/proxy/test_exchange.cpp
+++ b/tests/proxy/test_exchange.cpp
@@ -32,15 +32,14 @@
             }
         }
         for (const Peer &peer : this->peers) {
-            this->daemons[peer.daemon]
-                = std::make_unique<LoadExchange>(peer, [this, from = peer.daemon](const Peer &to, const Message &message) {
-                      ++this->sent[from];
-                      if (!this->dead.contains(to.daemon)) {
-                          const auto decoded = decode(encode(message));
-                          REQUIRE(decoded);
-                          this->daemons.at(to.daemon)->receive(*decoded, this->now);
-                      }
-                  });
+            this->daemons[peer.daemon] = std::make_unique<LoadExchange>(peer, [this, from = peer](const Peer &to, const Message &message) {
+                ++this->sent[from.daemon];
+                if (!this->dead.contains(to.daemon)) {
+                    const auto decoded = decode(encode(message));
+                    REQUIRE(decoded);
+                    this->daemons.at(to.daemon)->receive(*decoded, from.address, this->now);
+                }
+            });
             this->daemons[peer.daemon]->setPeers(this->peers);
         }
     }
@@ -106,13 +105,31 @@
     }
 }
 
+TEST_CASE("a daemon that the others don't list yet learns the sum, also when it takes itself for a relay")
+{
+    const Fleet names(3, 3);
+    for (const Peer &young : names.peers) {
+        Fleet fleet(3, 3);
+        for (const Peer &peer : fleet.peers) {
+            if (peer.daemon != young.daemon) {
+                std::vector<Peer> known = fleet.peers;
+                std::erase(known, young);
+                fleet.daemons.at(peer.daemon)->setPeers(known);
+            }
+        }
+        fleet.run(6);
+        CHECK(fleet.servedElsewhere(young) == doctest::Approx(8 * 5));
+        CHECK(fleet.daemonsElsewhere(young) == 8);
+    }
+}
+
 TEST_CASE("load that the sum does not hold yet is not taken for the others'")
 {
     Fleet fleet(1, 3);
     fleet.run(6);
     const Peer self = fleet.peers.front();
     LoadExchange &daemon = *fleet.daemons.at(self.daemon);
-    daemon.receive({MessageKind::Fleet, fleet.peers.back().daemon, self.dataCentre, {}}, fleet.now);
+    daemon.receive({MessageKind::Fleet, fleet.peers.back().daemon, self.dataCentre, {}}, "d", fleet.now);
     daemon.tick({{{9, 50, 50}}, {}}, fleet.now);
     const auto others = daemon.others(fleet.now);
     REQUIRE(others);
