losses: what became of requests, from the daemons' logs

eelgrassnotchctl losses sums up the request lines of any number of daemons by route, workspace, data centre, size and second. Lines of requests now tell their prompt's tokens and the route's latency target.

Ruled out: metrics alone; they have no sizes and no workspaces.

--- a/src/process/event_log.cpp
+++ b/src/process/event_log.cpp
@@ -5,6 +5,8 @@
 #include <spdlog/sinks/stdout_sinks.h>
 #include <spdlog/spdlog.h>
 
+#include <algorithm>
+
 namespace eelgrassnotch::process
 {
 
@@ -83,6 +85,39 @@
     return line;
 }
 
+std::map<std::string, std::string> parseEvent(std::string_view line)
+{
+    std::map<std::string, std::string> fields;
+    std::size_t at = 0;
+    while (at < line.size()) {
+        const std::size_t keyEnd = line.find_first_of(" =", at);
+        if (keyEnd == std::string_view::npos) {
+            break;
+        }
+        if (line[keyEnd] == ' ') {
+            at = keyEnd + 1;
+            continue;
+        }
+        std::string value;
+        std::size_t end = keyEnd + 1;
+        if (end < line.size() && line[end] == '"') {
+            for (++end; end < line.size() && line[end] != '"'; ++end) {
+                if (line[end] == '\\' && end + 1 < line.size()) {
+                    ++end;
+                }
+                value += line[end];
+            }
+            ++end;
+        } else {
+            end = std::min(line.find(' ', end), line.size());
+            value = line.substr(keyEnd + 1, end - keyEnd - 1);
+        }
+        fields[std::string(line.substr(at, keyEnd - at))] = std::move(value);
+        at = end;
+    }
+    return fields;
+}
+
 void logEvent(const std::string &event, const LogFields &fields)
 {
     write(spdlog::level::info, formatEvent(event, fields));
--- a/src/process/event_log.h
+++ b/src/process/event_log.h
@@ -3,7 +3,9 @@
 /** @file Log of events: one line of key=value pairs each. */
 
 #include <cstddef>
+#include <map>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -24,5 +26,7 @@
 void logWarning(const std::string &event, const LogFields &fields);
 /** @returns the line of an event without its time. */
 std::string formatEvent(const std::string &event, const LogFields &fields);
+/** @returns the fields of a line as formatEvent() and the log write them; words without "=" are passed over. */
+std::map<std::string, std::string> parseEvent(std::string_view line);
 
 }
--- a/src/process/proxy/forwarding.cpp
+++ b/src/process/proxy/forwarding.cpp
@@ -681,6 +681,8 @@
               {"sends", std::to_string(this->sends)},
               {"predicted_ms", milliseconds(this->lastPrediction.firstEvent)},
               {"queue_ms", milliseconds(this->lastPrediction.queueDelay)},
+              {"tokens", std::to_string(this->attributes.prompt.tokens)},
+              {"target_ms", this->route == nullptr ? "0" : milliseconds(this->route->latencyTarget)},
               {"uncached", std::to_string(this->lastPrediction.uncachedTokens)},
               {"home", this->lastPrediction.isHome ? "true" : "false"},
               {"copied", this->lastPrediction.fetchFrom ? "true" : "false"},
--- a/tools/ctl/commands.h
+++ b/tools/ctl/commands.h
@@ -25,5 +25,7 @@
 /** @brief drain, undrain, take-out and return: a plan for one intent, then its confirmation. */
 int intent(const Arguments &arguments);
 int load(const Arguments &arguments);
+/** @brief Reads logs of daemons; needs no platform. */
+int losses(const Arguments &arguments);
 
 }
--- a/tools/eelgrassnotchctl.cpp
+++ b/tools/eelgrassnotchctl.cpp
@@ -23,6 +23,7 @@
   drain NAME, undrain NAME    stop or resume new work on a backend server
   take-out NAME, return NAME  the same for a data centre
   load EXPERIMENT             drive a running fleet and report
+  losses LOG...               what became of requests, from the daemons' logs
 
 COMMAND --help tells the options. Exit codes: 0 done, 1 failure, 2 invalid
 input, 3 not confirmed, 4 the basis of the plan has moved, 5 outcome unknown.
@@ -32,7 +33,7 @@
 {
     const std::map<std::string, std::function<int(const Arguments &)>> commands {
         {"validate", validate}, {"plan", plan},       {"apply", apply},   {"status", status}, {"drain", intent},
-        {"undrain", intent},    {"take-out", intent}, {"return", intent}, {"load", load},
+        {"undrain", intent},    {"take-out", intent}, {"return", intent}, {"load", load},     {"losses", losses},
     };
     const auto found = commands.find(arguments.front());
     if (found == commands.end()) {
