A flood finds fewer of the moments at which the queue is short

Both are over what is promised, so both met the same limit on the mean queue, less the cost factor, which favoured the flood's cheap requests.

Now the limit falls with the multiple of the share of what is served, and cost counts by 0.3 for a workspace that is over its promised share alone.

--- a/src/process/proxy/admission.cpp
+++ b/src/process/proxy/admission.cpp
@@ -30,6 +30,10 @@
 /** Bounds on the factor by which a request's cost changes the limit of a workspace over its share. */
 constexpr double leastCostFactor = 0.5;
 constexpr double mostCostFactor = 3.0;
+/** Part of that factor for a workspace that is over its promised share alone: it has a right to as much as the others get. */
+constexpr double promisedCostPart = 0.3;
+/** A workspace's limit falls with the multiple of its share of what is served, to this part at least. */
+constexpr double leastLimitPart = 0.2;
 /** Shortest time after which a refused caller is asked back. */
 constexpr Duration shortestReturn = 150ms;
 constexpr std::uint64_t spreadSteps = 1024;
@@ -57,10 +61,11 @@
 Duration longestFleetQueue(const AdmissionInput &input)
 {
     const Duration limit = promptsUnderWay + longestQueue(fleetQueueParts, input.shareUsed, input.latencyTarget);
-    const double excess = excessOf(std::max(input.shareUsed.ofServed, input.shareUsed.ofGuaranteed));
+    const double excess = std::max(excessOf(input.shareUsed.ofServed), promisedCostPart * excessOf(input.shareUsed.ofGuaranteed));
     const double byCost = std::clamp(1.0 / std::sqrt(input.relativeCost), leastCostFactor, mostCostFactor);
     const double factor = input.isBehind ? mostCostFactor : byCost;
-    return Duration(std::llround(static_cast<double>(limit.count()) * (1.0 + (factor - 1.0) * excess)));
+    const double byShare = std::max(1.0 / std::max(input.shareUsed.ofServed, 1.0), leastLimitPart);
+    return Duration(std::llround(static_cast<double>(limit.count()) * (1.0 + (factor - 1.0) * excess) * byShare));
 }
 
 }
--- a/src/process/proxy/admission.h
+++ b/src/process/proxy/admission.h
@@ -41,7 +41,9 @@
  * ones. Workspaces over their share are turned away from a shorter queue of
  * the engines on. What they get beyond it goes to more callers when small
  * requests are taken first: their limit is longer, and that of large ones
- * shorter, unless that kind and size has fallen behind.
+ * shorter, unless that kind and size has fallen behind. The limit also falls
+ * with the multiple of the share, as who asks most would else find most of the
+ * moments at which the queue is short.
  *
  * @remarks Load pattern: more prompt tokens arrive than the engines can read; without a limit all answers come late.
  */
--- a/tests/proxy/test_overload.cpp
+++ b/tests/proxy/test_overload.cpp
@@ -1,11 +1,13 @@
 /** @file Replays of overload against the admission decision, with a model of engines that read prompts in order of arrival. */
 
+#include "process/dispatch/fair_share.h"
 #include "process/dispatch/request_costs.h"
 #include "process/proxy/admission.h"
 
 #include <doctest/doctest.h>
 
 #include <algorithm>
+#include <array>
 #include <cmath>
 #include <numeric>
 #include <random>
@@ -29,6 +31,7 @@
     double tokens = 0;
     Duration latencyTarget {0};
     double kindTokens = 0; ///< Mean of its kind.
+    std::uint32_t workspace = 0;
 };
 
 struct Outcome {
@@ -196,6 +199,64 @@
     }
 }
 
+TEST_CASE("a workspace beyond what is promised gets half of what one gets that asks many times as much, in cheap requests")
+{
+    constexpr std::uint32_t moderate = 1;
+    constexpr std::uint32_t flood = 2;
+    constexpr std::uint32_t usual = 3;
+    constexpr Duration sharePeriod = 200ms;
+    const double capacity = engineCount * tokensPerMs * 1000;
+    for (const unsigned seed : {1u, 11u, 21u}) {
+        std::vector<Arrival> arrivals;
+        const auto addWorkspace = [&arrivals](std::uint32_t workspace, double meanTokens, double load, unsigned ownSeed) {
+            const std::size_t begin = arrivals.size();
+            addKind(arrivals, meanTokens, 1.0, 600ms, load * engineCount * tokensPerMs * 1000 / meanTokens, ownSeed);
+            std::for_each(arrivals.begin() + static_cast<std::ptrdiff_t>(begin), arrivals.end(),
+                          [workspace](Arrival &arrival) { arrival.workspace = workspace; });
+        };
+        addWorkspace(moderate, 3000, 0.8, seed);
+        addWorkspace(flood, 630, 4.0, seed + 1);
+        addWorkspace(usual, 1800, 0.1, seed + 2);
+        std::sort(arrivals.begin(), arrivals.end(), [](const Arrival &left, const Arrival &right) { return left.at < right.at; });
+
+        dispatch::FairShare shares;
+        dispatch::RequestCosts costs;
+        Engines engines;
+        std::array<double, 4> begun {};
+        Time nextUpdate {0};
+        for (const Arrival &arrival : arrivals) {
+            if (arrival.at >= nextUpdate) {
+                shares.update({}, capacity / 4, arrival.at);
+                nextUpdate = arrival.at + sharePeriod;
+            }
+            const WorkspaceHandle workspace {arrival.workspace};
+            const std::string route = std::to_string(arrival.kindTokens);
+            shares.noteAsked(workspace, arrival.tokens, arrival.at);
+            costs.noteAsked(route, arrival.tokens, arrival.at);
+            const std::size_t engine = engines.leastLoaded();
+            proxy::AdmissionInput input;
+            input.queueDelay = engines.queueOf(engine, arrival.at);
+            input.fleetQueue = engines.meanQueue(arrival.at);
+            input.latencyTarget = arrival.latencyTarget;
+            input.shareUsed = shares.shareUsed(workspace, arrival.at);
+            input.relativeCost = costs.relativeCost(arrival.tokens, arrival.at);
+            input.isBehind = costs.isBehind(route, arrival.tokens, arrival.at);
+            if (!proxy::decideAdmission(input).isAdmitted) {
+                continue;
+            }
+            shares.noteServed(workspace, arrival.tokens, arrival.at);
+            costs.noteTaken(route, arrival.tokens, arrival.at);
+            engines.send(engine, arrival.tokens, arrival.at);
+            begun[arrival.workspace] += arrival.tokens;
+        }
+        CAPTURE(seed);
+        CAPTURE(begun[moderate]);
+        CAPTURE(begun[flood]);
+        CHECK(begun[moderate] >= 0.5 * begun[flood]);
+        CHECK(begun[moderate] + begun[flood] >= 0.7 * 20 * capacity);
+    }
+}
+
 TEST_CASE("cost changes nothing within a workspace's share")
 {
     for (const Duration queue : {50ms, 150ms, 290ms, 310ms, 400ms}) {
