Requests that come before the first configuration wait for it

Cause: a daemon that has just started is found by callers before it has read its configuration.

Now such a request waits up to 100 ms, well below the shortest latency targets, and is refused after that as before. The wait counts against its time limit.

Ruled out: longer waits; in one case of ten the store itself is slow then (0.6 s), and a caller that is refused soon reaches another daemon.

Before: 503 in the new case, whose store answers after 30 ms. After: 200; with no configuration at all, a refusal within 0.4 s.

--- a/src/process/proxy/forwarding.cpp
+++ b/src/process/proxy/forwarding.cpp
@@ -43,6 +43,8 @@
 constexpr std::uint32_t mostSends = 4;
 /** Time limit of requests that name none, on routes without a timeout. */
 constexpr Duration defaultLimit = 30s;
+/** A request that comes before the first configuration waits for it this long: a daemon that has just started has it a moment later. */
+constexpr Duration configurationWait = 100ms;
 /** Callers are asked back after this long when knowledge of keys or backend servers is missing. */
 constexpr Duration returnWithoutKnowledge = 500ms;
 /** A refusal of this daemon alone: another one takes the request at once. */
@@ -85,7 +87,6 @@
     : proxy(owner)
     , session(std::move(callerSession))
     , request(std::move(callerRequest))
-    , table(owner.routeTable())
     , limitTimer(owner.context())
     , attemptTimer(owner.context())
     , roomTimer(owner.context())
@@ -95,14 +96,20 @@
 
 void Forwarding::start()
 {
-    const Time now = this->receivedAt;
     this->attributes = this->proxy.dialect().readRequest(this->request);
     if (!this->proxy.takesNext()) {
         this->refuse(RefusalReason::DaemonOverloaded, shortestReturn, "this daemon can't keep up with its callers");
         return;
     }
+    this->begin();
+}
+
+void Forwarding::begin()
+{
+    const Time now = readClock();
+    this->table = this->proxy.routeTable();
     if (!this->table) {
-        this->refuse(RefusalReason::NoConfiguration, returnWithoutKnowledge, "no configuration is known yet");
+        this->waitForConfiguration(now);
         return;
     }
     if (!this->findRoute() || !this->checkKey(now)) {
@@ -113,7 +120,8 @@
         this->finish("caller_left", 0);
         return;
     }
-    const Duration patience = std::max(this->attributes.patience.value_or(defaultLimit) - this->proxy.lag(), shortestRoomWait);
+    const Duration waited = now - this->receivedAt;
+    const Duration patience = std::max(this->attributes.patience.value_or(defaultLimit) - this->proxy.lag() - waited, shortestRoomWait);
     this->limit = now + (this->route->timeout > Duration(0) ? std::min(patience, this->route->timeout) : patience);
     this->roomUntil = now + std::max(this->route->latencyTarget / waitingPart, shortestRoomWait);
     if (!this->checkStop(now)) {
@@ -144,6 +152,20 @@
     this->place();
 }
 
+void Forwarding::waitForConfiguration(Time now)
+{
+    if (now - this->receivedAt >= configurationWait || this->proxy.isStopping()) {
+        this->refuse(RefusalReason::NoConfiguration, returnWithoutKnowledge, "no configuration is known yet");
+        return;
+    }
+    this->roomTimer.expires_after(roomCheckPeriod);
+    this->roomTimer.async_wait([self = this->shared_from_this()](boost::system::error_code error) {
+        if (!error && !self->isFinished) {
+            self->begin();
+        }
+    });
+}
+
 bool Forwarding::findRoute()
 {
     const std::string_view target = viewOf(this->request.target());
--- a/src/process/proxy/forwarding.h
+++ b/src/process/proxy/forwarding.h
@@ -26,6 +26,8 @@
     void start();
 
 private:
+    void begin();
+    void waitForConfiguration(Time now);
     bool findRoute();
     bool checkKey(Time now);
     /** @brief Refuses a request that would outlive a stopping daemon. */
--- a/tests/proxy/daemon_world.h
+++ b/tests/proxy/daemon_world.h
@@ -141,11 +141,17 @@
     }
 
     void start()
+    {
+        this->launch();
+        REQUIRE(eventually([this] { return this->statusOfProbe() == 200; }));
+    }
+
+    /** Starts the daemon; it knows nothing yet. */
+    void launch()
     {
         this->daemon = std::make_unique<process::EdgeDaemon>(this->settings, std::make_shared<const platform::Dialect>(),
                                                              [this] { return this->settings; });
         this->thread = std::thread([this] { this->daemon->run(); });
-        REQUIRE(eventually([this] { return this->statusOfProbe() == 200; }));
     }
 
     /** Starts the daemon with backend servers i-1, i-2 and so on. */
--- a/tests/proxy/test_edge_daemon.cpp
+++ b/tests/proxy/test_edge_daemon.cpp
@@ -401,3 +401,25 @@
     CHECK(World::ask(world.settings.callersAddress, head + "X-Long: " + std::string(20000, 'x') + "\r\n\r\n").result_int() == 431);
     CHECK(backend.requests().empty());
 }
+
+TEST_CASE("a request that comes a moment before the first configuration is served with it")
+{
+    RawServer backend(answerOk);
+    DaemonWorld world;
+    world.addBackend("i-1", backend);
+    world.store.delayMs = 30;
+    world.launch();
+    CHECK(world.call("/order/x", "q1").result_int() == 200);
+}
+
+TEST_CASE("a request to a daemon that gets no configuration is refused soon, as not run")
+{
+    DaemonWorld world;
+    world.store.refusesAll = true;
+    world.launch();
+    const auto before = std::chrono::steady_clock::now();
+    const auto refused = world.call("/order/x", "q1");
+    CHECK(refused.result_int() == 503);
+    CHECK(refused.count("Retry-After") == 1);
+    CHECK(std::chrono::steady_clock::now() - before < 400ms);
+}
--- a/tests/standin/object_store.cpp
+++ b/tests/standin/object_store.cpp
@@ -115,6 +115,7 @@
 bool ObjectStore::answer(Socket &socket, const Request &request)
 {
     ++this->calls;
+    std::this_thread::sleep_for(std::chrono::milliseconds(this->delayMs));
     if (this->refusesAll) {
         sendBytes(socket, httpAnswer(503, "{}"));
         return true;
--- a/tests/standin/object_store.h
+++ b/tests/standin/object_store.h
@@ -33,6 +33,7 @@
     }
 
     std::atomic<bool> refusesAll {false}; ///< All calls get 503.
+    std::atomic<int> delayMs {0}; ///< Of all answers.
     std::atomic<bool> losesNextWrite {false}; ///< One write is done and its connection reset.
     std::atomic<std::size_t> calls {0};
     std::atomic<int> firstWaitMs {-1}; ///< Of the first watch since a test set it to -1.
