A success that names no request is not taken on a connection in use again

Cause: looked for after a report by operators of similar systems. A backend server echoes the request's id, and an answer with another id is read past. An answer without any id was taken as the one waited for, so a late second copy that names no request reached the next caller on that connection.

Ruled out: copies that name their request, two of them, one after an informational answer, and a part of one; those were kept from the next caller before.

After: all hold; the copy is read past, like an answer to another request. On a new connection such an answer is still taken, and refusals without an id as well.

--- a/src/process/proxy/forwarding.cpp
+++ b/src/process/proxy/forwarding.cpp
@@ -363,7 +363,9 @@
 {
     BackendSend &sent = *this->current;
     const request::AnswerAttributes answer = this->proxy.dialect().readAnswer(header);
-    if (!answer.id.empty() && answer.id != this->attributes.id) {
+    // On a connection that carried other requests, a success that names none may be a late copy of an earlier answer.
+    const bool namesNone = answer.id.empty() && (!sent.connection->wasUsed() || header.result_int() >= firstFailureStatus);
+    if (answer.id != this->attributes.id && !namesNone) {
         logEvent("foreign_answer", {{"request", this->attributes.id}, {"backend", sent.backend->record.id}, {"answers", answer.id}});
         return false;
     }
--- a/tests/proxy/test_edge_daemon.cpp
+++ b/tests/proxy/test_edge_daemon.cpp
@@ -126,6 +126,32 @@
     CHECK(world.call("/order/x", "q1").body() == "fine");
 }
 
+TEST_CASE("a second copy of an answer, sent late on a connection that is in use again, reaches nobody")
+{
+    const auto ownAnswer = [](const standin::Request &request) { return signedAnswer(request, "for " + idOf(request)); };
+    const std::string unnamed = "HTTP/1.1 200 OK\r\nX-Eelgrassnotch-Response-Signature: s\r\nContent-Length: 6\r\n\r\nfor q0";
+    const std::string named = "HTTP/1.1 200 OK\r\nX-Eelgrassnotch-Attempt-Id: q0\r\nX-Eelgrassnotch-Response-Signature: "
+                              "s\r\nContent-Length: 6\r\n\r\nfor q0";
+    for (const std::string &copy : {named, unnamed, "HTTP/1.1 102 Processing\r\n\r\n" + named, named + named, named.substr(0, 60)}) {
+        RawServer backend([&](standin::Socket &socket, const standin::Request &request) {
+            if (idOf(request) != "q0") {
+                standin::sendBytes(socket, copy);
+                std::this_thread::sleep_for(20ms);
+            }
+            standin::sendBytes(socket, ownAnswer(request));
+            return true;
+        });
+        World world;
+        world.startWith({&backend});
+        CHECK(world.call("/check/x", "q0").body() == "for q0");
+        for (const std::string id : {"q1", "q2", "q3"}) {
+            const auto answer = world.call("/check/x", id);
+            CAPTURE(copy);
+            CHECK((answer.result_int() != 200 || answer.body() == "for " + id));
+        }
+    }
+}
+
 TEST_CASE("an unsigned or encoded success is not passed on")
 {
     for (const std::string extra : {"", "X-Eelgrassnotch-Response-Signature: s\r\nContent-Encoding: gzip\r\n"}) {
