Tests: planned stops, slow and stalled streams, and broken answers with the whole daemon

Cause: reports by operators of similar systems. None of these three could be shown here; the cases stay as proofs.

A planned stop: a half-sent request, a connection that has sent nothing yet, and a caller that connects 0.2 s later are all answered. Streams: one with an event every 0.3 s is passed on to its end; one that sends comments alone ends at its caller's time limit, does not look complete, and its backend server is let go. Broken answers: 28 places in the header, body, chunks and trailer, by close and by reset, none ends in a success; a whole answer before each keeps the backend server in use, so that each break is met.

Not covered: an answer without length or chunks that ends with an orderly close looks complete to everyone.

--- a/tests/proxy/daemon_world.h
+++ b/tests/proxy/daemon_world.h
@@ -120,7 +120,7 @@
     ~DaemonWorld()
     {
         if (this->thread.joinable()) {
-            this->daemon->requestStop();
+            this->requestStop();
             this->thread.join();
         }
     }
@@ -163,6 +163,12 @@
         this->start();
     }
 
+    /** Begins a planned stop; the daemon goes on until its connections are closed or its grace is over. */
+    void requestStop()
+    {
+        this->daemon->requestStop();
+    }
+
     unsigned statusOfProbe() const
     {
         return ask(this->settings.readyAddress, "GET /-/readyz HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n").result_int();
--- a/tests/proxy/test_edge_daemon.cpp
+++ b/tests/proxy/test_edge_daemon.cpp
@@ -449,3 +449,120 @@
     CHECK(refused.count("Retry-After") == 1);
     CHECK(std::chrono::steady_clock::now() - before < 400ms);
 }
+
+TEST_CASE("a planned stop cuts off nothing that callers have begun to send, and takes who connects a moment later")
+{
+    RawServer backend([](standin::Socket &socket, const standin::Request &request) {
+        std::this_thread::sleep_for(300ms);
+        return answerOk(socket, request);
+    });
+    World world;
+    world.startWith({&backend});
+    const std::string text = World::requestText("/order/x", "half");
+    const auto address = connection::http::parseEndpoint(world.settings.callersAddress);
+    boost::asio::io_context context;
+    tcp::socket half(context);
+    tcp::socket silent(context);
+    half.connect(address);
+    silent.connect(address);
+    boost::asio::write(half, boost::asio::buffer(text.substr(0, text.size() - 2)));
+    world.requestStop();
+    std::this_thread::sleep_for(200ms);
+    CHECK(world.call("/order/x", "later").result_int() == 200);
+    boost::asio::write(half, boost::asio::buffer(text.substr(text.size() - 2)));
+    boost::asio::write(silent, boost::asio::buffer(World::requestText("/order/x", "silent")));
+    for (tcp::socket *socket : {&half, &silent}) {
+        boost::beast::flat_buffer buffer;
+        World::Answer answer;
+        boost::system::error_code error;
+        boost::beast::http::read(*socket, buffer, answer, error);
+        CHECK_FALSE(error);
+        CHECK(answer.result_int() == 200);
+    }
+}
+
+TEST_CASE("a slow but sound stream is passed on to its end, and one that sends only comments ends at its caller's time limit")
+{
+    constexpr int events = 8;
+    std::atomic<bool> stalledClosed {false};
+    RawServer backend([&stalledClosed](standin::Socket &socket, const standin::Request &request) {
+        standin::sendBytes(socket, streamHeader(request));
+        const bool stalls = idOf(request) == "stalled";
+        for (int event = 1; stalls || event <= events; ++event) {
+            const std::string text = stalls && event > 1 ? ": nothing\n\n" : "id: " + std::to_string(event) + "\ndata: x\n\n";
+            boost::system::error_code error;
+            boost::asio::write(socket, boost::asio::buffer(chunk(text)), error);
+            if (error) {
+                stalledClosed = true;
+                return false;
+            }
+            std::this_thread::sleep_for(300ms);
+        }
+        standin::sendBytes(socket, "0\r\n\r\n");
+        return true;
+    });
+    World world;
+    world.startWith({&backend});
+    const auto sound = world.call("/stream/x", "sound");
+    CHECK(sound.result_int() == 200);
+    CHECK(sound.body().find("id: " + std::to_string(events)) != std::string::npos);
+
+    std::string text = World::requestText("/stream/x", "stalled");
+    text.replace(text.find("Deadline-Ms: 8000"), std::string("Deadline-Ms: 8000").size(), "Deadline-Ms: 2000");
+    const auto before = std::chrono::steady_clock::now();
+    boost::system::error_code error;
+    World::ask(world.settings.callersAddress, text, &error);
+    CHECK(error); // It does not look complete.
+    CHECK(std::chrono::steady_clock::now() - before < 3s);
+    CHECK(eventually([&] { return stalledClosed.load(); }));
+}
+
+TEST_CASE("an answer that is broken off anywhere never looks complete")
+{
+    const std::string header = "X-Eelgrassnotch-Response-Signature: s\r\nX-Eelgrassnotch-Attempt-Id: ";
+    const auto withLength
+        = [&header](const std::string &id) { return "HTTP/1.1 200 OK\r\nContent-Length: 6\r\n" + header + id + "\r\n\r\nabcdef"; };
+    const auto chunked = [&header](const std::string &id) {
+        return "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n" + header + id + "\r\n\r\n" + chunk("abc") + chunk("def")
+            + "0\r\nX-T: t\r\n\r\n";
+    };
+    struct Break {
+        std::size_t missing; ///< Bytes at the end that are not sent.
+        bool isChunked;
+        bool resets;
+    };
+    std::vector<Break> breaks;
+    for (const bool resets : {false, true}) {
+        // Inside the body, and inside the header.
+        for (const std::size_t missing : {1, 3, 6, 7, 40}) {
+            breaks.push_back({missing, false, resets});
+        }
+        // The last line end, the trailer, the last chunk's line, between the chunks, inside the first, and inside the header.
+        for (const std::size_t missing : {2, 5, 10, 13, 15, 18, 21, 25, 60}) {
+            breaks.push_back({missing, true, resets});
+        }
+    }
+    std::size_t next = 0;
+    RawServer backend([&](standin::Socket &socket, const standin::Request &request) {
+        if (idOf(request).starts_with("whole")) {
+            standin::sendBytes(socket, chunked(idOf(request)));
+            return true;
+        }
+        const auto &[missing, isChunked, resets] = breaks.at(next);
+        const std::string text = isChunked ? chunked(idOf(request)) : withLength(idOf(request));
+        standin::sendBytes(socket, text.substr(0, text.size() - missing));
+        if (resets) {
+            standin::sendReset(socket);
+        }
+        return false;
+    });
+    World world;
+    world.startWith({&backend});
+    for (next = 0; next < breaks.size(); ++next) {
+        // A whole answer before each, so that the backend server is not out of use after the first ones.
+        CHECK(world.call("/order/x", "whole" + std::to_string(next)).body() == "abcdef");
+        CAPTURE(next);
+        CHECK(world.call("/order/x", "broken" + std::to_string(next)).result_int() != 200);
+    }
+    CHECK(backend.requests().size() == 2 * breaks.size());
+}
