--- a/tests/proxy/test_endless_answers.cpp
+++ b/tests/proxy/test_endless_answers.cpp
@@ -28,8 +28,8 @@
 class EndlessServer
 {
 public:
-    EndlessServer(std::function<std::string(const Request &)> beginning, std::string repeated)
-        : server([this, begin = std::move(beginning), part = repeatToChunk(std::move(repeated))](Socket &socket, const Request &request) {
+    EndlessServer(std::function<std::string(const Request &)> beginning, const std::string &repeated)
+        : server([this, begin = std::move(beginning), part = repeatToChunk(repeated)](Socket &socket, const Request &request) {
             this->isClosed = false;
             sendBytes(socket, begin(request));
             boost::system::error_code error;
@@ -47,7 +47,7 @@
     std::atomic<bool> isClosed {false};
 
 private:
-    static std::string repeatToChunk(std::string part)
+    static std::string repeatToChunk(const std::string &part)
     {
         constexpr std::size_t least = 4096;
         std::string text;
