--- a/src/connection/http/listener.cpp
+++ b/src/connection/http/listener.cpp
@@ -59,6 +59,7 @@
             const auto session = std::make_shared<ServerSession>(std::move(socket), this->hooks);
             this->sessions.push_back(session);
             session->start();
+            ++this->accepted;
         }
     }
     return error;
--- a/src/connection/http/listener.h
+++ b/src/connection/http/listener.h
@@ -21,6 +21,11 @@
 
     /** @returns open connections. */
     std::size_t connectionCount();
+    /** @returns connections accepted since the start. */
+    std::uint64_t acceptedCount() const
+    {
+        return this->accepted;
+    }
     /** @returns connections on which a request is being served. */
     std::size_t servingCount();
     /** @brief Ends connections that have no request. */
@@ -37,6 +42,7 @@
     std::shared_ptr<const SessionHooks> hooks;
     std::size_t maxConnections;
     std::list<std::weak_ptr<ServerSession>> sessions;
+    std::uint64_t accepted = 0;
 };
 
 }
--- a/src/connection/http/server_session.cpp
+++ b/src/connection/http/server_session.cpp
@@ -187,6 +187,7 @@
     }
     this->serving = true;
     this->reading = false;
+    ++this->requests;
     Request request = this->parser->release();
     this->parser.reset();
     this->closeAfter = !request.keep_alive();
--- a/src/connection/http/server_session.h
+++ b/src/connection/http/server_session.h
@@ -58,6 +58,12 @@
         return this->serving;
     }
 
+    /** @returns how many requests have been read from the connection, the present one included. */
+    std::uint64_t requestCount() const
+    {
+        return this->requests;
+    }
+
     /** @brief Sets what is called when the caller leaves before its answer is complete. */
     void watchCaller(std::function<void()> onLeft);
     /** @brief Answers the present request. */
@@ -98,6 +104,7 @@
     std::string outgoing; ///< Bytes being written.
     std::string waiting; ///< Bytes to write after those.
     std::uint64_t watchNumber = 0;
+    std::uint64_t requests = 0;
     bool serving = false;
     bool writing = false;
     bool answerEnds = false; ///< The answer is complete once all queued bytes are written.
--- a/src/process/edge_daemon.cpp
+++ b/src/process/edge_daemon.cpp
@@ -30,6 +30,9 @@
 constexpr Duration exchangePeriod = 200ms;
 constexpr Duration idleSweepPeriod = 1s;
 constexpr Duration settingsCheckPeriod = 2s;
+/** Period of the log lines of a busy daemon, and the lag of its timers from which on it counts as busy. */
+constexpr Duration busyReportPeriod = 1s;
+constexpr Duration busyLag = 25ms;
 /** A daemon whose configuration is older than this part of the lifetime of keys is not ready: others can confirm them. */
 constexpr double readyLifetimePart = 0.9;
 /** After SIGTERM, idle connections stay open until callers have been sent elsewhere: two missed probes, a second apart, and a margin. */
@@ -192,6 +195,7 @@
                                                                          proxy::BackendConnectionPool::closeIdle(backend, now);
                                                                      });
                                                              }));
+        this->subscriptions.push_back(this->timers.subscribe([] { return busyReportPeriod; }, [this](Time) { this->reportIfBusy(); }));
         this->subscriptions.push_back(this->timers.subscribe([] { return settingsCheckPeriod; }, [this](Time) { this->reloadSettings(); }));
     }
 
@@ -211,6 +215,25 @@
         });
     }
 
+    /** Logs how many requests and connections keep a busy daemon busy. */
+    void reportIfBusy()
+    {
+        const proxy::RequestTotals totals = this->proxy.totals();
+        const std::uint64_t accepted = this->callers.acceptedCount();
+        const auto lagMs = std::chrono::duration_cast<std::chrono::milliseconds>(this->proxy.timerLag()).count();
+        if (this->proxy.timerLag() >= busyLag || this->proxy.acceptedFraction() < 1) {
+            logEvent("daemon_busy",
+                     {{"lag_ms", std::to_string(lagMs)},
+                      {"received", std::to_string(totals.received - this->reported.totals.received)},
+                      {"shed", std::to_string(totals.shed - this->reported.totals.shed)},
+                      {"accepted_fraction", std::to_string(this->proxy.acceptedFraction())},
+                      {"accepted_connections", std::to_string(accepted - this->reported.acceptedConnections)},
+                      {"connections", std::to_string(this->callers.connectionCount())},
+                      {"serving", std::to_string(this->callers.servingCount())}});
+        }
+        this->reported = {totals, accepted};
+    }
+
     void waitForSignal()
     {
         this->signals.async_wait([this](boost::system::error_code error, int signal) {
@@ -266,6 +289,14 @@
         }
     }
 
+    /** Counts at the last report of a busy daemon. */
+    struct Reported {
+        proxy::RequestTotals totals;
+        std::uint64_t acceptedConnections = 0;
+
+        bool operator==(const Reported &) const = default;
+    };
+
     EdgeSettings settings;
     std::shared_ptr<const ProxyDialect> dialect;
     ReadSettings readSettings;
@@ -283,6 +314,7 @@
     http::Listener callers;
     http::Listener probes;
     http::Listener metricsListener;
+    Reported reported;
     bool wasReady = false;
 };
 
--- a/src/process/proxy/proxied_request.cpp
+++ b/src/process/proxy/proxied_request.cpp
@@ -100,7 +100,9 @@
     this->attributes = this->proxy.dialect().readRequest(this->request);
     if (!this->proxy.acceptsNextRequest()) {
         this->identify(readClock());
-        this->refuse(RefusalReason::DaemonOverloaded, localRefusalRetryAfter, "this daemon can't keep up with its callers");
+        this->refuse(RefusalReason::DaemonOverloaded, localRefusalRetryAfter,
+                     "this daemon can't keep up with its callers: lag_ms " + milliseconds(this->proxy.timerLag()) + " accepted_fraction "
+                         + std::to_string(this->proxy.acceptedFraction()));
         return;
     }
     this->prepare();
@@ -757,6 +759,7 @@
               {"waiting", std::to_string(this->lastWaiting)},
               {"first_ms", milliseconds(this->timeToFirstEvent)},
               {"total_ms", milliseconds(now - this->receivedAt)},
+              {"connection_requests", std::to_string(this->session->requestCount())},
               {"version", this->table ? std::to_string(this->table->version()) : "none"},
               {"version_age_ms", milliseconds(this->proxy.configurationAge(now))}});
 }
--- a/src/process/proxy/proxy.cpp
+++ b/src/process/proxy/proxy.cpp
@@ -142,6 +142,14 @@
     this->overloadedUntil = now + overloadHoldTime;
 }
 
+bool Proxy::acceptsNextRequest()
+{
+    ++this->requestTotals.received;
+    const bool isAccepted = this->shedding.acceptNext();
+    this->requestTotals.shed += isAccepted ? 0 : 1;
+    return isAccepted;
+}
+
 void Proxy::setStopping(Time since)
 {
     this->stopping = true;
--- a/src/process/proxy/proxy.h
+++ b/src/process/proxy/proxy.h
@@ -52,6 +52,14 @@
                                  ///< daemons with reduced weight.
 };
 
+/** @brief Counts of requests since the start of the daemon. */
+struct RequestTotals {
+    std::uint64_t received = 0;
+    std::uint64_t shed = 0; ///< Refused by load shedding.
+
+    bool operator==(const RequestTotals &) const = default;
+};
+
 /** @brief State that a daemon's requests share, and the decisions that depend on it. */
 class Proxy
 {
@@ -95,9 +103,15 @@
         return now < this->overloadedUntil;
     }
     /** @brief Decides on load shedding. @returns false when the next request must be refused, so that its caller tries another daemon. */
-    bool acceptsNextRequest()
+    bool acceptsNextRequest();
+    const RequestTotals &totals() const
+    {
+        return this->requestTotals;
+    }
+    /** @returns the fraction of the requests that load shedding accepts, 0 to 1. */
+    double acceptedFraction() const
     {
-        return this->shedding.acceptNext();
+        return this->shedding.acceptedFraction();
     }
     void setStopping(Time since);
     bool isStopping() const
@@ -194,6 +208,7 @@
     dispatch::WorkspacePacer workspacePacer;
     dispatch::RequestCosts requestCosts;
     dispatch::LoadShedder shedding;
+    RequestTotals requestTotals;
     BackendConnectionPool backendPool;
     AnswerBufferBudget bufferBudget;
     std::map<std::string, dispatch::FleetRetryBudget> retryBudgets;
