A workspace far below its share of what is served may wait longer than those above it

Cause: both were beyond their guaranteed shares, and that excess alone set the limit, the same for both (77 to 85 ms); the free capacity went to whoever asked for it most often. Change: the excess over the guaranteed share has a reduced weight for a workspace below 0.9 of its share of what is served, 0.8 at 0.6 and below. Where all demands are met it counts in full, as before. Evidence: the new test fails before (refused at 100 ms). Ruled out: no weight at all there, which admits at 150 ms what test_dispatch says is refused.

--- a/src/process/proxy/admission.cpp
+++ b/src/process/proxy/admission.cpp
@@ -35,6 +35,13 @@
 /** Bounds of the factor by which the request's cost scales the queue limit of a workspace over its share. */
 constexpr double minCostFactor = 0.5;
 constexpr double maxCostFactor = 3.0;
+/**
+ * The excess over the guaranteed share counts in full from the upper one of these multiples of the served share on, and with a reduced
+ * weight below the lower one: a workspace far below its share would otherwise lose the free capacity to those that ask for it more often.
+ */
+constexpr double servedRampStart = 0.6;
+constexpr double servedRampEnd = 0.9;
+constexpr double laggardExcessWeight = 0.8;
 /**
  * Weight of the excess over the guaranteed share when it scales the cost factor; the excess over the served share has weight 1.
  * A workspace that is over its guaranteed share only is still entitled to as much as the others get.
@@ -51,16 +58,25 @@
     return std::clamp((shareUsed - shareRampStart) / (shareRampEnd - shareRampStart), 0.0, 1.0);
 }
 
-double fractionAt(double shareUsed, double within, double over)
+/** The same for the guaranteed share, of a workspace that uses this multiple of the served share. */
+double guaranteedExcessOf(const dispatch::ShareUsage &shareUsage)
+{
+    const bool areDemandsMet = shareUsage.ofServed == 0;
+    const double ramp = std::clamp((shareUsage.ofServed - servedRampStart) / (servedRampEnd - servedRampStart), 0.0, 1.0);
+    const double weight = areDemandsMet ? 1.0 : laggardExcessWeight + (1.0 - laggardExcessWeight) * ramp;
+    return shareExcessOf(shareUsage.ofGuaranteed) * weight;
+}
+
+double fractionAt(double shareExcess, double within, double over)
 {
-    return within + (over - within) * shareExcessOf(shareUsed);
+    return within + (over - within) * shareExcess;
 }
 
 /** Queue limit for a workspace that uses these multiples of its shares. */
 Duration maxQueueDelay(const QueueFractions &fractions, const dispatch::ShareUsage &shareUsage, Duration latencyTarget)
 {
-    const double fraction = std::min(fractionAt(shareUsage.ofGuaranteed, fractions.withinShare, fractions.overGuaranteed),
-                                     fractionAt(shareUsage.ofServed, fractions.withinShare, fractions.overServed));
+    const double fraction = std::min(fractionAt(guaranteedExcessOf(shareUsage), fractions.withinShare, fractions.overGuaranteed),
+                                     fractionAt(shareExcessOf(shareUsage.ofServed), fractions.withinShare, fractions.overServed));
     return Duration(static_cast<std::int64_t>(static_cast<double>(latencyTarget.count()) * fraction));
 }
 
@@ -69,7 +85,7 @@
 {
     const Duration limit = baselinePrefillDelay + maxQueueDelay(fleetQueueFractions, input.shareUsage, input.latencyTarget);
     const double shareExcess
-        = std::max(shareExcessOf(input.shareUsage.ofServed), guaranteedExcessWeight * shareExcessOf(input.shareUsage.ofGuaranteed));
+        = std::max(shareExcessOf(input.shareUsage.ofServed), guaranteedExcessWeight * guaranteedExcessOf(input.shareUsage));
     const double costFactor = std::clamp(1.0 / std::sqrt(input.relativeCost), minCostFactor, maxCostFactor);
     const double factor = input.isUnderserved ? maxCostFactor : costFactor;
     const double shareFactor = std::max(1.0 / std::max(input.shareUsage.ofServed, 1.0), minLimitFraction);
--- a/tests/proxy/test_overload.cpp
+++ b/tests/proxy/test_overload.cpp
@@ -262,6 +262,30 @@
     }
 }
 
+// Guards against queue limits that leave the free capacity to the workspace that asks for it most often.
+TEST_CASE("beyond their guaranteed shares, a workspace far below its share of what is served waits longer than one above it")
+{
+    proxy::AdmissionInput behind;
+    behind.latencyTarget = 500ms;
+    behind.fleetQueueDelay = 100ms;
+    behind.shareUsage = {0.5, 1.4};
+    CHECK(proxy::decideAdmission(behind).isAdmitted);
+    proxy::AdmissionInput ahead = behind;
+    ahead.shareUsage = {1.3, 3.6};
+    CHECK_FALSE(proxy::decideAdmission(ahead).isAdmitted);
+    // Nobody is below a share while all demands are met; what is beyond the guaranteed share then waits behind the rest.
+    proxy::AdmissionInput unlimited = behind;
+    unlimited.shareUsage = {0, 1.4};
+    CHECK_FALSE(proxy::decideAdmission(unlimited).isAdmitted);
+    Duration before = proxy::decideAdmission(behind).maxFleetQueueDelay;
+    for (const double used : {0.6, 0.7, 0.8, 0.9, 1.0, 1.2}) {
+        proxy::AdmissionInput input = behind;
+        input.shareUsage.ofServed = used;
+        CHECK(proxy::decideAdmission(input).maxFleetQueueDelay <= before);
+        before = proxy::decideAdmission(input).maxFleetQueueDelay;
+    }
+}
+
 TEST_CASE("cost changes nothing within a workspace's share")
 {
     for (const Duration queue : {50ms, 150ms, 290ms, 310ms, 400ms}) {
