The pace of a flood follows its callers to another daemon at once

Cause: the part of a workspace's requests that arrives here was compared at the age of the others' load, so for that long a VM took a workspace that had just come for one that hardly asks here. Class: an estimate that is older than what it decides about. Change: where a workspace asked for more than its share already in the older load, requests that have doubled here have left other daemons, and count at once. A flood that begins everywhere is not above its share yet in the older load, so it raises no part.

--- a/src/process/dispatch/fair_share_tracker.cpp
+++ b/src/process/dispatch/fair_share_tracker.cpp
@@ -26,6 +26,8 @@
 constexpr double maxPendingSeconds = 0.09;
 /** An estimate from this many requests has the same weight as the one that it refines. */
 constexpr double assumedRequests = 4.0;
+/** A workspace's requests here have grown when they arrive at this multiple of the rate that its part predicts. */
+constexpr double growthFactor = 2.0;
 
 /** @returns whether the engines can serve more: they are neither near their throughput, nor do prompts queue there. */
 bool hasRoom(const FleetState &state, double served)
@@ -131,7 +133,7 @@
     const double capacity = std::max(state.engineThroughput, throughputHeadroom * served);
     const double spare = capacity - std::accumulate(demands.begin(), demands.end(), 0.0);
     const double share = maxMinShare(std::move(demands), capacity);
-    const std::map<WorkspaceHandle, double> parts = this->partsHere(others, std::max(meanCost, 1.0), now);
+    const std::map<WorkspaceHandle, double> parts = this->partsHere(others, share, std::max(meanCost, 1.0), now);
     for (const exchange::WorkspaceLoad &load : fleet.workspaces) {
         const WorkspaceHandle workspace {load.workspace};
         if (const auto part = parts.find(workspace); part != parts.end()) {
@@ -140,7 +142,8 @@
     }
 }
 
-std::map<WorkspaceHandle, double> FairShareTracker::partsHere(const exchange::LoadSummary &others, double meanCost, Time now) const
+std::map<WorkspaceHandle, double> FairShareTracker::partsHere(const exchange::LoadSummary &others, double share, double meanCost,
+                                                              Time now) const
 {
     // Both sides of a part are from the same time: a flood that begins at all daemons at once does not change its parts.
     const Snapshot &past = this->snapshotOfAge(others.age, now);
@@ -157,11 +160,22 @@
         double part = isNew ? 1.0 : 1.0 / fleet.daemons;
         part = refinePart(part, here.demand, load.demand, meanLifeOf(rateHalfLife) / meanCost);
         part = refinePart(part, here.offered, load.offered, meanLifeOf(offeredHalfLife) / meanCost);
+        // A flood is as large as before when its callers move: what has grown here has left other daemons.
+        if (const double offeredNow = this->offeredRate(WorkspaceHandle {load.workspace}, now);
+            load.demand > share && offeredNow > growthFactor * part * load.offered) {
+            part = std::max(part, refinePart(part, offeredNow, std::max(load.offered, offeredNow), meanLifeOf(offeredHalfLife) / meanCost));
+        }
         parts[WorkspaceHandle {load.workspace}] = part;
     }
     return parts;
 }
 
+double FairShareTracker::offeredRate(WorkspaceHandle workspace, Time now) const
+{
+    const auto own = this->rates.find(workspace);
+    return own == this->rates.end() ? 0 : own->second.offered.rate(now);
+}
+
 ShareUsage FairShareTracker::shareUsage(WorkspaceHandle workspace, Time now) const
 {
     const auto own = this->rates.find(workspace);
--- a/src/process/dispatch/fair_share_tracker.h
+++ b/src/process/dispatch/fair_share_tracker.h
@@ -101,8 +101,13 @@
     };
     /** @returns the newest snapshot that is at least as old as the other daemons' load; the oldest one, if none is. */
     const Snapshot &snapshotOfAge(Duration age, Time now) const;
-    /** @returns the part of each workspace's requests that arrives at this daemon, 0 to 1. */
-    std::map<WorkspaceHandle, double> partsHere(const exchange::LoadSummary &others, double meanCost, Time now) const;
+    /**
+     * @returns the part of each workspace's requests that arrives at this daemon, 0 to 1.
+     * @param share Throughput that each workspace may use; infinite when all demands can be met.
+     */
+    std::map<WorkspaceHandle, double> partsHere(const exchange::LoadSummary &others, double share, double meanCost, Time now) const;
+    /** @returns the rate at which requests of the workspace currently reach admission control here. */
+    double offeredRate(WorkspaceHandle workspace, Time now) const;
 
     std::map<WorkspaceHandle, Rates> rates;
     std::deque<Snapshot> history; ///< From the oldest to the newest one, and never empty after an update.
--- a/tests/proxy/test_fleet_admission.cpp
+++ b/tests/proxy/test_fleet_admission.cpp
@@ -309,3 +309,23 @@
         CHECK(worstFairness(fleet.services[allDaemons], fleet.services[fewDaemons], begin, end) >= 1);
     }
 }
+
+// Guards against an estimate of where callers are that is as old as the other daemons' load.
+TEST_CASE("a flood whose callers leave one daemon after the other keeps half of what a flood through all gets")
+{
+    constexpr std::size_t begin = 4;
+    constexpr std::size_t end = 18;
+    for (const unsigned seed : {1u, 11u, 21u}) {
+        std::vector<Traffic> traffic {{allDaemons, 0, daemonCount, {{0, begin, 0.4}, {begin, end, 4.0}, {end, seconds, 0.4}}}};
+        for (std::size_t second = begin; second < end; ++second) {
+            const auto from = static_cast<double>(second);
+            traffic.push_back({fewDaemons, 7 + 3 * second, 1, {{from, from + 1, 1.0}}});
+        }
+        addSmallWorkspaces(traffic);
+        Fleet fleet;
+        fleet.run(arrivalsOf(traffic, seed));
+        CAPTURE(seed);
+        CHECK(worstFairness(fleet.services[fewDaemons], fleet.services[allDaemons], begin, end) >= 1);
+        CHECK(worstFairness(fleet.services[allDaemons], fleet.services[fewDaemons], begin, end) >= 1);
+    }
+}
