An overloaded daemon divides what it accepts among the workspaces that send to it

Cause: load shedding accepted one fraction of all requests, whoever sent them. Class: a limit that is shared by attempts. Change: the accepted part of an interval's requests is divided max-min among workspaces; one that has just come gets its first request in, and the overall fraction until the next division, since it may be a flood. Evidence: new test, six requests a period beside a flood of ninety: before, both get the same fraction (below 0.2, its checks fail); now the small one gets as many in as the flood, and the sum stays the same. The tests of shedding hold, with a workspace named.

--- a/src/process/dispatch/load_shedder.cpp
+++ b/src/process/dispatch/load_shedder.cpp
@@ -1,6 +1,9 @@
 #include "process/dispatch/load_shedder.h"
 
+#include "process/dispatch/fair_share_tracker.h"
+
 #include <algorithm>
+#include <vector>
 
 namespace eelgrassnotch::process::dispatch
 {
@@ -27,15 +30,35 @@
     const bool isHotSpot = load.meanDemand > 0 && load.demand > hotSpotFactor * load.meanDemand;
     this->fraction = load.timerLag > lagThreshold && isHotSpot ? std::max(this->fraction * decreaseFactor, minFraction)
                                                                : std::min(this->fraction + increaseStep, 1.0);
+    this->divideAmongWorkspaces();
+}
+
+void LoadShedder::divideAmongWorkspaces()
+{
+    std::erase_if(this->intakes, [](const auto &entry) { return entry.second.requests == 0; });
+    std::vector<double> requests;
+    double total = 0;
+    for (const auto &[workspace, intake] : this->intakes) {
+        requests.push_back(intake.requests);
+        total += intake.requests;
+    }
+    const double share = maxMinShare(std::move(requests), this->fraction * total);
+    for (auto &[workspace, intake] : this->intakes) {
+        intake.fraction = std::min(share / intake.requests, 1.0);
+        intake.requests = 0;
+    }
 }
 
-bool LoadShedder::acceptNext()
+bool LoadShedder::acceptNext(WorkspaceHandle workspace)
 {
-    this->credit += this->fraction;
-    if (this->credit < 1.0) {
+    // A workspace that has just come gets its first request in; it may be a flood, so the others wait for the next division.
+    Intake &intake = this->intakes.try_emplace(workspace, Intake {0, this->fraction, 1.0}).first->second;
+    intake.requests += 1.0;
+    intake.credit += intake.fraction;
+    if (intake.credit < 1.0) {
         return false;
     }
-    this->credit -= 1.0;
+    intake.credit -= 1.0;
     return true;
 }
 
--- a/src/process/proxy/proxied_request.cpp
+++ b/src/process/proxy/proxied_request.cpp
@@ -98,7 +98,9 @@
 void ProxiedRequest::start()
 {
     this->attributes = this->proxy.dialect().readRequest(this->request);
-    if (!this->proxy.acceptsNextRequest()) {
+    this->table = this->proxy.routeTable();
+    this->workspace = this->table ? this->table->workspaceOf(this->attributes.apiKey) : nullptr;
+    if (!this->proxy.acceptsNextRequest(this->workspaceHandle())) {
         this->identify(readClock());
         this->refuse(RefusalReason::DaemonOverloaded, localRefusalRetryAfter,
                      "this daemon can't keep up with its callers: lag_ms " + milliseconds(this->proxy.timerLag()) + " accepted_fraction "
@@ -110,12 +112,10 @@
 
 void ProxiedRequest::identify(Time now)
 {
-    this->table = this->proxy.routeTable();
     if (!this->table) {
         return;
     }
     this->route = this->table->match(hostWithoutPort(viewOf(this->request[field::host])), this->path());
-    this->workspace = this->table->workspaceOf(this->attributes.apiKey);
     if (this->route != nullptr && (this->workspace != nullptr || this->route->isPublic || !this->table->hasWorkspaces())) {
         this->findService();
         this->recordDemand(now);
--- a/src/process/proxy/proxied_request.h
+++ b/src/process/proxy/proxied_request.h
@@ -29,7 +29,7 @@
     void start();
 
 private:
-    /** @brief Finds route and workspace of a request that is refused at once, for its log line, and records its demand. */
+    /** @brief Finds the route of a request that is refused at once, for its log line, and records its demand. */
     void identify(Time now);
     void findService();
     /** @brief Records the request's cost as demand of its workspace, whether it is served or not. */
--- a/src/process/proxy/proxy.cpp
+++ b/src/process/proxy/proxy.cpp
@@ -142,10 +142,10 @@
     this->overloadedUntil = now + overloadHoldTime;
 }
 
-bool Proxy::acceptsNextRequest()
+bool Proxy::acceptsNextRequest(WorkspaceHandle workspace)
 {
     ++this->requestTotals.received;
-    const bool isAccepted = this->shedding.acceptNext();
+    const bool isAccepted = this->shedding.acceptNext(workspace);
     this->requestTotals.shed += isAccepted ? 0 : 1;
     return isAccepted;
 }
--- a/src/process/proxy/proxy.h
+++ b/src/process/proxy/proxy.h
@@ -102,8 +102,9 @@
     {
         return now < this->overloadedUntil;
     }
-    /** @brief Decides on load shedding. @returns false when the next request must be refused, so that its caller tries another daemon. */
-    bool acceptsNextRequest();
+    /** @brief Decides on load shedding. @returns false when the workspace's next request must be refused; its caller tries another daemon.
+     */
+    bool acceptsNextRequest(WorkspaceHandle workspace);
     const RequestTotals &totals() const
     {
         return this->requestTotals;
--- a/tests/proxy/test_load_shedding.cpp
+++ b/tests/proxy/test_load_shedding.cpp
@@ -28,6 +28,8 @@
 /** Callers abandon requests that the VM has not read after this time. */
 constexpr Duration callerTimeout = 1s;
 constexpr double cost = 1000;
+constexpr WorkspaceHandle busy {1};
+constexpr WorkspaceHandle small {2};
 
 /** One VM with its queue of unread requests. */
 struct Vm {
@@ -75,7 +77,7 @@
                 vm.unread.pop_front();
                 if (now - arrived > callerTimeout) {
                     vm.remaining -= timeToRefuse;
-                } else if (!isShedding || vm.shedding.acceptNext()) {
+                } else if (!isShedding || vm.shedding.acceptNext(busy)) {
                     serve(vm, arrived, now, isCounted && index == 0);
                 } else {
                     vm.remaining -= timeToRefuse;
@@ -113,7 +115,7 @@
     LoadShedder shedding;
     for (int step = 0; step < 50; ++step) {
         shedding.update({200ms, 1500, 1000});
-        CHECK(shedding.acceptNext());
+        CHECK(shedding.acceptNext(busy));
     }
     shedding.update({200ms, 5000, 0});
     CHECK(shedding.acceptedFraction() == 1.0);
@@ -131,3 +133,32 @@
     }
     CHECK(shedding.acceptedFraction() == 1.0);
 }
+
+// Guards against shedding a workspace's few requests as often as those of a flood that overloads its daemon.
+TEST_CASE("a workspace that sends little to a daemon keeps its requests while the daemon sheds the flood of another one")
+{
+    constexpr int floodPerPeriod = 90;
+    constexpr int smallEvery = 15; // Six in a period.
+    LoadShedder shedding;
+    int sent = 0;
+    int accepted = 0;
+    int floodAccepted = 0;
+    for (int step = 0; step < periods; ++step) {
+        shedding.update({step < warmUpPeriods || step % 2 == 0 ? 60ms : 10ms, 9000, 1000});
+        for (int index = 0; index < floodPerPeriod; ++index) {
+            const bool isFloodAccepted = shedding.acceptNext(busy);
+            const bool isSmall = index % smallEvery == 0;
+            const bool isSmallAccepted = isSmall && shedding.acceptNext(small);
+            if (step >= warmUpPeriods) {
+                floodAccepted += isFloodAccepted ? 1 : 0;
+                sent += isSmall ? 1 : 0;
+                accepted += isSmallAccepted ? 1 : 0;
+            }
+        }
+    }
+    CHECK(shedding.acceptedFraction() < 0.2);
+    CHECK(accepted >= 0.4 * sent);
+    CHECK(accepted >= 0.9 * floodAccepted);
+    // The sum stays what the daemon can handle.
+    CHECK(accepted + floodAccepted <= 0.2 * (periods - warmUpPeriods) * (floodPerPeriod + floodPerPeriod / smallEvery));
+}
