A request beyond its workspace's pace is refused before it is placed

Cause: each of the flood's requests was compared with all backend servers of its service (89 there) before the pace refused it, although the pace doesn't depend on the chosen one. Looked for beside the fault: work that is done for refusals. Change: the pace is asked first; what is within it goes on as before. Evidence: new test, no backend server there: the refusal comes at once and names the pace.

--- a/src/process/proxy/proxied_request.cpp
+++ b/src/process/proxy/proxied_request.cpp
@@ -181,9 +181,24 @@
             self->onDeadline();
         }
     });
+    if (this->isEngineService() && !this->checkPace(now)) {
+        return;
+    }
     this->place();
 }
 
+bool ProxiedRequest::checkPace(Time now)
+{
+    const Duration paceDelay = this->proxy.pacer().delay(this->workspaceHandle(), now);
+    if (paceDelay == Duration(0) || this->route->latencyTarget == Duration(0)) {
+        return true;
+    }
+    AdmissionInput input = this->admissionInput(now);
+    input.paceDelay = paceDelay;
+    this->refuseAdmission(input, decideAdmission(input), now);
+    return false;
+}
+
 void ProxiedRequest::waitForConfiguration(Time now)
 {
     if (now - this->receivedAt >= maxConfigurationWait || this->proxy.isStopping()) {
@@ -328,33 +343,44 @@
     return jitterRetryAfter(untilOpen, hashName(this->attributes.id));
 }
 
-bool ProxiedRequest::checkAdmission(const BackendChoice &choice, Time now)
+AdmissionInput ProxiedRequest::admissionInput(Time now) const
 {
     AdmissionInput input;
-    input.queueDelay = choice.prediction.queueDelay;
-    input.ownPrefillDelay = choice.prediction.ownPrefillDelay;
-    input.fleetQueueDelay = choice.meanQueueDelay;
-    input.paceDelay = this->proxy.pacer().delay(this->workspaceHandle(), now);
     input.latencyTarget = this->route->latencyTarget;
     input.shareUsage = this->proxy.shares().shareUsage(this->workspaceHandle(), now);
     input.relativeCost = this->proxy.costs().relativeCost(this->cost(), now);
     input.isUnderserved = this->proxy.costs().isUnderserved(this->route->name, this->cost(), now);
     input.isRetry = this->attempts > 0;
+    return input;
+}
+
+bool ProxiedRequest::checkAdmission(const BackendChoice &choice, Time now)
+{
+    AdmissionInput input = this->admissionInput(now);
+    input.queueDelay = choice.prediction.queueDelay;
+    input.ownPrefillDelay = choice.prediction.ownPrefillDelay;
+    input.fleetQueueDelay = choice.meanQueueDelay;
+    input.paceDelay = this->proxy.pacer().delay(this->workspaceHandle(), now);
     const AdmissionDecision decision = decideAdmission(input);
     if (!decision.isAdmitted) {
-        const std::optional<Duration> loadAge = this->proxy.loadAge(now);
-        const std::string detail = "queue_ms " + milliseconds(input.queueDelay) + " fleet_queue_ms " + milliseconds(input.fleetQueueDelay)
-            + " max_queue_ms " + milliseconds(decision.maxQueueDelay) + " max_fleet_queue_ms " + milliseconds(decision.maxFleetQueueDelay)
-            + " pace_ms " + milliseconds(input.paceDelay) + " exceeded " + std::string(nameOf(decision.exceeded)) + " load_age_ms "
-            + (loadAge ? milliseconds(*loadAge) : "unknown") + " share_of_served " + std::to_string(input.shareUsage.ofServed)
-            + " share_of_guaranteed " + std::to_string(input.shareUsage.ofGuaranteed) + " relative_cost "
-            + std::to_string(input.relativeCost) + " behind " + (input.isUnderserved ? "true" : "false");
-        this->proxy.metrics().countAdmissionRefusal(nameOf(decision.exceeded));
-        this->refuse(RefusalReason::Overloaded, jitterRetryAfter(decision.retryAfter, hashName(this->attributes.id)), detail);
+        this->refuseAdmission(input, decision, now);
     }
     return decision.isAdmitted;
 }
 
+void ProxiedRequest::refuseAdmission(const AdmissionInput &input, const AdmissionDecision &decision, Time now)
+{
+    const std::optional<Duration> loadAge = this->proxy.loadAge(now);
+    const std::string detail = "queue_ms " + milliseconds(input.queueDelay) + " fleet_queue_ms " + milliseconds(input.fleetQueueDelay)
+        + " max_queue_ms " + milliseconds(decision.maxQueueDelay) + " max_fleet_queue_ms " + milliseconds(decision.maxFleetQueueDelay)
+        + " pace_ms " + milliseconds(input.paceDelay) + " exceeded " + std::string(nameOf(decision.exceeded)) + " load_age_ms "
+        + (loadAge ? milliseconds(*loadAge) : "unknown") + " share_of_served " + std::to_string(input.shareUsage.ofServed)
+        + " share_of_guaranteed " + std::to_string(input.shareUsage.ofGuaranteed) + " relative_cost " + std::to_string(input.relativeCost)
+        + " behind " + (input.isUnderserved ? "true" : "false");
+    this->proxy.metrics().countAdmissionRefusal(nameOf(decision.exceeded));
+    this->refuse(RefusalReason::Overloaded, jitterRetryAfter(decision.retryAfter, hashName(this->attributes.id)), detail);
+}
+
 void ProxiedRequest::startAttempt(const BackendChoice &choice, Time now)
 {
     if (!this->wasCounted) {
--- a/src/process/proxy/proxied_request.h
+++ b/src/process/proxy/proxied_request.h
@@ -4,6 +4,7 @@
 
 #include "connection/http/server_session.h"
 #include "eelgrassnotch/verdict.h"
+#include "process/proxy/admission.h"
 #include "process/proxy/backend_attempt.h"
 #include "process/proxy/proxy.h"
 #include "request/event_splitter.h"
@@ -50,6 +51,11 @@
     void waitForUsableBackend(const BackendChoice &choice, Time now);
     /** @returns the retry-after time for a request for which no backend server is usable. */
     Duration computeRetryAfter(const BackendChoice &choice, Time now) const;
+    /** @brief Refuses a request beyond its workspace's pace, before a backend server is chosen. @returns false when it was refused. */
+    bool checkPace(Time now);
+    /** @returns the inputs to admission control that don't depend on the chosen backend server. */
+    AdmissionInput admissionInput(Time now) const;
+    void refuseAdmission(const AdmissionInput &input, const AdmissionDecision &decision, Time now);
     /** @brief Applies admission control. @returns false when the request was refused. */
     bool checkAdmission(const BackendChoice &choice, Time now);
     void startAttempt(const BackendChoice &choice, Time now);
--- a/tests/proxy/test_shed_demand.cpp
+++ b/tests/proxy/test_shed_demand.cpp
@@ -1,4 +1,4 @@
-/** @file Guards the demand that daemons report against load shedding: what an overloaded daemon refuses is asked all the same. */
+/** @file Requests that a daemon refuses before it looks for a backend server: they count as demand, and are refused at once. */
 
 #include "connection/http/listener.h"
 #include "platform/dialect.h"
@@ -10,6 +10,7 @@
 #include <doctest/doctest.h>
 
 #include <cmath>
+#include <functional>
 #include <thread>
 
 using namespace eelgrassnotch;
@@ -24,11 +25,12 @@
 /** Of the demand that daemons report. */
 constexpr Duration rateHalfLife = 1400ms;
 
-/** A proxy between callers and no backend servers, whose daemon counts as a hot spot without capacity. */
-class OverloadedProxy
+/** A proxy between callers and no backend servers. */
+class ProxyWithoutBackends
 {
 public:
-    OverloadedProxy()
+    /** @param prepare Called with the proxy before it serves requests. */
+    explicit ProxyWithoutBackends(const std::function<void(proxy::Proxy &)> &prepare)
         : address("127.0.0.1:" + std::to_string(standin::findFreePort()))
         , dialect(std::make_shared<const platform::Dialect>())
         , proxy(this->context, EdgeSettings(), this->dialect, this->metrics)
@@ -39,11 +41,11 @@
         this->proxy.setRouteTable(
             std::make_shared<const version::RouteTable>(this->dialect->readConfiguration({"main", 1, configuration})));
         this->proxy.confirmConfiguration(readClock());
-        this->shed();
+        prepare(this->proxy);
         this->thread = std::thread([this] { this->context.run(); });
     }
 
-    ~OverloadedProxy()
+    ~ProxyWithoutBackends()
     {
         this->stop();
     }
@@ -78,22 +80,6 @@
         return sessionHooks;
     }
 
-    /** Repeats a late timer until the proxy accepts as little as it ever does. */
-    void shed()
-    {
-        constexpr int updates = 20;
-        constexpr std::uint32_t others = 10;
-        exchange::LoadSummary load;
-        load.daemons = others;
-        load.workspaces = {{1, 1, 1}};
-        const Time now = readClock();
-        this->proxy.shares().recordDemand(handleOf<WorkspaceHandle>("busy"), 1e6, now - 60s);
-        for (int update = 0; update < updates; ++update) {
-            this->proxy.recordTimerLag(1s, now - 60s);
-            this->proxy.updateLoadFromOthers(load, now - 60s);
-        }
-    }
-
     boost::asio::io_context context;
     proxy::ProxyMetrics metrics;
     std::shared_ptr<const platform::Dialect> dialect;
@@ -102,11 +88,36 @@
     std::thread thread;
 };
 
+/** Repeats a late timer until the proxy accepts as little as it ever does. */
+void makeOverloaded(proxy::Proxy &proxy)
+{
+    constexpr int updates = 20;
+    constexpr std::uint32_t others = 10;
+    exchange::LoadSummary load;
+    load.daemons = others;
+    load.workspaces = {{1, 1, 1}};
+    const Time past = readClock() - 60s;
+    proxy.shares().recordDemand(handleOf<WorkspaceHandle>("busy"), 1e6, past);
+    for (int update = 0; update < updates; ++update) {
+        proxy.recordTimerLag(1s, past);
+        proxy.updateLoadFromOthers(load, past);
+    }
+}
+
+/** Uses up the pace of the callers' workspace for a long time. */
+void useUpPace(proxy::Proxy &proxy)
+{
+    const Time now = readClock();
+    const auto workspace = handleOf<WorkspaceHandle>("w1");
+    proxy.pacer().setRates({{workspace, 1.0}}, 1.0, now);
+    proxy.pacer().recordAdmitted(workspace, 1e6, now);
+}
+
 }
 
 TEST_CASE("requests that an overloaded daemon sheds count as demand of their workspace")
 {
-    OverloadedProxy world;
+    ProxyWithoutBackends world(makeOverloaded);
     int shed = 0;
     const std::string usage = "X-Eelgrassnotch-Token-Usage: " + std::to_string(static_cast<int>(promptTokens)) + ",0\r\n";
     const Time begin = readClock();
@@ -122,3 +133,16 @@
     const double meanLife = std::chrono::duration<double>(rateHalfLife).count() / std::log(2.0);
     CHECK(world.demand() * meanLife >= 0.99 * remaining * requests * promptTokens);
 }
+
+// Guards against placing each request of a flood among all backend servers before it is refused.
+TEST_CASE("a request beyond its workspace's pace is refused before a backend server is looked for")
+{
+    ProxyWithoutBackends world(useUpPace);
+    const Time begin = readClock();
+    const auto answer = standin::DaemonFixture::sendRawRequest(world.address, standin::DaemonFixture::requestText("/stream/x", "q1"));
+    // Requests of this route wait 500 ms for a backend server.
+    CHECK(readClock() - begin < 400ms);
+    CHECK(answer.result_int() == 503);
+    CHECK(answer.body().find("exceeded pace") != std::string::npos);
+    CHECK(std::stod(std::string(answer["Retry-After"])) >= 1.0);
+}
