Prompt parts that end backend servers are found from losses and quarantined

Cause: nothing connected a loss with the prompts that the backend server had not begun to answer; such requests were placed, and where they may run twice sent again, like any other. Class: a cause that travels with requests, looked for at servers. Change: a loss suspects the shared parts of requests whose answer had not been written for 100 ms; an answer that is written clears those of its own. Quarantined parts are refused as not run; what was sent is cancelled; suspects are not sent again. Tests: ten, of the rule, of a power cut, objections, 60 daemons without the store, bounded state and a whole daemon; on the code before there is nothing that they could call, and each such request reaches a backend server.

--- a/include/eelgrassnotch/verdict.h
+++ b/include/eelgrassnotch/verdict.h
@@ -42,6 +42,7 @@
     KeysUnconfirmed, ///< Whether keys still hold has not been confirmed for too long.
     Overloaded, ///< The backend servers can't begin with the request in time.
     DaemonOverloaded, ///< This daemon can't; others may.
+    PartQuarantined, ///< A part of the prompt ends the backend servers that begin to answer it.
     count,
 };
 
--- /dev/null
+++ b/src/process/dispatch/part_quarantine.h
@@ -0,0 +1,92 @@
+#pragma once
+
+/** @file Finds prompt parts that end backend servers, and keeps requests with such a part from being sent. */
+
+#include "eelgrassnotch/types.h"
+#include "process/exchange/part_evidence.h"
+#include "request/attributes.h"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace eelgrassnotch::process::dispatch
+{
+
+/** @brief A part was quarantined, or released again. */
+struct QuarantineChange {
+    std::uint64_t part = 0;
+    bool isQuarantined = false;
+    std::uint32_t backends = 0; ///< Lost incarnations that speak against the part, as far as this daemon knows.
+    std::string cause;
+
+    bool operator==(const QuarantineChange &) const = default;
+};
+
+/**
+ * @brief Decides from losses of backend servers which prompt parts end them.
+ *
+ * A loss makes the shared parts of those requests suspect that the backend server
+ * had not begun to answer. An answer that is being written clears all parts of
+ * its request. What is left after losses at several distinct times is the part
+ * that ends them; parts that many requests share are cleared by the others.
+ * Losses at the same time count once: a power cut or a network fault ends many
+ * backend servers without regard to what they work on.
+ *
+ * Each daemon sees a part of the evidence; evidence() and merge() make it common
+ * to all. Every daemon then decides by itself, by the same rule.
+ *
+ * @remarks Load pattern: one request in twenty ends the backend server that begins to answer it, and takes down the other requests there.
+ */
+class PartQuarantine
+{
+public:
+    using ChangeHandler = std::function<void(const QuarantineChange &)>;
+
+    explicit PartQuarantine(ChangeHandler changeHandler);
+
+    /** @brief Records that an answer to a request with this prompt is being written: none of its parts ends backend servers. */
+    void recordWritten(const request::Prompt &prompt, Time now);
+    /** @brief Records that a backend server was lost before it had begun to answer a request with this prompt. */
+    void recordLoss(std::uint32_t backend, const request::Prompt &prompt, Time now);
+
+    /** @returns the quarantined part of the prompt; nullopt if there is none. */
+    std::optional<std::uint64_t> quarantinedPart(const request::Prompt &prompt) const;
+    /** @returns how much longer the part stays quarantined; zero when it isn't. */
+    Duration remaining(std::uint64_t part, Time now) const;
+    /** @returns whether backend servers were lost more than once before they had begun to answer requests with a part of the prompt. */
+    bool isSuspect(const request::Prompt &prompt) const;
+
+    /** @brief Decides on quarantine from the evidence, and drops what is too old. */
+    void update(Time now);
+
+    /** @returns what to tell other daemons. */
+    exchange::PartEvidence evidence(Time now) const;
+    /** @brief Adds what another daemon knows. */
+    void merge(const exchange::PartEvidence &evidence, Time now);
+
+    /** @returns suspected parts that are kept, for tests of the bound. */
+    std::size_t suspectCount() const
+    {
+        return this->suspects.size();
+    }
+
+private:
+    using Losses = std::map<std::uint32_t, Time>; ///< Lost incarnations, and when each was lost.
+
+    void addSuspicion(std::uint64_t part, std::uint32_t backend, Time at);
+    void setSound(std::uint64_t part, Time at);
+    void quarantine(std::uint64_t part, Time since, const std::string &cause);
+    void limitState();
+
+    ChangeHandler onChange;
+    std::map<std::uint64_t, Losses> suspects;
+    std::map<std::uint64_t, Time> soundAt; ///< When an answer was last being written to a request with the part.
+    std::map<std::uint64_t, Time> quarantined; ///< Since when.
+    std::map<std::uint64_t, Time> objections; ///< Parts that others suspect and this daemon knows as sound: when it last had to say so.
+};
+
+}
--- a/src/process/edge_daemon.cpp
+++ b/src/process/edge_daemon.cpp
@@ -73,9 +73,8 @@
         , proxy(this->context, this->settings, this->dialect, this->metrics)
         , signals(this->context, SIGTERM, SIGINT, SIGHUP)
         , tick(this->context)
-        , loadSocket(
-              this->context, this->settings.ip, this->settings.loadPort,
-              [this](const exchange::Message &message, const std::string &from) { this->exchange.receive(message, from, readClock()); })
+        , loadSocket(this->context, this->settings.ip, this->settings.loadPort,
+                     [this](const exchange::Message &message, const std::string &from) { this->takeMessage(message, from, readClock()); })
         , exchange({handleOf<DaemonHandle>(this->settings.name), handleOf<DataCentreHandle>(this->settings.dataCentre), this->settings.ip},
                    [this](const exchange::Peer &to, const exchange::Message &message) { this->loadSocket.send(to, message); })
         , knowledge(this->context, this->settings, this->dialect, this->metrics, this->proxy, this->exchange)
@@ -186,7 +185,12 @@
             [] { return tickPeriod; }, [this](Time now) { this->proxy.updateLoadFromOthers(this->exchange.loadOfOthers(now), now); }));
         this->subscriptions.push_back(this->timers.subscribe([] { return tickPeriod; }, [this](Time now) { this->knowledge.tick(now); }));
         this->subscriptions.push_back(this->timers.subscribe([] { return exchangePeriod; },
-                                                             [this](Time now) { this->exchange.tick(this->proxy.ownLoad(now), now); }));
+                                                             [this](Time now) {
+                                                                 this->exchange.setEvidence(this->proxy.quarantine().evidence(now));
+                                                                 this->exchange.tick(this->proxy.ownLoad(now), now);
+                                                             }));
+        this->subscriptions.push_back(
+            this->timers.subscribe([] { return tickPeriod; }, [this](Time now) { this->proxy.quarantine().update(now); }));
         this->subscriptions.push_back(this->timers.subscribe([] { return idleSweepPeriod; },
                                                              [this](Time now) {
                                                                  this->callers.connectionCount();
@@ -215,6 +219,12 @@
         });
     }
 
+    void takeMessage(const exchange::Message &message, const std::string &from, Time now)
+    {
+        this->proxy.quarantine().merge(message.evidence, now);
+        this->exchange.receive(message, from, now);
+    }
+
     /** Logs how many requests and connections keep a busy daemon busy. */
     void reportIfBusy()
     {
--- a/src/process/exchange/load_codec.cpp
+++ b/src/process/exchange/load_codec.cpp
@@ -15,11 +15,60 @@
 constexpr std::uint32_t maxDaemons = 100000;
 constexpr std::chrono::milliseconds maxAge = std::chrono::minutes(1);
 
+/** Longer ones are not sent by any daemon. */
+constexpr flatbuffers::uoffset_t maxEvidenceEntries = 256;
+constexpr std::uint64_t bitsOfHalf = 32;
+
 bool isValid(float value)
 {
     return value >= 0 && value <= maxValue;
 }
 
+std::uint32_t toMilliseconds(Duration age)
+{
+    return static_cast<std::uint32_t>(std::max<std::int64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(age).count(), 0));
+}
+
+std::uint32_t highHalf(std::uint64_t part)
+{
+    return static_cast<std::uint32_t>(part >> bitsOfHalf);
+}
+
+template <class Entry>
+std::uint64_t partOf(const Entry &entry)
+{
+    return static_cast<std::uint64_t>(entry.part_high()) << bitsOfHalf | entry.part_low();
+}
+
+std::vector<wire::PartAge> toWire(const std::vector<PartAge> &parts)
+{
+    std::vector<wire::PartAge> entries;
+    for (const PartAge &part : parts) {
+        entries.emplace_back(highHalf(part.part), static_cast<std::uint32_t>(part.part), toMilliseconds(part.age));
+    }
+    return entries;
+}
+
+std::vector<PartAge> fromWire(const flatbuffers::Vector<const wire::PartAge *> *entries)
+{
+    std::vector<PartAge> parts;
+    for (flatbuffers::uoffset_t index = 0; entries != nullptr && index < std::min(entries->size(), maxEvidenceEntries); ++index) {
+        const wire::PartAge &entry = *entries->Get(index);
+        parts.push_back({partOf(entry), std::chrono::milliseconds(entry.age_ms())});
+    }
+    return parts;
+}
+
+std::vector<Suspicion> fromWire(const flatbuffers::Vector<const wire::Suspicion *> *entries)
+{
+    std::vector<Suspicion> suspicions;
+    for (flatbuffers::uoffset_t index = 0; entries != nullptr && index < std::min(entries->size(), maxEvidenceEntries); ++index) {
+        const wire::Suspicion &entry = *entries->Get(index);
+        suspicions.push_back({partOf(entry), entry.backend(), std::chrono::milliseconds(entry.age_ms())});
+    }
+    return suspicions;
+}
+
 }
 
 std::vector<std::uint8_t> encode(const Message &message)
@@ -38,10 +87,17 @@
     const auto workspacesOffset = builder.CreateVectorOfStructs(workspaces);
     const auto offeredOffset = builder.CreateVector(offered);
     const auto backendsOffset = builder.CreateVectorOfStructs(backends);
-    builder.Finish(wire::CreateMessage(
-        builder, static_cast<wire::Kind>(message.kind), message.sender.id, message.dataCentre.id, workspacesOffset, backendsOffset,
-        message.load.daemons, static_cast<std::uint32_t>(std::chrono::duration_cast<std::chrono::milliseconds>(message.load.age).count()),
-        offeredOffset));
+    std::vector<wire::Suspicion> suspicions;
+    for (const Suspicion &suspicion : message.evidence.suspicions) {
+        suspicions.emplace_back(highHalf(suspicion.part), static_cast<std::uint32_t>(suspicion.part), suspicion.backend,
+                                toMilliseconds(suspicion.age));
+    }
+    const auto suspicionsOffset = builder.CreateVectorOfStructs(suspicions);
+    const auto soundOffset = builder.CreateVectorOfStructs(toWire(message.evidence.sound));
+    const auto quarantinedOffset = builder.CreateVectorOfStructs(toWire(message.evidence.quarantined));
+    builder.Finish(wire::CreateMessage(builder, static_cast<wire::Kind>(message.kind), message.sender.id, message.dataCentre.id,
+                                       workspacesOffset, backendsOffset, message.load.daemons, toMilliseconds(message.load.age),
+                                       offeredOffset, suspicionsOffset, soundOffset, quarantinedOffset));
     return {builder.GetBufferPointer(), builder.GetBufferPointer() + builder.GetSize()};
 }
 
@@ -83,6 +139,7 @@
             message.load.backends.push_back({load->backend(), load->unread_tokens(), load->in_flight()});
         }
     }
+    message.evidence = {fromWire(root->suspicions()), fromWire(root->sound()), fromWire(root->quarantined())};
     const auto byWorkspace = [](const WorkspaceLoad &left, const WorkspaceLoad &right) { return left.workspace < right.workspace; };
     const auto byBackend = [](const BackendLoad &left, const BackendLoad &right) { return left.backend < right.backend; };
     std::sort(message.load.workspaces.begin(), message.load.workspaces.end(), byWorkspace);
--- a/src/process/exchange/load_exchange.cpp
+++ b/src/process/exchange/load_exchange.cpp
@@ -125,7 +125,7 @@
 
 void LoadExchange::sendFleetSum(const LoadSummary &fleetSum) const
 {
-    const Message message {MessageKind::Fleet, this->self.daemon, this->self.dataCentre, fleetSum};
+    const Message message {MessageKind::Fleet, this->self.daemon, this->self.dataCentre, fleetSum, this->evidence};
     std::set<DaemonHandle> listed;
     for (const Peer &peer : this->peers) {
         if (peer.dataCentre == this->self.dataCentre) {
@@ -145,7 +145,7 @@
     this->lastSentLoad = ownLoad;
     for (const Peer &aggregator : this->aggregators.at(this->self.dataCentre)) {
         if (aggregator.daemon != this->self.daemon) {
-            this->send(aggregator, {MessageKind::Member, this->self.daemon, this->self.dataCentre, ownLoad});
+            this->send(aggregator, {MessageKind::Member, this->self.daemon, this->self.dataCentre, ownLoad, this->evidence});
         }
     }
     std::erase_if(this->members, [now](const auto &entry) { return now - entry.second.received.at > maxMemberLoadAge; });
@@ -159,7 +159,7 @@
             continue;
         }
         for (const Peer &aggregator : remoteAggregators) {
-            this->send(aggregator, {MessageKind::DataCentre, this->self.daemon, this->self.dataCentre, dataCentreSum});
+            this->send(aggregator, {MessageKind::DataCentre, this->self.daemon, this->self.dataCentre, dataCentreSum, this->evidence});
         }
     }
     LoadSummary fleetSum = dataCentreSum;
--- a/src/process/exchange/load_exchange.h
+++ b/src/process/exchange/load_exchange.h
@@ -4,6 +4,7 @@
 
 #include "eelgrassnotch/types.h"
 #include "process/exchange/load_summary.h"
+#include "process/exchange/part_evidence.h"
 
 #include <functional>
 #include <map>
@@ -36,6 +37,7 @@
     DaemonHandle sender;
     DataCentreHandle dataCentre; ///< Of the sender.
     LoadSummary load;
+    PartEvidence evidence {}; ///< All that the sender knows; the same in messages of each kind.
 
     bool operator==(const Message &) const = default;
 };
@@ -58,6 +60,11 @@
     LoadExchange(Peer ownIdentity, Send sendFunction);
 
     void setPeers(std::vector<Peer> allPeers);
+    /** @brief Sets what is told of prompt parts with the messages of the next intervals. */
+    void setEvidence(PartEvidence known)
+    {
+        this->evidence = std::move(known);
+    }
     /** @brief Sends the messages of one interval. @param ownLoad This daemon's load. */
     void tick(const LoadSummary &ownLoad, Time now);
     /** @brief Stores a received load. @param from IP address of the sender, which may not be among the peers yet. */
@@ -94,6 +101,7 @@
     std::optional<TimedLoad> computedSum; ///< Sum over the fleet as computed here; empty unless this daemon is an aggregator.
     std::optional<TimedLoad> receivedSum; ///< Sum over the fleet as last received from an aggregator.
     LoadSummary lastSentLoad; ///< Own load as last sent.
+    PartEvidence evidence;
 };
 
 }
--- /dev/null
+++ b/src/process/exchange/part_evidence.h
@@ -0,0 +1,46 @@
+#pragma once
+
+/** @file What daemons tell each other about prompt parts that end backend servers. */
+
+#include "eelgrassnotch/types.h"
+
+#include <cstdint>
+#include <vector>
+
+namespace eelgrassnotch::process::exchange
+{
+
+/** @brief A backend server's connection was lost before it began to answer a request with this part. */
+struct Suspicion {
+    std::uint64_t part = 0;
+    std::uint32_t backend = 0; ///< Handle of the incarnation that was lost.
+    Duration age {0}; ///< Time since then.
+
+    bool operator==(const Suspicion &) const = default;
+};
+
+/** @brief A part, and the time since something happened to it. */
+struct PartAge {
+    std::uint64_t part = 0;
+    Duration age {0};
+
+    bool operator==(const PartAge &) const = default;
+};
+
+/**
+ * @brief All that a daemon knows of suspected parts, its own observations and those of others.
+ * @remarks Merging is idempotent, so that evidence may arrive more than once and by several ways.
+ */
+struct PartEvidence {
+    std::vector<Suspicion> suspicions;
+    std::vector<PartAge> sound; ///< Suspected parts with which an answer was written, and when.
+    std::vector<PartAge> quarantined;
+
+    bool isEmpty() const
+    {
+        return this->suspicions.empty() && this->sound.empty() && this->quarantined.empty();
+    }
+    bool operator==(const PartEvidence &) const = default;
+};
+
+}
--- a/src/process/proxy/backend_attempt.cpp
+++ b/src/process/proxy/backend_attempt.cpp
@@ -43,6 +43,7 @@
 void BackendAttempt::onFirstEvent(Time now)
 {
     this->hasFirstEvent = true;
+    this->firstEventAt = now;
     this->removePendingPrefill();
     const Duration undelayed = this->prediction.firstEventDelay - this->prediction.queueDelay;
     this->backend->recordExcessDelay(now - this->startedAt - undelayed, now);
--- a/src/process/proxy/backend_attempt.h
+++ b/src/process/proxy/backend_attempt.h
@@ -45,6 +45,8 @@
     AnswerBufferBudget::Usage bufferUsage; ///< Bytes of body.
     bool hasHeader = false; ///< The answer's header has arrived.
     bool hasFirstEvent = false; ///< A complete event has arrived.
+    Time firstEventAt {0};
+    bool isShownSound = false; ///< The answer was written for long enough to show that the prompt's parts are sound.
 
 private:
     void removePendingPrefill();
--- a/src/process/proxy/proxied_request.cpp
+++ b/src/process/proxy/proxied_request.cpp
@@ -55,6 +55,9 @@
 /** The process exits this long before the end of the grace period, when it would be killed. */
 constexpr Duration stopMargin = 500ms;
 
+/** An answer that goes on for this long after its first event shows that no part of its prompt ends the backend server. */
+constexpr Duration minWritingTime = 100ms;
+
 /** Size limit of one event of a stream, in bytes. */
 constexpr std::size_t maxEventBytes = 256u << 10;
 /** Weight of a generated token in the cost of a request, relative to a prompt token. */
@@ -181,12 +184,51 @@
             self->onDeadline();
         }
     });
-    if (this->isEngineService() && !this->checkPace(now)) {
+    if (this->isEngineService() && (!this->checkQuarantine(now) || !this->checkPace(now))) {
         return;
     }
     this->place();
 }
 
+bool ProxiedRequest::checkQuarantine(Time now)
+{
+    const auto part = this->proxy.quarantine().quarantinedPart(this->attributes.prompt);
+    if (!part) {
+        return true;
+    }
+    this->refuse(RefusalReason::PartQuarantined, this->proxy.quarantine().remaining(*part, now),
+                 "a part of the prompt ends backend servers");
+    return false;
+}
+
+bool ProxiedRequest::isBeingWritten(Time now) const
+{
+    return this->currentAttempt->hasFirstEvent && now - this->currentAttempt->firstEventAt >= minWritingTime;
+}
+
+void ProxiedRequest::recordLoss(Time now)
+{
+    if (this->isEngineService() && !this->isBeingWritten(now)) {
+        this->proxy.quarantine().recordLoss(this->currentAttempt->backend->handle, this->attributes.prompt, now);
+    }
+}
+
+void ProxiedRequest::giveUpIfQuarantined()
+{
+    const Time now = readClock();
+    if (this->isFinished || !this->currentAttempt || this->isBeingWritten(now)
+        || !this->proxy.quarantine().quarantinedPart(this->attributes.prompt)) {
+        return;
+    }
+    this->verdict = std::max(this->verdict, Verdict::MayHaveRun);
+    this->endAttempt(now, true);
+    if (this->hasAnswerStarted) {
+        this->abortStream("a part of the prompt was quarantined");
+        return;
+    }
+    this->refuse(RefusalReason::BackendFailed, Duration(0), "a part of the prompt was found to end backend servers");
+}
+
 bool ProxiedRequest::checkPace(Time now)
 {
     const Duration paceDelay = this->proxy.pacer().delay(this->workspaceHandle(), now);
@@ -394,6 +436,9 @@
         }
     }
     ++this->attempts;
+    if (this->isEngineService()) {
+        this->proxy.addUnanswered(this->shared_from_this());
+    }
     this->triedBackends.push_back(choice.backend);
     this->lastPrediction = choice.prediction;
     const Duration maxIdleTime = this->isRetryable() ? maxIdleRetryable : maxIdleNonRetryable;
@@ -496,6 +541,11 @@
         this->proxy.metrics().observeFirstEvent(this->route->name, this->timeToFirstEvent);
         this->session->startStream(this->proxy.dialect().toCallerHeader(attempt.header));
     }
+    if (!attempt.isShownSound && this->isBeingWritten(now)) {
+        attempt.isShownSound = true;
+        this->proxy.quarantine().recordWritten(this->attributes.prompt, now);
+        this->proxy.removeUnanswered(*this);
+    }
     this->session->sendPart(events);
 }
 
@@ -528,6 +578,7 @@
         return; // The session was aborted, as the caller read the last part too slowly.
     }
     this->verdict = Verdict::Ran;
+    this->proxy.quarantine().recordWritten(this->attributes.prompt, now);
     this->currentAttempt->backend->recordSuccess(now, this->service->coldPeriod);
     this->currentAttempt->backend->recordSlotTime(now - this->currentAttempt->startedAt, now);
     this->endAttempt(now, false);
@@ -629,9 +680,15 @@
               {"verdict", std::string(nameOf(isUnsent ? Verdict::NotRun : Verdict::MayHaveRun))},
               {"after_ms", milliseconds(now - this->currentAttempt->startedAt)},
               {"kept_connection", this->currentAttempt->connection->wasUsed() ? "true" : "false"}});
+    const bool isLost = end.kind == EndKind::Lost || end.kind == EndKind::BrokenOff;
+    if (isLost) {
+        this->recordLoss(now);
+    }
+    // A request that may end the next backend server, too, is not sent to it.
+    const bool isSuspect = isLost && !this->isBeingWritten(now) && this->proxy.quarantine().isSuspect(this->attributes.prompt);
     const RetryReason reason = isUnsent ? RetryReason::ConnectFailed
                                         : (end.kind == EndKind::Malformed ? RetryReason::InvalidAnswer : RetryReason::ConnectionLost);
-    const bool isRetryAllowed = isUnsent || (this->isRetryable() && this->possibleExecutions < this->route->maxAttempts);
+    const bool isRetryAllowed = isUnsent || (!isSuspect && this->isRetryable() && this->possibleExecutions < this->route->maxAttempts);
     if (isRetryAllowed && this->retry(reason, isUnsent ? Verdict::NotRun : Verdict::MayHaveRun, now)) {
         return;
     }
@@ -681,6 +738,7 @@
         return;
     }
     const std::unique_ptr<BackendAttempt> attempt = std::move(this->currentAttempt);
+    this->proxy.removeUnanswered(*this);
     this->attemptTimer.cancel();
     attempt->end(isCancelled, now);
 }
--- a/src/process/proxy/proxied_request.h
+++ b/src/process/proxy/proxied_request.h
@@ -28,6 +28,8 @@
     ProxiedRequest(Proxy &owner, connection::http::ServerSessionPtr callerSession, connection::http::Request callerRequest);
 
     void start();
+    /** @brief Ends an attempt that has not begun to be answered if a part of the prompt is quarantined. */
+    void giveUpIfQuarantined();
 
 private:
     /** @brief Finds the route of a request that is refused at once, for its log line, and records its demand. */
@@ -51,6 +53,12 @@
     void waitForUsableBackend(const BackendChoice &choice, Time now);
     /** @returns the retry-after time for a request for which no backend server is usable. */
     Duration computeRetryAfter(const BackendChoice &choice, Time now) const;
+    /** @brief Refuses a request with a quarantined part. @returns false when it was refused. */
+    bool checkQuarantine(Time now);
+    /** @returns whether the current attempt's answer has been written for long enough to show that the prompt's parts are sound. */
+    bool isBeingWritten(Time now) const;
+    /** @brief Records that the connection was lost, as evidence against the prompt's parts if the answer had not begun. */
+    void recordLoss(Time now);
     /** @brief Refuses a request beyond its workspace's pace, before a backend server is chosen. @returns false when it was refused. */
     bool checkPace(Time now);
     /** @returns the inputs to admission control that don't depend on the chosen backend server. */
--- a/src/process/proxy/proxy.cpp
+++ b/src/process/proxy/proxy.cpp
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <cmath>
 #include <numeric>
+#include <sstream>
 
 namespace eelgrassnotch::process::proxy
 {
@@ -73,6 +74,7 @@
           [](const directory::BackendChange &change) {
               logEvent("backend_changed", {{"backend", change.id}, {"availability", nameOf(change.availability)}, {"cause", change.cause}});
           })
+    , partQuarantine([this](const dispatch::QuarantineChange &change) { this->onQuarantineChange(change); })
     , backendPool(ioContext)
     , activeDaemons(handleOf<DaemonHandle>(this->currentSettings.name),
                     {this->currentSettings.bounds.stopGrace + drainMargin, daemonListPropagationDelay})
@@ -84,6 +86,36 @@
     std::make_shared<ProxiedRequest>(*this, session, std::move(request))->start();
 }
 
+void Proxy::addUnanswered(const std::shared_ptr<ProxiedRequest> &request)
+{
+    this->unanswered[request.get()] = request;
+}
+
+void Proxy::removeUnanswered(const ProxiedRequest &request)
+{
+    this->unanswered.erase(&request);
+}
+
+void Proxy::onQuarantineChange(const dispatch::QuarantineChange &change)
+{
+    std::ostringstream part;
+    part << std::hex << change.part;
+    logWarning(change.isQuarantined ? "part_quarantined" : "part_released",
+               {{"part", part.str()}, {"backends", std::to_string(change.backends)}, {"cause", change.cause}});
+    if (!change.isQuarantined) {
+        return;
+    }
+    std::vector<std::shared_ptr<ProxiedRequest>> requests;
+    for (const auto &[address, weak] : this->unanswered) {
+        if (auto request = weak.lock()) {
+            requests.push_back(std::move(request));
+        }
+    }
+    for (const auto &request : requests) {
+        request->giveUpIfQuarantined();
+    }
+}
+
 version::RouteTablePtr Proxy::routeTable() const
 {
     return this->table.read([](const version::RouteTablePtr *current) { return current == nullptr ? nullptr : *current; });
--- a/src/process/proxy/proxy.h
+++ b/src/process/proxy/proxy.h
@@ -8,6 +8,7 @@
 #include "process/dispatch/fair_share_tracker.h"
 #include "process/dispatch/fleet_retry_budget.h"
 #include "process/dispatch/load_shedder.h"
+#include "process/dispatch/part_quarantine.h"
 #include "process/dispatch/placement.h"
 #include "process/dispatch/request_costs.h"
 #include "process/dispatch/workspace_pacer.h"
@@ -23,11 +24,14 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 namespace eelgrassnotch::process::proxy
 {
 
+class ProxiedRequest;
+
 /** @brief The properties of a request that placement depends on. */
 struct PlacementQuery {
     const version::Route *route = nullptr;
@@ -153,6 +157,13 @@
     {
         return this->workspacePacer;
     }
+    dispatch::PartQuarantine &quarantine()
+    {
+        return this->partQuarantine;
+    }
+    /** @brief Adds a request that has been sent and isn't being answered yet: it is given up if a part of it is quarantined. */
+    void addUnanswered(const std::shared_ptr<ProxiedRequest> &request);
+    void removeUnanswered(const ProxiedRequest &request);
     dispatch::RequestCosts &costs()
     {
         return this->requestCosts;
@@ -198,6 +209,7 @@
     void updateShares(const std::optional<exchange::LoadSummary> &others, Time now);
     void updateShedding(const std::optional<exchange::LoadSummary> &others, Time now);
     const directory::Locality &localityOf(directory::BackendServer &backend) const;
+    void onQuarantineChange(const dispatch::QuarantineChange &change);
 
     boost::asio::io_context &io;
     EdgeSettings currentSettings;
@@ -208,6 +220,8 @@
     dispatch::FairShareTracker fairShare;
     dispatch::WorkspacePacer workspacePacer;
     dispatch::RequestCosts requestCosts;
+    dispatch::PartQuarantine partQuarantine;
+    std::unordered_map<const ProxiedRequest *, std::weak_ptr<ProxiedRequest>> unanswered;
     dispatch::LoadShedder shedding;
     RequestTotals requestTotals;
     BackendConnectionPool backendPool;
--- a/src/request/verdict.cpp
+++ b/src/request/verdict.cpp
@@ -21,7 +21,7 @@
     {"claim_conflict", 422},       {"claim_in_progress", 409}, {"retries_exhausted", 502},
     {"backend_failed", 502},       {"answer_invalid", 502},    {"caller_gone", 499},
     {"unknown_route", 404},        {"unknown_key", 401},       {"keys_unconfirmed", 503},
-    {"overloaded", 503},           {"daemon_overloaded", 503},
+    {"overloaded", 503},           {"daemon_overloaded", 503}, {"part_quarantined", 503},
 }};
 
 constexpr std::array<std::string_view, static_cast<std::size_t>(RetryReason::count)> retryNames {
--- /dev/null
+++ b/tests/proxy/test_part_quarantine.cpp
@@ -0,0 +1,360 @@
+/** @file A part of prompts that ends the backend servers which begin to answer it, and what looks like one. */
+
+#include "process/clock.h"
+#include "process/dispatch/part_quarantine.h"
+#include "process/exchange/load_codec.h"
+#include "process/exchange/load_exchange.h"
+#include "proxy/daemon_fixture.h"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <atomic>
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+using namespace eelgrassnotch;
+using namespace eelgrassnotch::process;
+using namespace std::chrono_literals;
+using dispatch::PartQuarantine;
+using dispatch::QuarantineChange;
+
+namespace
+{
+
+constexpr Time start = 100s;
+/** Time in which all daemons have to know; from the shortest bound of the operators. */
+constexpr Duration agreementTime = 3s;
+constexpr std::uint64_t common = 1;
+constexpr std::uint64_t deadly = 0xdead00000001;
+
+/** A prompt of the common part, another one, and one that no other request has. */
+request::Prompt promptWith(std::uint64_t part, std::uint64_t own)
+{
+    return {100, 10, {{common, 50}, {part, 30}, {own, 20}}};
+}
+
+void ignoreChange(const QuarantineChange &)
+{
+}
+
+/** Requests with the deadly part end one backend server after the other; others share its common part and are answered. */
+void endBackends(PartQuarantine &quarantine, std::uint32_t count, Duration pause, Time &now)
+{
+    for (std::uint32_t backend = 1; backend <= count; ++backend, now += pause) {
+        quarantine.recordWritten(promptWith(20 + backend, 7000 + backend), now - 10ms);
+        quarantine.recordLoss(backend, promptWith(deadly, 8000 + backend), now);
+        quarantine.recordLoss(backend, promptWith(40 + backend, 9000 + backend), now);
+        quarantine.update(now);
+    }
+}
+
+/** Daemons of three data centres that tell each other what they know; the store has no part in it. */
+class Daemons
+{
+public:
+    explicit Daemons(std::uint32_t perDataCentre)
+    {
+        std::vector<exchange::Peer> peers;
+        for (std::uint32_t index = 0; index < 3 * perDataCentre; ++index) {
+            peers.push_back({DaemonHandle {index + 1}, DataCentreHandle {1 + index % 3}, std::to_string(index + 1)});
+        }
+        for (const exchange::Peer &peer : peers) {
+            auto daemon = std::make_unique<Daemon>(Daemon {PartQuarantine(ignoreChange), nullptr});
+            daemon->exchange
+                = std::make_unique<exchange::LoadExchange>(peer, [this, peer](const exchange::Peer &to, const exchange::Message &message) {
+                      this->deliver(to, message, peer.address);
+                  });
+            daemon->exchange->setPeers(peers);
+            this->daemons[peer.daemon] = std::move(daemon);
+        }
+    }
+
+    PartQuarantine &quarantine(std::uint32_t index)
+    {
+        return this->daemons.at(DaemonHandle {index + 1})->quarantine;
+    }
+    std::uint32_t size() const
+    {
+        return static_cast<std::uint32_t>(this->daemons.size());
+    }
+    /** Forgets all that a daemon knows, as in a restart. */
+    void restart(std::uint32_t index)
+    {
+        this->quarantine(index) = PartQuarantine(ignoreChange);
+    }
+
+    void advance(Time to)
+    {
+        constexpr Duration interval = 200ms;
+        for (; this->now <= to; this->now += interval) {
+            for (const auto &[handle, daemon] : this->daemons) {
+                daemon->quarantine.update(this->now);
+                daemon->exchange->setEvidence(daemon->quarantine.evidence(this->now));
+                daemon->exchange->tick({}, this->now);
+            }
+        }
+    }
+
+private:
+    struct Daemon {
+        PartQuarantine quarantine;
+        std::unique_ptr<exchange::LoadExchange> exchange;
+    };
+
+    void deliver(const exchange::Peer &to, const exchange::Message &message, const std::string &from)
+    {
+        constexpr Duration networkDelay = 60ms;
+        const auto received = exchange::decode(exchange::encode(message));
+        REQUIRE(received);
+        Daemon &daemon = *this->daemons.at(to.daemon);
+        daemon.quarantine.merge(received->evidence, this->now + networkDelay);
+        daemon.exchange->receive(*received, from, this->now);
+    }
+
+    std::map<DaemonHandle, std::unique_ptr<Daemon>> daemons;
+    Time now = start;
+};
+
+}
+
+// Guards against requests of one kind that end backend servers one after the other.
+TEST_CASE("the part that ends backend servers is quarantined, and no part that others share")
+{
+    std::vector<QuarantineChange> changes;
+    PartQuarantine quarantine([&changes](const QuarantineChange &change) { changes.push_back(change); });
+    Time now = start;
+    endBackends(quarantine, 5, 300ms, now);
+    const Time fifthLoss = now - 300ms;
+    while (now < fifthLoss + agreementTime && !quarantine.quarantinedPart(promptWith(deadly, 1234))) {
+        now += 100ms;
+        quarantine.update(now);
+    }
+    CHECK(quarantine.quarantinedPart(promptWith(deadly, 1234)) == deadly);
+    REQUIRE(changes.size() == 1);
+    CHECK(changes.front().backends >= 3);
+    for (std::uint64_t part = 20; part < 60; ++part) {
+        CHECK_FALSE(quarantine.quarantinedPart(promptWith(part, 1234)));
+    }
+    // The last part belongs to a request alone.
+    CHECK_FALSE(quarantine.quarantinedPart(promptWith(77, deadly)));
+    CHECK(quarantine.remaining(deadly, now) > 1min);
+}
+
+TEST_CASE("losses at the same time, such as a power cut, suspect nobody")
+{
+    PartQuarantine quarantine(ignoreChange);
+    std::mt19937 random(1);
+    Time now = start;
+    for (std::uint32_t backend = 1; backend <= 60; ++backend) {
+        for (const std::uint64_t part : {deadly, std::uint64_t {5}}) {
+            quarantine.recordLoss(backend, promptWith(part, 1000 + backend), now + std::chrono::milliseconds(random() % 200));
+        }
+    }
+    for (int step = 0; step < 100; ++step, now += 100ms) {
+        quarantine.update(now);
+        CHECK_FALSE(quarantine.quarantinedPart(promptWith(deadly, 1234)));
+    }
+}
+
+TEST_CASE("servers that end again and again for another reason suspect no part with which answers are written")
+{
+    PartQuarantine quarantine(ignoreChange);
+    std::mt19937 random(3);
+    Time now = start;
+    for (std::uint32_t step = 0; step < 1200; ++step, now += 50ms) {
+        // Thirty sessions that share parts; one request in twenty loses its backend server.
+        const request::Prompt prompt = promptWith(100 + random() % 30, step);
+        if (random() % 20 == 0) {
+            quarantine.recordLoss(step, prompt, now);
+        } else {
+            quarantine.recordWritten(prompt, now);
+        }
+        quarantine.update(now);
+        for (std::uint64_t part = 100; part < 130; ++part) {
+            CHECK_FALSE(quarantine.quarantinedPart(promptWith(part, 1)));
+        }
+    }
+}
+
+TEST_CASE("an answer that is written with a part ends its suspicion, and a quarantine that was wrong")
+{
+    std::vector<QuarantineChange> changes;
+    PartQuarantine quarantine([&changes](const QuarantineChange &change) { changes.push_back(change); });
+    Time now = start;
+    endBackends(quarantine, 2, 300ms, now);
+    CHECK(quarantine.isSuspect(promptWith(deadly, 1)));
+    quarantine.recordWritten(promptWith(deadly, 1), now);
+    CHECK_FALSE(quarantine.isSuspect(promptWith(deadly, 1)));
+    now += 2s;
+    endBackends(quarantine, 4, 300ms, now);
+    now += 1s;
+    quarantine.update(now);
+    REQUIRE(quarantine.quarantinedPart(promptWith(deadly, 1)));
+    // A request that was sent before.
+    quarantine.recordWritten(promptWith(deadly, 2), now + 1s);
+    CHECK_FALSE(quarantine.quarantinedPart(promptWith(deadly, 1)));
+    REQUIRE(changes.size() == 2);
+    CHECK_FALSE(changes.back().isQuarantined);
+}
+
+// Guards against evidence that is complete at no single daemon.
+TEST_CASE("daemons that each see a fifth of the losses agree within the bound, without the store, and tell one that restarts")
+{
+    Daemons daemons(20);
+    Time now = start;
+    for (std::uint32_t backend = 1; backend <= 5; ++backend, now += 300ms) {
+        daemons.advance(now);
+        daemons.quarantine(11 * backend).recordLoss(backend, promptWith(deadly, backend), now);
+        for (std::uint32_t index = 0; index < daemons.size(); ++index) {
+            daemons.quarantine(index).recordWritten(promptWith(30 + index, 1), now);
+        }
+    }
+    const Time fifthLoss = now - 300ms;
+    daemons.advance(fifthLoss + agreementTime);
+    for (std::uint32_t index = 0; index < daemons.size(); ++index) {
+        CAPTURE(index);
+        CHECK(daemons.quarantine(index).quarantinedPart(promptWith(deadly, 99)) == deadly);
+        CHECK_FALSE(daemons.quarantine(index).quarantinedPart(promptWith(30, 99)));
+    }
+    daemons.restart(17);
+    daemons.advance(fifthLoss + agreementTime + 1s);
+    CHECK(daemons.quarantine(17).quarantinedPart(promptWith(deadly, 99)) == deadly);
+}
+
+// Guards against suspicion of a part by daemons that have just started and don't know it as sound.
+TEST_CASE("a daemon that knows a part as sound clears it at all others before it is quarantined")
+{
+    Daemons daemons(6);
+    Time now = start;
+    for (std::uint32_t backend = 1; backend <= 30; ++backend, now += 100ms) {
+        daemons.quarantine(0).recordWritten(promptWith(deadly, backend), now);
+        daemons.advance(now);
+        daemons.quarantine(1 + backend % 12).recordLoss(backend, promptWith(deadly, backend), now);
+        for (std::uint32_t index = 0; index < daemons.size(); ++index) {
+            CHECK_FALSE(daemons.quarantine(index).quarantinedPart(promptWith(deadly, 99)));
+        }
+    }
+}
+
+// Guards against messages that make an old observation look newer each time they are passed on.
+TEST_CASE("a part that was sound before it began to end backend servers is quarantined all the same")
+{
+    Daemons daemons(6);
+    Time now = start;
+    daemons.quarantine(0).recordWritten(promptWith(deadly, 1), now);
+    now += 1100ms;
+    for (std::uint32_t backend = 1; backend <= 5; ++backend, now += 300ms) {
+        daemons.advance(now);
+        daemons.quarantine(backend).recordLoss(backend, promptWith(deadly, backend), now);
+        for (std::uint32_t index = 0; index < daemons.size(); ++index) {
+            daemons.quarantine(index).recordWritten(promptWith(30 + index, 1), now);
+        }
+    }
+    daemons.advance(now - 300ms + agreementTime);
+    for (std::uint32_t index = 0; index < daemons.size(); ++index) {
+        CHECK(daemons.quarantine(index).quarantinedPart(promptWith(deadly, 99)) == deadly);
+    }
+}
+
+TEST_CASE("a flood of new parts takes bounded memory and room in messages, and hides no deadly part")
+{
+    PartQuarantine quarantine(ignoreChange);
+    std::uint64_t next = 1'000'000;
+    Time now = start;
+    for (std::uint32_t backend = 1; backend <= 6; ++backend, now += 400ms) {
+        quarantine.recordLoss(backend, promptWith(deadly, next), now);
+        for (int request = 0; request < 2000; ++request) {
+            request::Prompt prompt {100, 10, {{next++, 10}, {next++, 10}, {next++, 10}, {next++, 10}}};
+            quarantine.recordLoss(backend, prompt, now);
+            prompt.parts.front().id = next++;
+            quarantine.recordWritten(prompt, now);
+        }
+        quarantine.update(now);
+        CHECK(quarantine.suspectCount() <= 256);
+        exchange::Message message;
+        message.evidence = quarantine.evidence(now);
+        CHECK(exchange::encode(message).size() <= 4096);
+    }
+    quarantine.update(now + 1s);
+    CHECK(quarantine.quarantinedPart(promptWith(deadly, 1)) == deadly);
+}
+
+TEST_CASE("evidence arrives as it was sent, to the millisecond")
+{
+    exchange::Message message;
+    message.evidence = {{{deadly, 7, 1500ms}, {3, 8, 0ms}}, {{deadly, 20ms}}, {{0xffffffffffffffff, 10min}}};
+    CHECK(exchange::decode(exchange::encode(message)) == message);
+}
+
+namespace
+{
+
+constexpr const char *deadlyPrefix = "X-Eelgrassnotch-Token-Usage: 100,10\r\nX-Eelgrassnotch-Prefix-Hash: 1:50,dead:30,";
+constexpr const char *soundPrefix = "X-Eelgrassnotch-Token-Usage: 100,10\r\nX-Eelgrassnotch-Prefix-Hash: 1:50,50a:30,";
+
+/** Ends the connection where a request holds the deadly part, as a process that crashes does. */
+bool crashOnDeadlyPart(standin::Socket &socket, const standin::Request &request)
+{
+    if (request["X-Eelgrassnotch-Prefix-Hash"].find("dead:") != boost::beast::string_view::npos) {
+        standin::sendReset(socket);
+        return false;
+    }
+    standin::sendBytes(
+        socket, standin::streamHeader(request) + standin::chunk("id: 1\ndata: a\n\n") + standin::chunk("id: 2\ndata: b\n\n") + "0\r\n\r\n");
+    return true;
+}
+
+std::size_t deadlyRequests(const std::vector<std::unique_ptr<standin::RawServer>> &servers)
+{
+    std::size_t count = 0;
+    for (const auto &server : servers) {
+        for (const standin::Request &request : server->requests()) {
+            count += request["X-Eelgrassnotch-Prefix-Hash"].find("dead:") != boost::beast::string_view::npos ? 1 : 0;
+        }
+    }
+    return count;
+}
+
+}
+
+TEST_CASE("requests with a part that ends backend servers are refused as not run, and sound ones of their caller go on")
+{
+    constexpr std::size_t serverCount = 8;
+    std::vector<std::unique_ptr<standin::RawServer>> servers;
+    standin::DaemonFixture world;
+    nlohmann::json configuration = standin::makeConfiguration(4);
+    configuration["services"][0]["engine"] = {{"slots", 8}, {"kv_capacity", 100000}};
+    world.store.put("config", "main", configuration);
+    for (std::size_t index = 0; index < serverCount; ++index) {
+        servers.push_back(std::make_unique<standin::RawServer>(crashOnDeadlyPart));
+        world.addBackend("i-" + std::to_string(index), *servers.back());
+    }
+    world.start();
+    int sent = 0;
+    const auto send = [&world, &sent](const char *prefix) {
+        const std::string id = "q" + std::to_string(++sent);
+        return world.call("/resume/x", id, prefix + std::to_string(1000 + sent) + ":20\r\n");
+    };
+    unsigned refusedAs = 0;
+    for (int round = 0; round < 12 && refusedAs != 503; ++round) {
+        CHECK(send(soundPrefix).result_int() == 200);
+        const auto answer = send(deadlyPrefix);
+        refusedAs = answer.result_int();
+        CHECK((refusedAs == 502 || answer.body().starts_with("part_quarantined")));
+        std::this_thread::sleep_for(300ms);
+    }
+    REQUIRE(refusedAs == 503);
+    const std::size_t before = deadlyRequests(servers);
+    CHECK(before <= serverCount);
+    for (int round = 0; round < 5; ++round) {
+        const auto refused = send(deadlyPrefix);
+        CHECK(refused.result_int() == 503);
+        CHECK(std::stod(std::string(refused["Retry-After"])) > 1.0);
+        CHECK(send(soundPrefix).result_int() == 200);
+    }
+    CHECK(deadlyRequests(servers) == before);
+}
