A stream that ends inside an event has been broken off

Here: an answer whose stream ended inside an event, by its length, its last chunk or an orderly close, was passed on with the half event, counted as served, and ended for the caller like a whole one. Cause: the end of the answer was taken for the end of the stream, whatever had been read of the last event. Change: bytes after the last whole event at the end are a broken-off attempt: resumed at another backend server where the route allows it, else the caller's connection is reset.

--- a/src/process/proxy/proxied_request.cpp
+++ b/src/process/proxy/proxied_request.cpp
@@ -569,10 +569,12 @@
 
 void ProxiedRequest::onStreamEnd(Time now)
 {
-    const std::string rest(this->splitter.partialEvent());
-    this->splitter.discardPartialEvent();
-    if (!rest.empty() || !this->currentAttempt->hasFirstEvent) {
-        this->forwardEvents(rest, now);
+    if (this->splitter.partialEventBytes() > 0) {
+        this->onFailedAttempt({EndKind::BrokenOff, "the stream ends inside an event"}, now);
+        return;
+    }
+    if (!this->currentAttempt->hasFirstEvent) {
+        this->forwardEvents({}, now);
     }
     if (this->isFinished) {
         return; // The session was aborted, as the caller read the last part too slowly.
--- a/tests/proxy/test_edge_daemon.cpp
+++ b/tests/proxy/test_edge_daemon.cpp
@@ -5,8 +5,11 @@
 
 #include <doctest/doctest.h>
 
+#include <boost/asio/read.hpp>
+
 #include <atomic>
 #include <fstream>
+#include <functional>
 #include <thread>
 
 #include <unistd.h>
@@ -187,6 +190,88 @@
     CHECK(answer.body() == "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n");
 }
 
+// Guards against an orderly close that is taken for the end of the stream.
+TEST_CASE("a stream that ends inside an event has broken off, with a length, in chunks, or with its connection")
+{
+    const std::string firstEvent = "id: 1\ndata: a\n\n";
+    const std::string half = "id: 2\nda";
+    const auto headerWith = [](const standin::Request &request, const std::string &framing) {
+        return "HTTP/1.1 200 OK\r\nX-Eelgrassnotch-Attempt-Id: " + idOf(request)
+            + "\r\nX-Eelgrassnotch-Response-Signature: s\r\nContent-Type: text/event-stream\r\n" + framing + "\r\n";
+    };
+    const std::string length = "Content-Length: " + std::to_string(firstEvent.size() + half.size()) + "\r\n";
+    const std::vector<std::function<std::string(const standin::Request &)>> endings {
+        [&](const standin::Request &request) { return headerWith(request, length) + firstEvent + half; },
+        [&](const standin::Request &request) { return streamHeader(request) + chunk(firstEvent + half) + "0\r\n\r\n"; },
+        [&](const standin::Request &request) { return headerWith(request, "Connection: close\r\n") + firstEvent + half; },
+    };
+    for (const auto &ending : endings) {
+        const auto script = [&ending, &firstEvent](standin::Socket &socket, const standin::Request &request) {
+            if (request["Last-Event-Id"] == "1") {
+                standin::sendBytes(socket, streamHeader(request) + chunk("id: 2\ndata: b\n\n") + "0\r\n\r\n");
+                return true;
+            }
+            standin::sendBytes(socket, ending(request));
+            return false;
+        };
+        RawServer first(script);
+        RawServer second(script);
+        World world;
+        world.startWith({&first, &second});
+        CHECK(world.call("/resume/x", "q1").body() == firstEvent + "id: 2\ndata: b\n\n");
+        // Where it can't be resumed, the answer must not look complete.
+        CHECK(world.call("/stream/x", "q2").result_int() == 0);
+    }
+}
+
+// Guards against an error of the next backend server that reaches the caller in the middle of its stream.
+TEST_CASE("a stream that broke off and whose next backend server answers otherwise ends as broken off, without that answer")
+{
+    const std::string firstEvent = "id: 1\ndata: a\n\n";
+    const std::vector<std::function<std::string(const standin::Request &)>> others {
+        [](const standin::Request &request) { return signedAnswer(request, "an error", "500 Error"); },
+        [](const standin::Request &request) { return signedAnswer(request, "an error", "404 Not Found"); },
+        [](const standin::Request &request) { return signedAnswer(request, "not a stream"); },
+        [](const standin::Request &) { return std::string("HTTP/1.1 500 Error\r\nContent-Length: 8\r\n\r\nan error"); },
+        [](const standin::Request &) {
+            return std::string("HTTP/1.1 503 Full\r\nX-Eelgrassnotch-Not-Executed: 1\r\nContent-Length: 8\r\n\r\nan error");
+        },
+        [](const standin::Request &request) {
+            return "HTTP/1.1 200 OK\r\nX-Eelgrassnotch-Attempt-Id: " + idOf(request)
+                + "\r\nContent-Type: text/event-stream\r\nContent-Length: 8\r\n\r\nunsigned";
+        },
+        [](const standin::Request &) { return std::string("HTTP/1.1 500 Error\r\nX-Eelgrass"); },
+    };
+    for (const auto &other : others) {
+        const auto script = [&other, &firstEvent](standin::Socket &socket, const standin::Request &request) {
+            if (request.count("Last-Event-Id") > 0) {
+                standin::sendBytes(socket, other(request));
+                return false;
+            }
+            standin::sendBytes(socket, streamHeader(request) + chunk(firstEvent));
+            standin::sendReset(socket);
+            return false;
+        };
+        RawServer first(script);
+        RawServer second(script);
+        World world;
+        world.startWith({&first, &second});
+        boost::asio::io_context context;
+        tcp::socket caller(context);
+        caller.connect(connection::http::parseEndpoint(world.settings.callersAddress));
+        boost::asio::write(caller, boost::asio::buffer(World::requestText("/resume/x", "q1")));
+        std::string received;
+        boost::system::error_code error;
+        boost::asio::read(caller, boost::asio::dynamic_buffer(received), error);
+        CAPTURE(received);
+        CHECK(received.find(firstEvent) != std::string::npos);
+        CHECK(received.find("0\r\n\r\n") == std::string::npos);
+        for (const std::string wrong : {"an error", "not a stream", "unsigned", "500 Error"}) {
+            CHECK(received.find(wrong) == std::string::npos);
+        }
+    }
+}
+
 TEST_CASE("a stream that can't be resumed does not look complete when it breaks off, and runs once")
 {
     const auto script = [](standin::Socket &socket, const standin::Request &request) {
