An answer without a request id on a reused connection is no answer to its request, also a refusal

Operators of a similar system saw: a faulty backend server wrote an earlier refusal once more on a kept connection, and clients were told 'not run' for requests that ran (REFUSED), or these ran a second time (TWICE). Here: a success without an id was dropped on a reused connection, a refusal or error without one was believed. Cause: only successes were held to name their request. Change: on a reused connection every answer has to name it. The request goes on waiting for its own answer, for three times its latency target and 500 ms at least; then its attempt counts as one that may have run. On a new connection nothing is changed: no earlier answer can come there. Evidence: new test, refusals with 503, 400 and 421 ahead of the true answer, an order and a stream: the request runs once and is answered by what it got. In its first form it failed on the code before (503 and 400 told to the caller, a second run).

--- a/src/process/proxy/proxied_request.cpp
+++ b/src/process/proxy/proxied_request.cpp
@@ -40,6 +40,8 @@
 constexpr Duration pollInterval = 10ms;
 /** A retryable request is attempted elsewhere when no answer header has arrived after this multiple of the latency target. */
 constexpr int attemptTimeoutFactor = 3;
+/** The least time for which a request waits for its own answer after one without an id, on a reused connection. */
+constexpr Duration minOwnAnswerWait = 500ms;
 /** Includes attempts that were refused as not run. */
 constexpr std::uint32_t maxAttemptsPerRequest = 4;
 /** For requests without a deadline. */
@@ -474,14 +476,28 @@
     });
 }
 
+void ProxiedRequest::limitWaitForOwnAnswer()
+{
+    this->attemptTimer.expires_after(std::max(this->route->latencyTarget * attemptTimeoutFactor, minOwnAnswerWait));
+    this->attemptTimer.async_wait([self = this->shared_from_this(), attemptNumber = this->attempts](boost::system::error_code error) {
+        if (!error && !self->isFinished && self->currentAttempt && attemptNumber == self->attempts && !self->currentAttempt->hasHeader) {
+            self->currentAttempt->connection->cancel();
+            self->onFailedAttempt({EndKind::Malformed, "only an answer without a request id came"}, readClock());
+        }
+    });
+}
+
 bool ProxiedRequest::onHeader(const http::AnswerHeader &header)
 {
     BackendAttempt &attempt = *this->currentAttempt;
     const request::AnswerAttributes answer = this->proxy.dialect().readAnswer(header);
-    // On a reused connection, a success without a request id may be a late duplicate of an earlier answer.
-    const bool namesNone = answer.id.empty() && (!attempt.connection->wasUsed() || header.result_int() >= firstNonSuccessStatus);
+    // On a reused connection, an answer without a request id may be a late duplicate of an earlier one, also a refusal.
+    const bool namesNone = answer.id.empty() && !attempt.connection->wasUsed();
     if (answer.id != this->attributes.id && !namesNone) {
         logEvent("foreign_answer", {{"request", this->attributes.id}, {"backend", attempt.backend->record.id}, {"answers", answer.id}});
+        if (answer.id.empty()) {
+            this->limitWaitForOwnAnswer();
+        }
         return false;
     }
     const Time now = readClock();
--- a/src/process/proxy/proxied_request.h
+++ b/src/process/proxy/proxied_request.h
@@ -67,6 +67,8 @@
     /** @brief Applies admission control. @returns false when the request was refused. */
     bool checkAdmission(const BackendChoice &choice, Time now);
     void startAttempt(const BackendChoice &choice, Time now);
+    /** @brief Gives the attempt up when its answer does not come soon after one that may belong to an earlier request. */
+    void limitWaitForOwnAnswer();
     /** @returns false when the answer belongs to another request and must be rejected. */
     bool onHeader(const connection::http::AnswerHeader &header);
     /** @brief Records what the answer states about its backend server's availability. */
--- a/tests/proxy/test_edge_daemon.cpp
+++ b/tests/proxy/test_edge_daemon.cpp
@@ -155,6 +155,41 @@
     }
 }
 
+// Guards against believing that a request has not run, by a refusal of the request before it.
+TEST_CASE("an earlier refusal that comes once more on a kept connection says nothing of the request that waits there")
+{
+    const std::string refusal = "HTTP/1.1 503 Full\r\nX-Eelgrassnotch-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+    const std::string badRequest = "HTTP/1.1 400 Bad\r\nX-Eelgrassnotch-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+    const std::string misdirected = "HTTP/1.1 421 Misdirected\r\nContent-Length: 0\r\n\r\n";
+    for (const std::string &again : {refusal, badRequest, misdirected}) {
+        for (const std::string path : {"/order/x", "/stream/x"}) {
+            std::atomic<int> runs {0};
+            RawServer near([&](standin::Socket &socket, const standin::Request &request) {
+                if (idOf(request) != "q0") {
+                    // The request runs; what is written first belongs to an earlier one.
+                    ++runs;
+                    standin::sendBytes(socket, again);
+                    std::this_thread::sleep_for(20ms);
+                }
+                return answerOk(socket, request);
+            });
+            RawServer far([&runs](standin::Socket &socket, const standin::Request &request) {
+                ++runs;
+                return answerOk(socket, request);
+            });
+            World world;
+            world.addBackend("i-2", far, "ready", "b");
+            world.startWith({&near});
+            CHECK(world.call(path, "q0").result_int() == 200);
+            runs = 0;
+            const auto answer = world.call(path, "q1");
+            CAPTURE(again);
+            CHECK((answer.result_int() == 200 || answer.result_int() == 502));
+            CHECK(runs == 1);
+        }
+    }
+}
+
 TEST_CASE("an unsigned or encoded success is not passed on")
 {
     for (const std::string extra : {"", "X-Eelgrassnotch-Response-Signature: s\r\nContent-Encoding: gzip\r\n"}) {
