One odd entry in the store spoils no list: each entry is decoded alone, and not beyond bounds

Operators of a similar system saw: one entry of another writer, nested very deeply, with a number too large or a port out of range, and machines that read the list ended again and again or stopped following it. Numbers such as 1e300 were converted to integers out of their range. A port out of range was refused already. Cause: a page was decoded as a whole, and copied by recursion. Evidence: new tests, 23 odd entries in a page and among changes, 200,000 levels deep among them: the others are read, nothing ends.

--- a/tests/proxy/test_platform.cpp
+++ b/tests/proxy/test_platform.cpp
@@ -6,6 +6,8 @@
 #include <doctest/doctest.h>
 
 #include <random>
+#include <string>
+#include <vector>
 
 using namespace eelgrassnotch;
 using nlohmann::json;
@@ -82,6 +84,89 @@
     }
 }
 
+namespace
+{
+
+/** Texts of one entry that another writer left among those of backend servers. */
+std::vector<std::string> oddEntries()
+{
+    const auto withSpec = [](const std::string &spec) { return R"({"metadata":{"name":"odd","revision":8},"spec":)" + spec + "}"; };
+    const auto withMemberText = [&withSpec](const std::string &key, const std::string &value) {
+        json entry = goodEntry;
+        entry.erase(key);
+        const std::string text = entry.dump();
+        return withSpec(text.substr(0, text.size() - 1) + ",\"" + key + "\":" + value + "}");
+    };
+    constexpr std::size_t depth = 200000;
+    const std::string deep = std::string(depth, '[') + std::string(depth, ']');
+    std::string deepObjects;
+    for (std::size_t level = 0; level < depth; ++level) {
+        deepObjects += "{\"a\":";
+    }
+    deepObjects += "1" + std::string(depth, '}');
+    return {withSpec(deep),
+            withSpec(deepObjects),
+            withMemberText("extra", deep),
+            withMemberText("slots", "1e999"),
+            withMemberText("slots", "-1e999"),
+            withMemberText("slots", "1e300"),
+            withMemberText("cold_left_ms", "1e300"),
+            withMemberText("born", "1e300"),
+            withMemberText("born", "99999999999999999999999999"),
+            withMemberText("slots", "-1"),
+            withMemberText("address", "\"10.0.0.1:70000\""),
+            withMemberText("address", "\"10.0.0.1:-1\""),
+            withMemberText("address", "\"10.0.0.1:99999999999999999999\""),
+            withMemberText("service", "\"\xff\xfe\""),
+            withSpec("\"\\ud800\""),
+            R"({"spec":{}})",
+            R"({"metadata":{"revision":1},"spec":{}})",
+            R"({"metadata":{"name":7},"spec":{}})",
+            R"({"metadata":)" + deep + R"(,"spec":{}})",
+            R"({"metadata":{"name":"odd","revision":1e999},"spec":{}})",
+            "[]",
+            "null",
+            "1e999"};
+}
+
+}
+
+// Guards against a list that is not followed any more, or a process that ends, because of one entry of another writer.
+TEST_CASE("one odd entry in a list or among changes names no backend server, and the others hold")
+{
+    const platform::Dialect dialect;
+    const std::string good = json {{"metadata", {{"name", "i-1"}, {"revision", 7}}}, {"spec", goodEntry}}.dump();
+    for (const std::string &odd : oddEntries()) {
+        CAPTURE(odd.substr(0, 200));
+        const auto page = dialect.readPage(R"({"items":[)" + good + "," + odd + "," + good + R"(],"more":false,"at":9})");
+        const auto changes = dialect.readChanges(R"({"events":[{"object":)" + odd + R"(,"removed":false},{"object":)" + good
+                                                 + R"(,"removed":false}],"at":9})");
+        std::size_t usable = 0;
+        for (const StoredObject &object : page.objects) {
+            const StoredObject copy = object;
+            usable += dialect.readBackend(copy) ? 1 : 0;
+            CHECK((object.name == "i-1" || !dialect.readBackend(copy)));
+        }
+        CHECK(usable == 2);
+        CHECK(page.revision == 9);
+        REQUIRE_FALSE(changes.changes.empty());
+        CHECK(changes.changes.back().object.name == "i-1");
+        CHECK(dialect.readBackend(changes.changes.back().object));
+    }
+}
+
+TEST_CASE("an entry that was readable and is odd now is still named, so that it is not used any more")
+{
+    const platform::Dialect dialect;
+    const auto changes = dialect.readChanges(
+        R"({"events":[{"object":{"metadata":{"name":"i-1","revision":8},"spec":{"slots":1e999}},"removed":false}],"at":9})");
+    REQUIRE(changes.changes.size() == 1);
+    CHECK(changes.changes.front().object.name == "i-1");
+    CHECK_FALSE(dialect.readBackend(changes.changes.front().object));
+    CHECK_FALSE(dialect.readDaemon(changes.changes.front().object));
+    CHECK_THROWS_AS(dialect.readConfiguration({"main", 8, json()}), std::exception);
+}
+
 TEST_CASE("calls name the collection, and say whether an old answer will do")
 {
     const platform::Dialect dialect;
