--- a/src/process/exchange/load_codec.cpp
+++ b/src/process/exchange/load_codec.cpp
@@ -43,6 +43,7 @@
 std::vector<wire::PartAge> toWire(const std::vector<PartAge> &parts)
 {
     std::vector<wire::PartAge> entries;
+    entries.reserve(parts.size());
     for (const PartAge &part : parts) {
         entries.emplace_back(highHalf(part.part), static_cast<std::uint32_t>(part.part), toMilliseconds(part.age));
     }
--- a/tests/proxy/test_platform.cpp
+++ b/tests/proxy/test_platform.cpp
@@ -136,11 +136,15 @@
 {
     const platform::Dialect dialect;
     const std::string good = json {{"metadata", {{"name", "i-1"}, {"revision", 7}}}, {"spec", goodEntry}}.dump();
+    const std::string goodChange = R"({"object":)" + good + R"(,"removed":false}],"at":9})";
     for (const std::string &odd : oddEntries()) {
         CAPTURE(odd.substr(0, 200));
-        const auto page = dialect.readPage(R"({"items":[)" + good + "," + odd + "," + good + R"(],"more":false,"at":9})");
-        const auto changes = dialect.readChanges(R"({"events":[{"object":)" + odd + R"(,"removed":false},{"object":)" + good
-                                                 + R"(,"removed":false}],"at":9})");
+        std::string pageText = R"({"items":[)";
+        pageText.append(good).append(",").append(odd).append(",").append(good).append(R"(],"more":false,"at":9})");
+        std::string changesText = R"({"events":[{"object":)";
+        changesText.append(odd).append(R"(,"removed":false},)").append(goodChange);
+        const auto page = dialect.readPage(pageText);
+        const auto changes = dialect.readChanges(changesText);
         std::size_t usable = 0;
         for (const StoredObject &object : page.objects) {
             const StoredObject copy = object;
