The bound on the others' service is computed once an update, not once a workspace

At the target's 610 workspaces the bound compared each with all others, ten times a second at each daemon. It is set by the two lowest service rates of those that wait; found in one pass.

--- a/src/process/dispatch/fair_share_tracker.cpp
+++ b/src/process/dispatch/fair_share_tracker.cpp
@@ -147,10 +147,11 @@
         return;
     }
     const std::map<WorkspaceHandle, double> parts = this->partsHere(others, share, std::max(meanCost, 1.0), now);
+    const ServiceBounds bounds = this->serviceBounds(fleet, now);
     for (const exchange::WorkspaceLoad &load : fleet.workspaces) {
         const WorkspaceHandle workspace {load.workspace};
         if (const auto part = parts.find(workspace); part != parts.end()) {
-            const double boundByOthers = this->serviceBound(workspace, fleet, share, now);
+            const double boundByOthers = std::max(bounds.of(workspace), minShareFraction * share);
             this->rateHere[workspace] = part->second * (std::isinf(share) ? load.demand + spare : std::min(share, boundByOthers));
         }
     }
@@ -169,17 +170,23 @@
     this->backloggedSince = std::move(stillBacklogged);
 }
 
-double FairShareTracker::serviceBound(WorkspaceHandle workspace, const exchange::LoadSummary &fleet, double share, Time now) const
+FairShareTracker::ServiceBounds FairShareTracker::serviceBounds(const exchange::LoadSummary &fleet, Time now) const
 {
-    double bound = std::numeric_limits<double>::infinity();
+    ServiceBounds bounds;
     for (const exchange::WorkspaceLoad &load : fleet.workspaces) {
-        const WorkspaceHandle other {load.workspace};
-        const auto since = this->backloggedSince.find(other);
-        if (other != workspace && since != this->backloggedSince.end() && now - since->second >= minBacklogTime) {
-            bound = std::min(bound, maxServiceRatio * load.served / shownFraction(now - since->second));
+        const WorkspaceHandle workspace {load.workspace};
+        const auto since = this->backloggedSince.find(workspace);
+        if (since == this->backloggedSince.end() || now - since->second < minBacklogTime) {
+            continue;
+        }
+        const double bound = maxServiceRatio * load.served / shownFraction(now - since->second);
+        if (bound < bounds.lowest) {
+            bounds = {workspace, bound, bounds.lowest};
+        } else {
+            bounds.second = std::min(bounds.second, bound);
         }
     }
-    return std::max(bound, minShareFraction * share);
+    return bounds;
 }
 
 std::map<WorkspaceHandle, double> FairShareTracker::partsHere(const exchange::LoadSummary &others, double share, double meanCost,
--- a/src/process/dispatch/fair_share_tracker.h
+++ b/src/process/dispatch/fair_share_tracker.h
@@ -8,6 +8,7 @@
 
 #include <cstdint>
 #include <deque>
+#include <limits>
 #include <map>
 #include <vector>
 
@@ -108,11 +109,22 @@
     std::map<WorkspaceHandle, double> partsHere(const exchange::LoadSummary &others, double share, double meanCost, Time now) const;
     void updateBacklogs(const exchange::LoadSummary &fleet, double share, Time now);
     /**
-     * @returns the most that the fleet serves the workspace while another one has more demand than its share, and gets less of it.
+     * @brief The most that the fleet serves each workspace while another one asks for more than its share, and gets less of it.
      *
      * Its callers may all reach one VM, which can't handle them; what the others get then stays near what it gets.
      */
-    double serviceBound(WorkspaceHandle workspace, const exchange::LoadSummary &fleet, double share, Time now) const;
+    struct ServiceBounds {
+        WorkspaceHandle laggard; ///< The workspace that sets the lowest bound; it is not bound by itself.
+        double lowest = std::numeric_limits<double>::infinity();
+        double second = std::numeric_limits<double>::infinity();
+
+        double of(WorkspaceHandle workspace) const
+        {
+            return workspace == this->laggard ? this->second : this->lowest;
+        }
+        bool operator==(const ServiceBounds &) const = default;
+    };
+    ServiceBounds serviceBounds(const exchange::LoadSummary &fleet, Time now) const;
     /** @returns the rate at which requests of the workspace currently reach admission control here. */
     double offeredRate(WorkspaceHandle workspace, Time now) const;
 
