A request on a public route has no workspace again

Found by reading the change once more; no caller has reported it. Cause: load shedding needs the sender of each request, and stored it where the checked workspace belongs. Change: the sender is looked up for shedding alone; only what is shed keeps it, for its log line and its demand, as before. Evidence: the new test fails before (the header is there), and holds now.

--- a/src/process/proxy/proxied_request.cpp
+++ b/src/process/proxy/proxied_request.cpp
@@ -104,8 +104,9 @@
 {
     this->attributes = this->proxy.dialect().readRequest(this->request);
     this->table = this->proxy.routeTable();
-    this->workspace = this->table ? this->table->workspaceOf(this->attributes.apiKey) : nullptr;
-    if (!this->proxy.acceptsNextRequest(this->workspaceHandle())) {
+    const version::RoutedWorkspace *sender = this->table ? this->table->workspaceOf(this->attributes.apiKey) : nullptr;
+    if (!this->proxy.acceptsNextRequest(sender == nullptr ? WorkspaceHandle() : handleOf<WorkspaceHandle>(sender->name))) {
+        this->workspace = sender;
         this->identify(readClock());
         this->refuse(RefusalReason::DaemonOverloaded, localRefusalRetryAfter,
                      "this daemon can't keep up with its callers: lag_ms " + milliseconds(this->proxy.timerLag()) + " accepted_fraction "
--- a/tests/proxy/test_edge_daemon.cpp
+++ b/tests/proxy/test_edge_daemon.cpp
@@ -50,6 +50,18 @@
     CHECK(timeLeft <= 8000);
 }
 
+// Guards against a workspace taken from a key that nobody has checked.
+TEST_CASE("a request on a public route has no workspace, whatever key it carries")
+{
+    RawServer backend(answerOk);
+    World world;
+    world.startWith({&backend});
+    CHECK(world.call("/open/x", "q1").result_int() == 200);
+    REQUIRE(backend.requests().size() == 1);
+    CHECK(backend.requests().front().count("X-Eelgrassnotch-Tenant") == 0);
+    CHECK(backend.requests().front().count("X-Eelgrassnotch-Credential") == 0);
+}
+
 TEST_CASE("an order whose connection is reset runs once, and its answer promises nothing")
 {
     RawServer first([](standin::Socket &socket, const standin::Request &) {
