--- a/src/process/dispatch/part_quarantine.cpp
+++ b/src/process/dispatch/part_quarantine.cpp
@@ -37,15 +37,6 @@
 constexpr std::size_t maxToldSuspicions = 64;
 constexpr std::size_t maxToldSound = 64;
 
-/** Calls a function with the id of each part that other requests may share: all but the last one. */
-template <class Function>
-void forEachSharedPart(const request::Prompt &prompt, Function &&function)
-{
-    for (std::size_t index = 0; index + 1 < prompt.parts.size(); ++index) {
-        function(prompt.parts[index].id);
-    }
-}
-
 /** @returns at how many distinct times incarnations were lost, up to a time. */
 std::size_t countLossTimes(const std::map<std::uint32_t, Time> &losses, Time until)
 {
@@ -84,17 +75,19 @@
 
 void PartQuarantine::recordWritten(const request::Prompt &prompt, Time now)
 {
-    forEachSharedPart(prompt, [this, now](std::uint64_t part) { this->setSound(part, now); });
+    for (const request::PromptPart &part : prompt.sharedParts()) {
+        this->setSound(part.id, now);
+    }
 }
 
 void PartQuarantine::recordLoss(std::uint32_t backend, const request::Prompt &prompt, Time now)
 {
-    forEachSharedPart(prompt, [this, backend, now](std::uint64_t part) {
-        const auto sound = this->soundAt.find(part);
+    for (const request::PromptPart &part : prompt.sharedParts()) {
+        const auto sound = this->soundAt.find(part.id);
         if (sound == this->soundAt.end() || now - sound->second > soundPeriod) {
-            this->addSuspicion(part, backend, now);
+            this->addSuspicion(part.id, backend, now);
         }
-    });
+    }
     this->limitState();
 }
 
@@ -129,15 +122,10 @@
 
 std::optional<std::uint64_t> PartQuarantine::quarantinedPart(const request::Prompt &prompt) const
 {
-    std::optional<std::uint64_t> found;
-    if (!this->quarantined.empty()) {
-        forEachSharedPart(prompt, [this, &found](std::uint64_t part) {
-            if (!found && this->quarantined.contains(part)) {
-                found = part;
-            }
-        });
-    }
-    return found;
+    const auto shared = prompt.sharedParts();
+    const auto found = std::find_if(shared.begin(), shared.end(),
+                                    [this](const request::PromptPart &part) { return this->quarantined.contains(part.id); });
+    return found == shared.end() ? std::nullopt : std::optional(found->id);
 }
 
 Duration PartQuarantine::remaining(std::uint64_t part, Time now) const
@@ -148,12 +136,11 @@
 
 bool PartQuarantine::isSuspect(const request::Prompt &prompt) const
 {
-    bool suspect = false;
-    forEachSharedPart(prompt, [this, &suspect](std::uint64_t part) {
-        const auto found = this->suspects.find(part);
-        suspect = suspect || (found != this->suspects.end() && found->second.size() > 1);
+    const auto shared = prompt.sharedParts();
+    return std::any_of(shared.begin(), shared.end(), [this](const request::PromptPart &part) {
+        const auto found = this->suspects.find(part.id);
+        return found != this->suspects.end() && found->second.size() > 1;
     });
-    return suspect;
 }
 
 void PartQuarantine::quarantine(std::uint64_t part, Time since, const std::string &cause)
--- a/src/process/exchange/load_codec.cpp
+++ b/src/process/exchange/load_codec.cpp
@@ -3,6 +3,7 @@
 #include "process/exchange/wire/generated/load_generated.h"
 
 #include <algorithm>
+#include <iterator>
 
 namespace eelgrassnotch::process::exchange
 {
@@ -40,34 +41,43 @@
     return static_cast<std::uint64_t>(entry.part_high()) << bitsOfHalf | entry.part_low();
 }
 
-std::vector<wire::PartAge> toWire(const std::vector<PartAge> &parts)
+PartAge fromWire(const wire::PartAge &entry)
 {
-    std::vector<wire::PartAge> entries;
-    entries.reserve(parts.size());
-    for (const PartAge &part : parts) {
-        entries.emplace_back(highHalf(part.part), static_cast<std::uint32_t>(part.part), toMilliseconds(part.age));
-    }
-    return entries;
+    return {partOf(entry), std::chrono::milliseconds(entry.age_ms())};
 }
 
-std::vector<PartAge> fromWire(const flatbuffers::Vector<const wire::PartAge *> *entries)
+Suspicion fromWire(const wire::Suspicion &entry)
 {
-    std::vector<PartAge> parts;
-    for (flatbuffers::uoffset_t index = 0; entries != nullptr && index < std::min(entries->size(), maxEvidenceEntries); ++index) {
-        const wire::PartAge &entry = *entries->Get(index);
-        parts.push_back({partOf(entry), std::chrono::milliseconds(entry.age_ms())});
-    }
-    return parts;
+    return {partOf(entry), entry.backend(), std::chrono::milliseconds(entry.age_ms())};
 }
 
-std::vector<Suspicion> fromWire(const flatbuffers::Vector<const wire::Suspicion *> *entries)
+template <class Entry>
+auto fromWire(const flatbuffers::Vector<const Entry *> *entries)
 {
-    std::vector<Suspicion> suspicions;
+    std::vector<decltype(fromWire(*entries->Get(0)))> read;
     for (flatbuffers::uoffset_t index = 0; entries != nullptr && index < std::min(entries->size(), maxEvidenceEntries); ++index) {
-        const wire::Suspicion &entry = *entries->Get(index);
-        suspicions.push_back({partOf(entry), entry.backend(), std::chrono::milliseconds(entry.age_ms())});
+        read.push_back(fromWire(*entries->Get(index)));
     }
-    return suspicions;
+    return read;
+}
+
+wire::Suspicion toWire(const Suspicion &suspicion)
+{
+    return {highHalf(suspicion.part), static_cast<std::uint32_t>(suspicion.part), suspicion.backend, toMilliseconds(suspicion.age)};
+}
+
+wire::PartAge toWire(const PartAge &part)
+{
+    return {highHalf(part.part), static_cast<std::uint32_t>(part.part), toMilliseconds(part.age)};
+}
+
+/** Writes a list; an empty one takes no room in the message. */
+template <class Entry>
+auto writeList(flatbuffers::FlatBufferBuilder &builder, const std::vector<Entry> &entries)
+{
+    std::vector<decltype(toWire(entries.front()))> written;
+    std::transform(entries.begin(), entries.end(), std::back_inserter(written), [](const Entry &entry) { return toWire(entry); });
+    return written.empty() ? 0 : builder.CreateVectorOfStructs(written);
 }
 
 }
@@ -88,14 +98,9 @@
     const auto workspacesOffset = builder.CreateVectorOfStructs(workspaces);
     const auto offeredOffset = builder.CreateVector(offered);
     const auto backendsOffset = builder.CreateVectorOfStructs(backends);
-    std::vector<wire::Suspicion> suspicions;
-    for (const Suspicion &suspicion : message.evidence.suspicions) {
-        suspicions.emplace_back(highHalf(suspicion.part), static_cast<std::uint32_t>(suspicion.part), suspicion.backend,
-                                toMilliseconds(suspicion.age));
-    }
-    const auto suspicionsOffset = builder.CreateVectorOfStructs(suspicions);
-    const auto soundOffset = builder.CreateVectorOfStructs(toWire(message.evidence.sound));
-    const auto quarantinedOffset = builder.CreateVectorOfStructs(toWire(message.evidence.quarantined));
+    const auto suspicionsOffset = writeList(builder, message.evidence.suspicions);
+    const auto soundOffset = writeList(builder, message.evidence.sound);
+    const auto quarantinedOffset = writeList(builder, message.evidence.quarantined);
     builder.Finish(wire::CreateMessage(builder, static_cast<wire::Kind>(message.kind), message.sender.id, message.dataCentre.id,
                                        workspacesOffset, backendsOffset, message.load.daemons, toMilliseconds(message.load.age),
                                        offeredOffset, suspicionsOffset, soundOffset, quarantinedOffset));
--- a/src/process/exchange/part_evidence.h
+++ b/src/process/exchange/part_evidence.h
@@ -36,10 +36,6 @@
     std::vector<PartAge> sound; ///< Suspected parts with which an answer was written, and when.
     std::vector<PartAge> quarantined;
 
-    bool isEmpty() const
-    {
-        return this->suspicions.empty() && this->sound.empty() && this->quarantined.empty();
-    }
     bool operator==(const PartEvidence &) const = default;
 };
 
--- a/src/process/proxy/proxied_request.cpp
+++ b/src/process/proxy/proxied_request.cpp
@@ -209,13 +209,6 @@
     return this->currentAttempt->hasFirstEvent && now - this->currentAttempt->firstEventAt >= minWritingTime;
 }
 
-void ProxiedRequest::recordLoss(Time now)
-{
-    if (this->isEngineService() && !this->isBeingWritten(now)) {
-        this->proxy.quarantine().recordLoss(this->currentAttempt->backend->handle, this->attributes.prompt, now);
-    }
-}
-
 void ProxiedRequest::giveUpIfQuarantined()
 {
     const Time now = readClock();
@@ -469,25 +462,26 @@
     if (!this->isRetryable() || this->route->latencyTarget == Duration(0)) {
         return;
     }
-    this->attemptTimer.expires_after(this->route->latencyTarget * attemptTimeoutFactor);
-    this->attemptTimer.async_wait([self = this->shared_from_this(), attemptNumber = this->attempts](boost::system::error_code error) {
-        if (!error && !self->isFinished && self->currentAttempt && attemptNumber == self->attempts && !self->currentAttempt->hasHeader) {
-            self->onAttemptTimeout();
-        }
-    });
+    this->limitWaitForHeader(this->route->latencyTarget * attemptTimeoutFactor, [this] { this->onAttemptTimeout(); });
 }
 
-void ProxiedRequest::limitWaitForOwnAnswer()
+void ProxiedRequest::limitWaitForHeader(Duration timeout, std::function<void()> onExpiry)
 {
-    this->attemptTimer.expires_after(std::max(this->route->latencyTarget * attemptTimeoutFactor, minOwnAnswerWait));
-    this->attemptTimer.async_wait([self = this->shared_from_this(), attemptNumber = this->attempts](boost::system::error_code error) {
+    this->attemptTimer.expires_after(timeout);
+    this->attemptTimer.async_wait([self = this->shared_from_this(), attemptNumber = this->attempts,
+                                   onExpiry = std::move(onExpiry)](boost::system::error_code error) {
         if (!error && !self->isFinished && self->currentAttempt && attemptNumber == self->attempts && !self->currentAttempt->hasHeader) {
-            self->currentAttempt->connection->cancel();
-            self->onFailedAttempt({EndKind::Malformed, "only an answer without a request id came"}, readClock());
+            onExpiry();
         }
     });
 }
 
+void ProxiedRequest::onOwnAnswerMissing()
+{
+    this->currentAttempt->connection->cancel();
+    this->onFailedAttempt({EndKind::Malformed, "only an answer without a request id came"}, readClock());
+}
+
 bool ProxiedRequest::onHeader(const http::AnswerHeader &header)
 {
     BackendAttempt &attempt = *this->currentAttempt;
@@ -497,7 +491,8 @@
     if (answer.id != this->attributes.id && !namesNone) {
         logEvent("foreign_answer", {{"request", this->attributes.id}, {"backend", attempt.backend->record.id}, {"answers", answer.id}});
         if (answer.id.empty()) {
-            this->limitWaitForOwnAnswer();
+            this->limitWaitForHeader(std::max(this->route->latencyTarget * attemptTimeoutFactor, minOwnAnswerWait),
+                                     [this] { this->onOwnAnswerMissing(); });
         }
         return false;
     }
@@ -699,12 +694,12 @@
               {"verdict", std::string(nameOf(isUnsent ? Verdict::NotRun : Verdict::MayHaveRun))},
               {"after_ms", milliseconds(now - this->currentAttempt->startedAt)},
               {"kept_connection", this->currentAttempt->connection->wasUsed() ? "true" : "false"}});
-    const bool isLost = end.kind == EndKind::Lost || end.kind == EndKind::BrokenOff;
-    if (isLost) {
-        this->recordLoss(now);
+    const bool isLostUnanswered = (end.kind == EndKind::Lost || end.kind == EndKind::BrokenOff) && !this->isBeingWritten(now);
+    if (isLostUnanswered && this->isEngineService()) {
+        this->proxy.quarantine().recordLoss(this->currentAttempt->backend->handle, this->attributes.prompt, now);
     }
     // A request that may end the next backend server, too, is not sent to it.
-    const bool isSuspect = isLost && !this->isBeingWritten(now) && this->proxy.quarantine().isSuspect(this->attributes.prompt);
+    const bool isSuspect = isLostUnanswered && this->proxy.quarantine().isSuspect(this->attributes.prompt);
     const RetryReason reason = isUnsent ? RetryReason::ConnectFailed
                                         : (end.kind == EndKind::Malformed ? RetryReason::InvalidAnswer : RetryReason::ConnectionLost);
     const bool isRetryAllowed = isUnsent || (!isSuspect && this->isRetryable() && this->possibleExecutions < this->route->maxAttempts);
--- a/src/process/proxy/proxied_request.h
+++ b/src/process/proxy/proxied_request.h
@@ -11,6 +11,7 @@
 
 #include <boost/asio/steady_timer.hpp>
 
+#include <functional>
 #include <memory>
 #include <string>
 #include <vector>
@@ -57,8 +58,6 @@
     bool checkQuarantine(Time now);
     /** @returns whether the current attempt's answer has been written for long enough to show that the prompt's parts are sound. */
     bool isBeingWritten(Time now) const;
-    /** @brief Records that the connection was lost, as evidence against the prompt's parts if the answer had not begun. */
-    void recordLoss(Time now);
     /** @brief Refuses a request beyond its workspace's pace, before a backend server is chosen. @returns false when it was refused. */
     bool checkPace(Time now);
     /** @returns the inputs to admission control that don't depend on the chosen backend server. */
@@ -67,8 +66,10 @@
     /** @brief Applies admission control. @returns false when the request was refused. */
     bool checkAdmission(const BackendChoice &choice, Time now);
     void startAttempt(const BackendChoice &choice, Time now);
-    /** @brief Gives the attempt up when its answer does not come soon after one that may belong to an earlier request. */
-    void limitWaitForOwnAnswer();
+    /** @brief Calls a function if no header of the current attempt's answer has arrived after this time. */
+    void limitWaitForHeader(Duration timeout, std::function<void()> onExpiry);
+    /** @brief Gives the attempt up: an answer that may belong to an earlier request came, and its own one did not. */
+    void onOwnAnswerMissing();
     /** @returns false when the answer belongs to another request and must be rejected. */
     bool onHeader(const connection::http::AnswerHeader &header);
     /** @brief Records what the answer states about its backend server's availability. */
--- a/src/request/attributes.cpp
+++ b/src/request/attributes.cpp
@@ -1,20 +1,26 @@
 #include "request/attributes.h"
 
+#include <numeric>
+
 namespace eelgrassnotch::request
 {
 
+std::span<const PromptPart> Prompt::sharedParts() const
+{
+    return std::span(this->parts).first(this->parts.empty() ? 0 : this->parts.size() - 1);
+}
+
 std::uint32_t Prompt::sharedTokens() const
 {
-    std::uint32_t shared = 0;
-    for (std::size_t index = 0; index + 1 < this->parts.size(); ++index) {
-        shared += this->parts[index].tokens;
-    }
-    return shared;
+    const auto shared = this->sharedParts();
+    return std::accumulate(shared.begin(), shared.end(), std::uint32_t {0},
+                           [](std::uint32_t sum, const PromptPart &part) { return sum + part.tokens; });
 }
 
 std::uint64_t Prompt::sharedPrefixId() const
 {
-    return this->parts.size() < 2 ? 0 : this->parts[this->parts.size() - 2].id;
+    const auto shared = this->sharedParts();
+    return shared.empty() ? 0 : shared.back().id;
 }
 
 }
--- a/src/request/attributes.h
+++ b/src/request/attributes.h
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -26,6 +27,8 @@
     std::uint32_t maxOutputTokens = 0; ///< Maximum number of tokens to generate.
     std::vector<PromptPart> parts; ///< In order; the last one is specific to the request.
 
+    /** @returns all parts except the last, which other requests may share. */
+    std::span<const PromptPart> sharedParts() const;
     /** @returns tokens of all parts except the last, which other requests may share. */
     std::uint32_t sharedTokens() const;
     /** @returns the id of the last shared part, which identifies the shared prefix; zero without one. */
