Announced rate limits are read and logged; decisions don't use them yet

A change of the announced rate is now one line a daemon, backend_limit_announced. Nothing else changes.

--- a/src/process/directory/backend_server.h
+++ b/src/process/directory/backend_server.h
@@ -117,6 +117,7 @@
     double pendingPrefillTokens = 0; ///< Uncached prompt tokens of this daemon's requests whose first event has not arrived yet.
     exchange::BackendLoad loadFromOthers; ///< Load caused by the other daemons, from their last messages.
     std::optional<LoadReport> loadReport;
+    std::optional<double> announcedRate; ///< Requests per second that its last answer announced to accept from all daemons together.
     dispatch::DecayingAverage excessDelay; ///< Delay of first events beyond the prediction, in microseconds.
     dispatch::DecayingSum firstEventCount; ///< Recent first events at this daemon, with decay.
     dispatch::DecayingAverage serviceTime; ///< Duration of an answer or a slot's occupation, in microseconds.
--- a/src/process/proxy/proxied_request.cpp
+++ b/src/process/proxy/proxied_request.cpp
@@ -512,6 +512,16 @@
     if (answer.isDraining) {
         this->proxy.backends().onDrainAnnounced(this->currentAttempt->backend, now);
     }
+    directory::BackendServer &backend = *this->currentAttempt->backend;
+    if (!answer.isWrongInstance && !answer.hasInvalidRateLimit && answer.rateLimit != backend.announcedRate) {
+        const auto textOf = [](const std::optional<double> &rate) { return rate ? std::to_string(*rate) : "none"; };
+        logEvent("backend_limit_announced",
+                 {{"request", this->attributes.id},
+                  {"backend", backend.record.id},
+                  {"requests_per_s", textOf(answer.rateLimit)},
+                  {"before", textOf(backend.announcedRate)}});
+        backend.announcedRate = answer.rateLimit;
+    }
     if (answer.retryAfter) {
         logEvent("backend_closed",
                  {{"request", this->attributes.id},
--- a/src/request/attributes.h
+++ b/src/request/attributes.h
@@ -58,6 +58,8 @@
     bool hasContentEncoding = false; ///< Whether the body has a content coding, which the proxy never requests.
     std::optional<Duration> retryAfter; ///< Time for which the backend server, which refused, asks for no requests.
     std::optional<Duration> coldLeft; ///< How much longer the backend server stays cold.
+    std::optional<double> rateLimit; ///< Requests per second that the backend server announced to accept from all daemons together.
+    bool hasInvalidRateLimit = false; ///< Whether it announced a rate that can't be one, which says nothing about a limit.
     std::optional<std::uint32_t> running; ///< Requests running at the backend server when it answered.
     std::optional<std::uint32_t> waiting; ///< Requests queued at the backend server when it answered.
 
