Announced rate limits are divided among daemons by demand

Class: one number divided among daemons without regard to who sends. Change: statements and holders' demand travel with the load messages; a few holders, chosen by rendezvous hashing, send at their part by demand; the end is found by the requests that the limit allows, and raises the rate step by step. Shares count limited engines by their limit.

--- a/src/process/directory/backend_directory.cpp
+++ b/src/process/directory/backend_directory.cpp
@@ -183,6 +183,12 @@
     return found == this->byService.end() ? none : found->second;
 }
 
+BackendServerPtr BackendDirectory::findIncarnation(std::uint32_t incarnation) const
+{
+    const auto found = this->byIncarnation.find(incarnation);
+    return found == this->byIncarnation.end() ? nullptr : found->second;
+}
+
 void BackendDirectory::forEach(const std::function<void(const BackendServerPtr &)> &function) const
 {
     for (const auto &[id, backend] : this->backends) {
@@ -216,8 +222,10 @@
 void BackendDirectory::rebuildIndex()
 {
     this->byService.clear();
+    this->byIncarnation.clear();
     for (const auto &[id, backend] : this->backends) {
         this->byService[backend->record.service].push_back(backend);
+        this->byIncarnation[backend->incarnation] = backend;
     }
 }
 
--- a/src/process/directory/backend_directory.h
+++ b/src/process/directory/backend_directory.h
@@ -8,6 +8,7 @@
 #include <map>
 #include <set>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 namespace eelgrassnotch::process::directory
@@ -68,6 +69,8 @@
     }
     /** @returns the backend servers of a service, ordered by id. */
     const std::vector<BackendServerPtr> &ofService(const std::string &service) const;
+    /** @returns the backend server with this hash of its id and start time; null when it is unknown. */
+    BackendServerPtr findIncarnation(std::uint32_t incarnation) const;
     void forEach(const std::function<void(const BackendServerPtr &)> &function) const;
     std::size_t size() const
     {
@@ -91,6 +94,7 @@
     ChangeHandler onChange;
     std::map<std::string, BackendServerPtr> backends;
     std::map<std::string, std::vector<BackendServerPtr>> byService;
+    std::unordered_map<std::uint32_t, BackendServerPtr> byIncarnation;
     std::map<std::string, DrainedIncarnation> drainedIncarnations; ///< Newest one by backend server id.
     std::set<std::string> takenOut;
     bool isStoreUnavailable = false;
--- a/src/process/directory/backend_server.cpp
+++ b/src/process/directory/backend_server.cpp
@@ -49,6 +49,7 @@
 BackendServer::BackendServer(BackendRecord firstRecord, std::uint64_t cacheTokens)
     : record(std::move(firstRecord))
     , handle(hashName(this->record.id))
+    , incarnation(hashName(this->record.id + '@' + std::to_string(this->record.startedAt)))
     , excessDelay(delayWeight, delayHalfLife)
     , firstEventCount(delayHalfLife)
     , serviceTime(serviceTimeWeight, serviceTimeHalfLife)
@@ -105,6 +106,7 @@
 void BackendServer::recordAttempt(Time now)
 {
     this->recentAttempts.add(now);
+    this->announcedLimit.recordSent(now);
     this->unanswered.insert(now);
     if (this->isAwaitingAcceptance || this->consecutiveFailures >= failuresBeforeProbing) {
         this->nextProbeAt = now + minProbeInterval;
--- a/src/process/directory/backend_server.h
+++ b/src/process/directory/backend_server.h
@@ -4,6 +4,7 @@
 
 #include "connection/http/client_connection.h"
 #include "process/directory/backend_record.h"
+#include "process/dispatch/announced_limit.h"
 #include "process/dispatch/decaying_average.h"
 #include "process/dispatch/prefix_cache_model.h"
 #include "process/dispatch/sliding_window.h"
@@ -47,6 +48,15 @@
     bool operator==(const LoadReport &) const = default;
 };
 
+/** @brief Whether this daemon holds a part of a backend server's announced limit, and what that was computed from. */
+struct LimitHolding {
+    std::uint64_t daemonsRevision = 0; ///< See dispatch::ActiveDaemons.
+    std::uint32_t holders = 0;
+    bool isHolder = false;
+
+    bool operator==(const LimitHolding &) const = default;
+};
+
 /** @brief Idle keep-alive connection. */
 struct IdleConnection {
     std::shared_ptr<connection::http::ClientConnection> connection;
@@ -112,12 +122,16 @@
     Time unconfirmedUntil {0}; ///< When Availability::Unconfirmed ends.
     Time coldUntil {0};
     std::uint32_t handle; ///< Hash of the id.
+    std::uint32_t incarnation; ///< Hash of the id and the start time.
     std::uint32_t inFlight = 0; ///< This daemon's requests in progress there.
     std::uint32_t openConnections = 0; ///< This daemon's connections to it, idle ones included.
     double pendingPrefillTokens = 0; ///< Uncached prompt tokens of this daemon's requests whose first event has not arrived yet.
     exchange::BackendLoad loadFromOthers; ///< Load caused by the other daemons, from their last messages.
     std::optional<LoadReport> loadReport;
-    std::optional<double> announcedRate; ///< Requests per second that its last answer announced to accept from all daemons together.
+    dispatch::AnnouncedLimit announcedLimit;
+    std::optional<LimitHolding> limitHolding;
+    double limitDemandOfOthers = 0; ///< Requests per second for its service at the other daemons that hold a part of its limit.
+    std::uint64_t heldBack = 0; ///< Requests that were placed elsewhere, or refused, since this daemon's part of its limit was used up.
     dispatch::DecayingAverage excessDelay; ///< Delay of first events beyond the prediction, in microseconds.
     dispatch::DecayingSum firstEventCount; ///< Recent first events at this daemon, with decay.
     dispatch::DecayingAverage serviceTime; ///< Duration of an answer or a slot's occupation, in microseconds.
--- a/src/process/dispatch/active_daemons.cpp
+++ b/src/process/dispatch/active_daemons.cpp
@@ -21,12 +21,14 @@
     }
     // Daemons expire only when a list arrives: without lists, nothing is known about which daemons have stopped.
     std::erase_if(this->lastListed, [this, now](const auto &entry) { return now - entry.second > this->timings.retention; });
-    this->active.assign(1, this->self);
+    std::vector<DaemonHandle> current(1, this->self);
     for (const auto &[daemon, at] : this->lastListed) {
         if (daemon != this->self) {
-            this->active.push_back(daemon);
+            current.push_back(daemon);
         }
     }
+    this->changes += current == this->active ? 0 : 1;
+    this->active = std::move(current);
     this->isListed = std::find(listed.begin(), listed.end(), this->self) != listed.end();
 }
 
@@ -43,6 +45,11 @@
     }
 }
 
+double ActiveDaemons::reportingFraction(std::uint32_t reporting) const
+{
+    return std::min(1.0, static_cast<double>(reporting) / static_cast<double>(this->count()));
+}
+
 std::uint32_t ActiveDaemons::count() const
 {
     return std::max(static_cast<std::uint32_t>(this->active.size()), this->reportingDaemons);
--- a/src/process/dispatch/active_daemons.h
+++ b/src/process/dispatch/active_daemons.h
@@ -45,6 +45,13 @@
     {
         return this->active;
     }
+    /** @returns a number that changes with the handles. */
+    std::uint64_t revision() const
+    {
+        return this->changes;
+    }
+    /** @returns the daemons whose load is known, this one included, as a fraction of those that may be sending requests; at most 1. */
+    double reportingFraction(std::uint32_t reporting) const;
     /** @returns how many daemons may be sending requests; can exceed the handles, which are known only from lists. */
     std::uint32_t count() const;
     /** @returns whether all other daemons have seen this daemon's entry. */
@@ -62,6 +69,7 @@
     DaemonListTimings timings;
     std::map<DaemonHandle, Time> lastListed;
     std::vector<DaemonHandle> active;
+    std::uint64_t changes = 0;
     std::optional<Time> ownEntrySince;
     bool isListed = false; ///< In the newest list.
     std::uint32_t reportingDaemons = 0; ///< Maximum within the retention time, this daemon included.
--- a/src/process/edge_daemon.cpp
+++ b/src/process/edge_daemon.cpp
@@ -170,6 +170,7 @@
             const auto table = this->proxy.routeTable();
             this->metrics.setConnections(this->callers.connectionCount());
             this->metrics.setConfiguration(table ? table->version() : 0, this->proxy.configurationAge(readClock()));
+            this->metrics.setBackendLimits(this->proxy.limitStats(readClock()));
             this->metrics.setDroppedLogLines(droppedLogLines());
             answerText(session, statusOk, this->metrics.serialize());
         };
@@ -187,6 +188,7 @@
         this->subscriptions.push_back(this->timers.subscribe([] { return exchangePeriod; },
                                                              [this](Time now) {
                                                                  this->exchange.setEvidence(this->proxy.quarantine().evidence(now));
+                                                                 this->exchange.setLimits(this->proxy.limitStatements(now));
                                                                  this->exchange.tick(this->proxy.ownLoad(now), now);
                                                              }));
         this->subscriptions.push_back(
@@ -222,6 +224,7 @@
     void takeMessage(const exchange::Message &message, const std::string &from, Time now)
     {
         this->proxy.quarantine().merge(message.evidence, now);
+        this->proxy.mergeLimits(message.limits, now);
         this->exchange.receive(message, from, now);
     }
 
--- a/src/process/exchange/load_codec.cpp
+++ b/src/process/exchange/load_codec.cpp
@@ -18,6 +18,7 @@
 
 /** Longer ones are not sent by any daemon. */
 constexpr flatbuffers::uoffset_t maxEvidenceEntries = 256;
+constexpr flatbuffers::uoffset_t maxLimitEntries = 1024;
 constexpr std::uint64_t bitsOfHalf = 32;
 
 bool isValid(float value)
@@ -51,11 +52,21 @@
     return {partOf(entry), entry.backend(), std::chrono::milliseconds(entry.age_ms())};
 }
 
+LimitStatement fromWire(const wire::Limit &entry)
+{
+    return {entry.incarnation(), entry.rate(), entry.has_ended() != 0, std::chrono::milliseconds(entry.age_ms())};
+}
+
+LimitDemand fromWire(const wire::LimitDemand &entry)
+{
+    return {entry.incarnation(), entry.demand()};
+}
+
 template <class Entry>
-auto fromWire(const flatbuffers::Vector<const Entry *> *entries)
+auto fromWire(const flatbuffers::Vector<const Entry *> *entries, flatbuffers::uoffset_t most = maxEvidenceEntries)
 {
     std::vector<decltype(fromWire(*entries->Get(0)))> read;
-    for (flatbuffers::uoffset_t index = 0; entries != nullptr && index < std::min(entries->size(), maxEvidenceEntries); ++index) {
+    for (flatbuffers::uoffset_t index = 0; entries != nullptr && index < std::min(entries->size(), most); ++index) {
         read.push_back(fromWire(*entries->Get(index)));
     }
     return read;
@@ -66,6 +77,16 @@
     return {highHalf(suspicion.part), static_cast<std::uint32_t>(suspicion.part), suspicion.backend, toMilliseconds(suspicion.age)};
 }
 
+wire::Limit toWire(const LimitStatement &limit)
+{
+    return {limit.incarnation, static_cast<float>(limit.rate), toMilliseconds(limit.age), limit.hasEnded ? 1U : 0U};
+}
+
+wire::LimitDemand toWire(const LimitDemand &load)
+{
+    return {load.incarnation, static_cast<float>(load.demand)};
+}
+
 wire::PartAge toWire(const PartAge &part)
 {
     return {highHalf(part.part), static_cast<std::uint32_t>(part.part), toMilliseconds(part.age)};
@@ -101,9 +122,11 @@
     const auto suspicionsOffset = writeList(builder, message.evidence.suspicions);
     const auto soundOffset = writeList(builder, message.evidence.sound);
     const auto quarantinedOffset = writeList(builder, message.evidence.quarantined);
+    const auto limitsOffset = writeList(builder, message.limits);
+    const auto limitDemandsOffset = writeList(builder, message.load.limitDemands);
     builder.Finish(wire::CreateMessage(builder, static_cast<wire::Kind>(message.kind), message.sender.id, message.dataCentre.id,
                                        workspacesOffset, backendsOffset, message.load.daemons, toMilliseconds(message.load.age),
-                                       offeredOffset, suspicionsOffset, soundOffset, quarantinedOffset));
+                                       offeredOffset, suspicionsOffset, soundOffset, quarantinedOffset, limitsOffset, limitDemandsOffset));
     return {builder.GetBufferPointer(), builder.GetBufferPointer() + builder.GetSize()};
 }
 
@@ -146,10 +169,20 @@
         }
     }
     message.evidence = {fromWire(root->suspicions()), fromWire(root->sound()), fromWire(root->quarantined())};
+    message.limits = fromWire(root->limits(), maxLimitEntries);
+    message.load.limitDemands = fromWire(root->limit_demands(), maxLimitEntries);
+    const auto isValidLimit = [](const LimitStatement &limit) { return isValid(static_cast<float>(limit.rate)) && limit.rate > 0; };
+    const auto isValidDemand = [](const LimitDemand &load) { return isValid(static_cast<float>(load.demand)); };
+    if (!std::all_of(message.limits.begin(), message.limits.end(), isValidLimit)
+        || !std::all_of(message.load.limitDemands.begin(), message.load.limitDemands.end(), isValidDemand)) {
+        return std::nullopt;
+    }
     const auto byWorkspace = [](const WorkspaceLoad &left, const WorkspaceLoad &right) { return left.workspace < right.workspace; };
     const auto byBackend = [](const BackendLoad &left, const BackendLoad &right) { return left.backend < right.backend; };
     std::sort(message.load.workspaces.begin(), message.load.workspaces.end(), byWorkspace);
     std::sort(message.load.backends.begin(), message.load.backends.end(), byBackend);
+    std::sort(message.load.limitDemands.begin(), message.load.limitDemands.end(),
+              [](const LimitDemand &left, const LimitDemand &right) { return left.incarnation < right.incarnation; });
     return message;
 }
 
--- a/src/process/exchange/load_exchange.cpp
+++ b/src/process/exchange/load_exchange.cpp
@@ -62,6 +62,11 @@
             return BackendLoad {l.backend, std::max(0.0, l.pendingPrefillTokens + factor * r.pendingPrefillTokens),
                                 addCounts(l.inFlight, r.inFlight)};
         });
+    sum.limitDemands = merge(
+        left.limitDemands, right.limitDemands, [](auto &load) -> auto & { return load.incarnation; },
+        [factor](const LimitDemand &l, const LimitDemand &r) {
+            return LimitDemand {l.incarnation, std::max(0.0, l.demand + factor * r.demand)};
+        });
     return sum;
 }
 
@@ -125,7 +130,7 @@
 
 void LoadExchange::sendFleetSum(const LoadSummary &fleetSum) const
 {
-    const Message message {MessageKind::Fleet, this->self.daemon, this->self.dataCentre, fleetSum, this->evidence};
+    const Message message {MessageKind::Fleet, this->self.daemon, this->self.dataCentre, fleetSum, this->evidence, this->limits};
     std::set<DaemonHandle> listed;
     for (const Peer &peer : this->peers) {
         if (peer.dataCentre == this->self.dataCentre) {
@@ -145,7 +150,7 @@
     this->lastSentLoad = ownLoad;
     for (const Peer &aggregator : this->aggregators.at(this->self.dataCentre)) {
         if (aggregator.daemon != this->self.daemon) {
-            this->send(aggregator, {MessageKind::Member, this->self.daemon, this->self.dataCentre, ownLoad, this->evidence});
+            this->send(aggregator, {MessageKind::Member, this->self.daemon, this->self.dataCentre, ownLoad, this->evidence, this->limits});
         }
     }
     std::erase_if(this->members, [now](const auto &entry) { return now - entry.second.received.at > maxMemberLoadAge; });
@@ -159,7 +164,8 @@
             continue;
         }
         for (const Peer &aggregator : remoteAggregators) {
-            this->send(aggregator, {MessageKind::DataCentre, this->self.daemon, this->self.dataCentre, dataCentreSum, this->evidence});
+            this->send(aggregator,
+                       {MessageKind::DataCentre, this->self.daemon, this->self.dataCentre, dataCentreSum, this->evidence, this->limits});
         }
     }
     LoadSummary fleetSum = dataCentreSum;
--- a/src/process/exchange/load_exchange.h
+++ b/src/process/exchange/load_exchange.h
@@ -3,6 +3,7 @@
 /** @file Distributes the summed load of all daemons, with a bounded number of messages per daemon. */
 
 #include "eelgrassnotch/types.h"
+#include "process/exchange/limit_statement.h"
 #include "process/exchange/load_summary.h"
 #include "process/exchange/part_evidence.h"
 
@@ -38,6 +39,7 @@
     DataCentreHandle dataCentre; ///< Of the sender.
     LoadSummary load;
     PartEvidence evidence {}; ///< All that the sender knows; the same in messages of each kind.
+    std::vector<LimitStatement> limits {}; ///< As evidence.
 
     bool operator==(const Message &) const = default;
 };
@@ -65,6 +67,11 @@
     {
         this->evidence = std::move(known);
     }
+    /** @brief Sets what is told of announced rate limits with the messages of the next intervals. */
+    void setLimits(std::vector<LimitStatement> known)
+    {
+        this->limits = std::move(known);
+    }
     /** @brief Sends the messages of one interval. @param ownLoad This daemon's load. */
     void tick(const LoadSummary &ownLoad, Time now);
     /** @brief Stores a received load. @param from IP address of the sender, which may not be among the peers yet. */
@@ -102,6 +109,7 @@
     std::optional<TimedLoad> receivedSum; ///< Sum over the fleet as last received from an aggregator.
     LoadSummary lastSentLoad; ///< Own load as last sent.
     PartEvidence evidence;
+    std::vector<LimitStatement> limits;
 };
 
 }
--- a/src/process/exchange/load_summary.h
+++ b/src/process/exchange/load_summary.h
@@ -29,12 +29,21 @@
     bool operator==(const BackendLoad &) const = default;
 };
 
+/** @brief Demand behind a rate limit that a backend server announces. */
+struct LimitDemand {
+    std::uint32_t incarnation = 0; ///< See LimitStatement.
+    double demand = 0; ///< Requests per second for its service, at the daemons that hold a part of the limit.
+
+    bool operator==(const LimitDemand &) const = default;
+};
+
 /** @brief Load of one daemon, a data centre or the fleet; lists are sorted by id. */
 struct LoadSummary {
     std::vector<WorkspaceLoad> workspaces;
     std::vector<BackendLoad> backends;
     std::uint32_t daemons = 0; ///< Number of daemons included.
     Duration age {0}; ///< Time since the oldest included load was measured, without time on the network.
+    std::vector<LimitDemand> limitDemands {};
 
     /** @returns the sum of both. */
     LoadSummary plus(const LoadSummary &other) const;
--- a/src/process/proxy/proxied_request.cpp
+++ b/src/process/proxy/proxied_request.cpp
@@ -190,6 +190,7 @@
     if (this->isEngineService() && (!this->checkQuarantine(now) || !this->checkPace(now))) {
         return;
     }
+    this->proxy.recordServiceDemand(this->service->name, now);
     this->place();
 }
 
@@ -359,8 +360,8 @@
 
 void ProxiedRequest::waitForUsableBackend(const BackendChoice &choice, Time now)
 {
-    const bool isBackoffBeyondWait = choice.earliestBackoffEnd && *choice.earliestBackoffEnd > this->backendWaitDeadline;
-    if (now >= this->backendWaitDeadline || isBackoffBeyondWait) {
+    const bool isOpeningBeyondWait = choice.earliestOpening && *choice.earliestOpening > this->backendWaitDeadline;
+    if (now >= this->backendWaitDeadline || isOpeningBeyondWait) {
         const Duration retryAfter = this->computeRetryAfter(choice, now);
         const std::string detail = "none of " + std::to_string(choice.candidateCount) + " backend servers is usable";
         this->refuse(RefusalReason::NoBackend, retryAfter, detail);
@@ -377,7 +378,7 @@
 Duration ProxiedRequest::computeRetryAfter(const BackendChoice &choice, Time now) const
 {
     const Duration untilOpen
-        = choice.earliestBackoffEnd ? std::max(*choice.earliestBackoffEnd - now, localRefusalRetryAfter) : missingStateRetryAfter;
+        = choice.earliestOpening ? std::max(*choice.earliestOpening - now, localRefusalRetryAfter) : missingStateRetryAfter;
     return jitterRetryAfter(untilOpen, hashName(this->attributes.id));
 }
 
@@ -512,15 +513,9 @@
     if (answer.isDraining) {
         this->proxy.backends().onDrainAnnounced(this->currentAttempt->backend, now);
     }
-    directory::BackendServer &backend = *this->currentAttempt->backend;
-    if (!answer.isWrongInstance && !answer.hasInvalidRateLimit && answer.rateLimit != backend.announcedRate) {
-        const auto textOf = [](const std::optional<double> &rate) { return rate ? std::to_string(*rate) : "none"; };
-        logEvent("backend_limit_announced",
-                 {{"request", this->attributes.id},
-                  {"backend", backend.record.id},
-                  {"requests_per_s", textOf(answer.rateLimit)},
-                  {"before", textOf(backend.announcedRate)}});
-        backend.announcedRate = answer.rateLimit;
+    // A refusal that is not the backend server's own, or a field that can't be read, says nothing about a limit.
+    if (answer.rateLimit || (answer.isSigned && !answer.hasInvalidRateLimit)) {
+        this->proxy.recordAnnouncedRate(*this->currentAttempt->backend, answer.rateLimit, now);
     }
     if (answer.retryAfter) {
         logEvent("backend_closed",
--- a/src/process/proxy/proxy.cpp
+++ b/src/process/proxy/proxy.cpp
@@ -3,6 +3,7 @@
 #include "process/clock.h"
 #include "process/event_log.h"
 #include "process/proxy/proxied_request.h"
+#include "process/rendezvous.h"
 
 #include <algorithm>
 #include <cmath>
@@ -47,6 +48,8 @@
 constexpr Duration drainMargin = 2s;
 /** Daemon lists are requested every 3 s and can be 4 s old, plus 1 s for the answer. */
 constexpr Duration daemonListPropagationDelay = 8s;
+/** Half-life of the demand by which announced limits are divided: long enough that single requests don't move the parts. */
+constexpr Duration demandHalfLife = 1400ms;
 /** Window of the limit on requests to cold backend servers, in seconds; the requests are counted over a slightly longer one. */
 constexpr double coldWindowSeconds = 1.0;
 
@@ -223,6 +226,11 @@
     if (this->directory.isTakenOut(backend.record.dataCentre) || !backend.isRequestAllowed(now)) {
         return false;
     }
+    return this->isAllowedRegion(backend, query);
+}
+
+bool Proxy::isAllowedRegion(BackendServer &backend, const PlacementQuery &query) const
+{
     const std::string &region = this->localityOf(backend).region;
     return isAllowedIn(query.route->homeRegions, region)
         && (query.workspace == nullptr || isAllowedIn(query.workspace->homeRegions, region));
@@ -234,6 +242,10 @@
         && backend.recentAttempts.count(now) >= this->coldRequestQuota(backend, *query.service, now)) {
         return false;
     }
+    if (backend.announcedLimit.delay(now) > Duration(0)) {
+        ++backend.heldBack;
+        return false;
+    }
     if (query.service->maxConnections > 0 && backend.idleConnections.empty()) {
         const double connectionLimit
             = connectionFraction * query.service->maxConnections / static_cast<double>(this->activeDaemons.count());
@@ -275,14 +287,15 @@
     return candidate;
 }
 
-std::optional<Time> Proxy::findEarliestBackoffEnd(const std::vector<BackendServerPtr> &backends, Time now) const
+std::optional<Time> Proxy::findEarliestOpening(const PlacementQuery &query, const std::vector<BackendServerPtr> &backends, Time now) const
 {
     std::optional<Time> earliest;
     for (const BackendServerPtr &backend : backends) {
-        const bool isClosed = backend->availability == Availability::Ready && now < backend->backoffUntil()
-            && !this->directory.isTakenOut(backend->record.dataCentre);
-        if (isClosed) {
-            earliest = std::min(earliest.value_or(backend->backoffUntil()), backend->backoffUntil());
+        const Time opening = std::max(backend->backoffUntil(), now + backend->announcedLimit.delay(now));
+        const bool isPaused = backend->availability == Availability::Ready && opening > now
+            && !this->directory.isTakenOut(backend->record.dataCentre) && this->isAllowedRegion(*backend, query);
+        if (isPaused) {
+            earliest = std::min(earliest.value_or(opening), opening);
         }
     }
     return earliest;
@@ -304,7 +317,7 @@
         candidates.push_back(candidate);
     }
     if (choice.usableCount == 0) {
-        choice.earliestBackoffEnd = this->findEarliestBackoffEnd(backends, now);
+        choice.earliestOpening = this->findEarliestOpening(query, backends, now);
     }
     choice.candidateCount = candidates.size();
     choice.meanQueueDelay /= static_cast<std::int64_t>(std::max<std::size_t>(choice.usableCount, 1));
@@ -335,6 +348,103 @@
     this->retryBudgetOf(service).countRequest(now);
 }
 
+void Proxy::recordServiceDemand(const std::string &service, Time now)
+{
+    this->serviceDemands.try_emplace(service, demandHalfLife).first->second.add(1.0, now);
+}
+
+double Proxy::serviceDemand(const std::string &service, Time now) const
+{
+    const auto found = this->serviceDemands.find(service);
+    return found == this->serviceDemands.end() ? 0 : found->second.rate(now);
+}
+
+void Proxy::recordAnnouncedRate(BackendServer &backend, std::optional<double> rate, Time now)
+{
+    if (backend.announcedLimit.recordAnswer(rate, now)) {
+        this->logLimit(backend, "answer", now);
+    }
+}
+
+void Proxy::mergeLimits(const std::vector<exchange::LimitStatement> &statements, Time now)
+{
+    for (const exchange::LimitStatement &statement : statements) {
+        const BackendServerPtr backend = this->directory.findIncarnation(statement.incarnation);
+        if (backend && backend->announcedLimit.merge(statement, now)) {
+            this->logLimit(*backend, "daemon", now);
+        }
+    }
+}
+
+void Proxy::logLimit(const BackendServer &backend, const std::string &source, Time now) const
+{
+    const auto statement = backend.announcedLimit.statement(backend.incarnation, now);
+    logEvent("backend_limit_changed",
+             {{"backend", backend.record.id},
+              {"requests_per_s", statement && !statement->hasEnded ? std::to_string(statement->rate) : "none"},
+              {"source", source},
+              {"own_part", std::to_string(backend.announcedLimit.ownRate())}});
+}
+
+std::vector<exchange::LimitStatement> Proxy::limitStatements(Time now) const
+{
+    std::vector<exchange::LimitStatement> statements;
+    this->directory.forEach([&statements, now](const BackendServerPtr &backend) {
+        if (const auto statement = backend->announcedLimit.statement(backend->incarnation, now)) {
+            statements.push_back(*statement);
+        }
+    });
+    return statements;
+}
+
+std::vector<BackendLimitStats> Proxy::limitStats(Time now) const
+{
+    std::vector<BackendLimitStats> stats;
+    this->directory.forEach([&stats, now](const BackendServerPtr &backend) {
+        const auto statement = backend->announcedLimit.statement(backend->incarnation, now);
+        if (const auto rate = backend->announcedLimit.fleetRate(now); rate && statement) {
+            stats.push_back({backend->record.id, *rate, backend->announcedLimit.ownRate(), statement->age, backend->heldBack});
+        }
+    });
+    return stats;
+}
+
+bool Proxy::isLimitHolder(BackendServer &backend, std::uint32_t holders) const
+{
+    const std::uint64_t revision = this->activeDaemons.revision();
+    if (!backend.limitHolding || backend.limitHolding->daemonsRevision != revision || backend.limitHolding->holders != holders) {
+        const bool isHolder
+            = isChosen(backend.handle, handleOf<DaemonHandle>(this->currentSettings.name), this->activeDaemons.handles(), holders);
+        backend.limitHolding = directory::LimitHolding {revision, holders, isHolder};
+    }
+    return backend.limitHolding->isHolder;
+}
+
+void Proxy::updateLimits(const std::optional<exchange::LoadSummary> &others, Time now)
+{
+    dispatch::LimitDivision division;
+    division.reportingFraction = this->activeDaemons.reportingFraction(others ? others->daemons + 1 : 1);
+    division.isKnownToOthers = this->activeDaemons.isKnownToOthers(now);
+    std::unordered_map<std::uint32_t, double> demandOfOthers;
+    if (others) {
+        for (const exchange::LimitDemand &load : others->limitDemands) {
+            demandOfOthers[load.incarnation] = load.demand;
+        }
+    }
+    this->directory.forEach([&](const BackendServerPtr &backend) {
+        const auto fleetRate = backend->announcedLimit.fleetRate(now);
+        if (!fleetRate) {
+            return;
+        }
+        division.fleetRate = *fleetRate;
+        division.holders = dispatch::limitHolders(*fleetRate, this->activeDaemons.count());
+        division.isHolder = this->isLimitHolder(*backend, division.holders);
+        division.ownDemand = this->serviceDemand(backend->record.service, now);
+        division.demandOfOthers = others ? std::optional(demandOfOthers[backend->incarnation]) : std::nullopt;
+        backend->announcedLimit.setOwnRate(dispatch::ownPart(division), now);
+    });
+}
+
 std::optional<Duration> Proxy::loadAge(Time now) const
 {
     return this->othersMeasuredAt ? std::optional<Duration>(now - *this->othersMeasuredAt) : std::nullopt;
@@ -345,11 +455,16 @@
     exchange::LoadSummary load;
     load.daemons = 1;
     load.workspaces = this->fairShare.localLoad(now);
-    this->directory.forEach([&load](const BackendServerPtr &backend) {
+    this->directory.forEach([this, &load, now](const BackendServerPtr &backend) {
         if (backend->inFlight > 0 || backend->pendingPrefillTokens > 0) {
             load.backends.push_back({backend->handle, backend->pendingPrefillTokens, backend->inFlight});
         }
+        if (backend->announcedLimit.fleetRate(now) && backend->limitHolding && backend->limitHolding->isHolder) {
+            load.limitDemands.push_back({backend->incarnation, this->serviceDemand(backend->record.service, now)});
+        }
     });
+    std::sort(load.limitDemands.begin(), load.limitDemands.end(),
+              [](const auto &left, const auto &right) { return left.incarnation < right.incarnation; });
     std::sort(load.backends.begin(), load.backends.end(), [](const auto &left, const auto &right) { return left.backend < right.backend; });
     return load;
 }
@@ -373,26 +488,29 @@
     }
 }
 
-double Proxy::engineThroughput() const
+double Proxy::engineThroughput(Time now) const
 {
     constexpr double millisecondsPerSecond = 1000;
+    const double perEngine = dispatch::prefillTokensPerMs * millisecondsPerSecond;
     const auto routes = this->routeTable();
-    std::size_t engines = 0;
-    this->directory.forEach([this, &routes, &engines](const BackendServerPtr &backend) {
+    const double meanCost = this->requestCosts.meanCost(now);
+    double throughput = 0;
+    this->directory.forEach([this, &routes, &throughput, perEngine, meanCost, now](const BackendServerPtr &backend) {
         const version::Service *service = routes ? routes->service(backend->record.service) : nullptr;
         const bool isUsable = backend->availability == Availability::Ready || backend->availability == Availability::Unconfirmed;
         if (isUsable && service != nullptr && service->engine && !this->directory.isTakenOut(backend->record.dataCentre)) {
-            ++engines;
+            const auto limit = backend->announcedLimit.fleetRate(now);
+            throughput += limit && meanCost > 0 ? std::min(perEngine, *limit * meanCost) : perEngine;
         }
     });
-    return static_cast<double>(engines) * dispatch::prefillTokensPerMs * millisecondsPerSecond;
+    return throughput;
 }
 
 void Proxy::updateShares(const std::optional<exchange::LoadSummary> &others, Time now)
 {
     const auto routes = this->routeTable();
     const exchange::LoadSummary otherLoad = others.value_or(exchange::LoadSummary());
-    dispatch::FleetState state {routes ? routes->tokensPerSecond() : 0, this->engineThroughput()};
+    dispatch::FleetState state {routes ? routes->tokensPerSecond() : 0, this->engineThroughput(now)};
     for (const auto &load : {otherLoad, this->ownLoad(now)}) {
         state.pendingTokens = std::accumulate(load.backends.begin(), load.backends.end(), state.pendingTokens,
                                               [](double sum, const auto &backend) { return sum + backend.pendingPrefillTokens; });
@@ -415,6 +533,7 @@
     }
     this->updateShares(others, now);
     this->requestCosts.removeUnusedRoutes(now);
+    this->updateLimits(others, now);
     this->updateShedding(others, now);
     std::map<std::uint32_t, exchange::BackendLoad> loadsFromOthers;
     for (const exchange::BackendLoad &load : otherLoad.backends) {
--- a/src/process/proxy/proxy.h
+++ b/src/process/proxy/proxy.h
@@ -50,8 +50,8 @@
     dispatch::Placement prediction; ///< Predicted delays at the chosen backend server.
     std::size_t candidateCount = 0; ///< Number of backend servers of the service.
     std::size_t usableCount = 0;
-    std::optional<Time>
-        earliestBackoffEnd; ///< If none is usable: the earliest end of the pause that a backend server asked for with Retry-After.
+    std::optional<Time> earliestOpening; ///< If none is usable: the earliest end of a pause that a backend server asked for with
+                                         ///< Retry-After, or of the pause that its announced limit sets.
     Duration meanQueueDelay {0}; ///< Mean of the candidates' delay over the usable engines: prefill of pending prompts, those of other
                                  ///< daemons with reduced weight.
 };
@@ -133,6 +133,16 @@
     BackendChoice chooseBackend(const PlacementQuery &query, Time now);
     /** @brief Takes one retry from the service's retry budget. @returns false when the budget is used up. */
     bool consumeRetryBudget(const std::string &service, Time now);
+    /** @brief Counts a request that is about to be placed; limits that backend servers announce are divided by this demand. */
+    void recordServiceDemand(const std::string &service, Time now);
+    /** @brief Records what an answer states about its backend server's rate limit. */
+    void recordAnnouncedRate(directory::BackendServer &backend, std::optional<double> rate, Time now);
+    /** @brief Takes over what another daemon knows of announced limits. */
+    void mergeLimits(const std::vector<exchange::LimitStatement> &statements, Time now);
+    /** @returns what to tell other daemons of announced limits. */
+    std::vector<exchange::LimitStatement> limitStatements(Time now) const;
+    /** @returns the limits in force, for metrics. */
+    std::vector<BackendLimitStats> limitStats(Time now) const;
     /** @brief Counts a first attempt, in proportion to which retries are allowed. */
     void countRequest(const std::string &service, Time now);
     /** @returns this daemon's load, as reported to the other daemons. */
@@ -197,15 +207,28 @@
     dispatch::Candidate makeCandidate(directory::BackendServer &backend, const PlacementQuery &query, Time now) const;
     /** @returns whether the backend server is available and in a region that is allowed to receive the request. */
     bool isEligible(directory::BackendServer &backend, const PlacementQuery &query, Time now) const;
-    /** @returns whether the limits on cold starts and on connections allow another request. */
+    /** @returns whether the homes of the request's route and workspace allow the backend server's region. */
+    bool isAllowedRegion(directory::BackendServer &backend, const PlacementQuery &query) const;
+    /** @returns whether the limits on cold starts and on connections, and an announced rate limit, allow another request. */
     bool hasCapacity(directory::BackendServer &backend, const PlacementQuery &query, Time now) const;
+    /** @returns whether this daemon holds a part of the backend server's announced limit. */
+    bool isLimitHolder(directory::BackendServer &backend, std::uint32_t holders) const;
+    /** @brief Computes this daemon's parts of the announced limits. */
+    void updateLimits(const std::optional<exchange::LoadSummary> &others, Time now);
+    /** @returns requests per second that arrive here for a service. */
+    double serviceDemand(const std::string &service, Time now) const;
+    void logLimit(const directory::BackendServer &backend, const std::string &source, Time now) const;
     /** @returns how many requests this daemon may send to a cold backend server within the window of BackendServer::recentAttempts. */
     std::uint32_t coldRequestQuota(const directory::BackendServer &backend, const version::Service &service, Time now) const;
-    /** @returns the earliest time at which a backend server that asked for a pause accepts requests again; nullopt when none did. */
-    std::optional<Time> findEarliestBackoffEnd(const std::vector<directory::BackendServerPtr> &backends, Time now) const;
+    /**
+     * @returns the earliest time at which this daemon may send a request to a backend server that asked for a pause or announced a
+     * limit; nullopt when none did.
+     */
+    std::optional<Time> findEarliestOpening(const PlacementQuery &query, const std::vector<directory::BackendServerPtr> &backends,
+                                            Time now) const;
     dispatch::FleetRetryBudget &retryBudgetOf(const std::string &service);
     /** @returns prompt tokens per second that all usable engines can prefill. */
-    double engineThroughput() const;
+    double engineThroughput(Time now) const;
     void updateShares(const std::optional<exchange::LoadSummary> &others, Time now);
     void updateShedding(const std::optional<exchange::LoadSummary> &others, Time now);
     const directory::Locality &localityOf(directory::BackendServer &backend) const;
@@ -227,6 +250,7 @@
     BackendConnectionPool backendPool;
     AnswerBufferBudget bufferBudget;
     std::map<std::string, dispatch::FleetRetryBudget> retryBudgets;
+    std::map<std::string, dispatch::DecayingSum> serviceDemands; ///< Requests by service.
     dispatch::ActiveDaemons activeDaemons;
     Time configurationConfirmedAt = Time::min();
     std::optional<Time> othersMeasuredAt; ///< When the oldest part of the other daemons' load was measured.
--- a/src/process/proxy/proxy_metrics.cpp
+++ b/src/process/proxy/proxy_metrics.cpp
@@ -8,6 +8,7 @@
 
 #include <cmath>
 #include <map>
+#include <utility>
 
 namespace eelgrassnotch::process::proxy
 {
@@ -70,6 +71,11 @@
     std::map<std::string, prometheus::Histogram *> firstEventsByRoute;
     std::map<std::string, prometheus::Histogram *> completeAnswersByRoute;
     std::map<std::string, prometheus::Histogram *> predictionErrorsByRoute;
+    prometheus::Family<prometheus::Gauge> &limits = prometheus::BuildGauge()
+                                                        .Name("eelgrassnotch_backend_limit")
+                                                        .Help("Rate limits that backend servers announce")
+                                                        .Register(this->registry);
+    std::vector<prometheus::Gauge *> currentLimits;
     prometheus::Family<prometheus::Gauge> &gauges
         = prometheus::BuildGauge().Name("eelgrassnotch_state").Help("State of the daemon").Register(this->registry);
 };
@@ -176,6 +182,24 @@
     this->families->gauges.Add({{"what", "configuration_age_seconds"}}).Set(toSeconds(age));
 }
 
+void ProxyMetrics::setBackendLimits(const std::vector<BackendLimitStats> &limits)
+{
+    for (prometheus::Gauge *gauge : std::exchange(this->families->currentLimits, {})) {
+        this->families->limits.Remove(gauge);
+    }
+    const auto add = [this](const std::string &backend, const char *what, double value) {
+        prometheus::Gauge &gauge = this->families->limits.Add({{"backend", backend}, {"what", what}});
+        gauge.Set(value);
+        this->families->currentLimits.push_back(&gauge);
+    };
+    for (const BackendLimitStats &limit : limits) {
+        add(limit.backend, "requests_per_s", limit.fleetRate);
+        add(limit.backend, "own_part", limit.ownRate);
+        add(limit.backend, "age_s", toSeconds(limit.age));
+        add(limit.backend, "held_back", static_cast<double>(limit.heldBack));
+    }
+}
+
 void ProxyMetrics::setDroppedLogLines(std::size_t count)
 {
     this->families->gauges.Add({{"what", "dropped_log_lines"}}).Set(static_cast<double>(count));
--- a/src/process/proxy/proxy_metrics.h
+++ b/src/process/proxy/proxy_metrics.h
@@ -8,10 +8,22 @@
 #include <memory>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace eelgrassnotch::process::proxy
 {
 
+/** @brief A rate limit that a backend server announces. */
+struct BackendLimitStats {
+    std::string backend;
+    double fleetRate = 0; ///< Requests per second from all daemons together.
+    double ownRate = 0; ///< This daemon's part.
+    Duration age {0}; ///< Time since the newest answer that stated it.
+    std::uint64_t heldBack = 0; ///< Requests that could not be placed there, since this daemon's part was used up.
+
+    bool operator==(const BackendLimitStats &) const = default;
+};
+
 /** @brief Metrics of one daemon; names and units are listed in docs/OPERATIONS.md. */
 class ProxyMetrics
 {
@@ -38,6 +50,8 @@
     void observeLoadAge(Duration age);
     void setConnections(std::size_t count);
     void setConfiguration(std::uint64_t version, Duration age);
+    /** @brief Replaces the announced limits in force. */
+    void setBackendLimits(const std::vector<BackendLimitStats> &limits);
     void setDroppedLogLines(std::size_t count);
     std::string serialize() const;
 
--- a/src/process/rendezvous.cpp
+++ b/src/process/rendezvous.cpp
@@ -34,6 +34,14 @@
     return chosen;
 }
 
+bool isChosen(std::uint32_t role, DaemonHandle daemon, std::span<const DaemonHandle> daemons, std::size_t count)
+{
+    const std::uint64_t weight = weightOf(role, daemon);
+    const auto before
+        = std::count_if(daemons.begin(), daemons.end(), [role, weight](DaemonHandle other) { return weightOf(role, other) > weight; });
+    return static_cast<std::size_t>(before) < count;
+}
+
 std::map<std::uint32_t, DaemonHandle> assignRoles(std::span<const std::uint32_t> roles, std::span<const DaemonHandle> daemons)
 {
     std::map<std::uint32_t, DaemonHandle> assigned;
--- a/src/process/rendezvous.h
+++ b/src/process/rendezvous.h
@@ -38,6 +38,10 @@
  */
 std::map<std::uint32_t, DaemonHandle> assignRoles(std::span<const std::uint32_t> roles, std::span<const DaemonHandle> daemons);
 
+/** @returns whether a daemon is among those that chooseDaemons() returns. @param daemons Need not hold @p daemon, which is a candidate too.
+ */
+bool isChosen(std::uint32_t role, DaemonHandle daemon, std::span<const DaemonHandle> daemons, std::size_t count);
+
 /** @returns up to @p count daemons for a role, in descending order of weight. */
 std::vector<DaemonHandle> chooseDaemons(std::uint32_t role, std::span<const DaemonHandle> daemons, std::size_t count);
 
--- a/tests/proxy/test_announced_limit.cpp
+++ b/tests/proxy/test_announced_limit.cpp
@@ -116,3 +116,89 @@
     // It still takes what it accepts.
     CHECK(static_cast<double>(limited.received()) >= 0.5 * rate * 6);
 }
+
+TEST_CASE("callers wait, or come back too late, when every backend server is at its announced limit")
+{
+    AnnouncingBackend first("Server-Limit: 1\r\n");
+    AnnouncingBackend second("Server-Limit: 0.5\r\n");
+    DaemonFixture fixture;
+    fixture.startWith({&first.server, &second.server});
+    callFor(fixture, 1500ms);
+    unsigned refused = 0;
+    for (const auto until = Clock::now() + 3s; Clock::now() < until;) {
+        const auto before = Clock::now();
+        const auto answer = fixture.call("/order/x", "w" + std::to_string(refused));
+        if (answer.result_int() == 503) {
+            ++refused;
+            const double retryAfter = std::stod(std::string(answer["Retry-After"]));
+            CHECK(retryAfter > 0.1);
+            CHECK(retryAfter <= 2.0);
+            // This route's requests may wait 500 ms; longer pauses are told at once.
+            CHECK(Clock::now() - before < 700ms);
+        }
+    }
+    CHECK(refused > 0);
+    CHECK(static_cast<double>(first.mostInWindow()) <= allowedInWindow(1));
+    CHECK(static_cast<double>(second.mostInWindow()) <= allowedInWindow(0.5));
+}
+
+TEST_CASE("a value that is no limit closes a backend server, or ends its limit")
+{
+    for (const std::string value : {"0", "-3", "1e999", "nan", "inf", "many", "", "5 per second"}) {
+        CAPTURE(value);
+        AnnouncingBackend odd("Server-Limit: " + value + "\r\n");
+        DaemonFixture fixture;
+        fixture.startWith({&odd.server});
+        const auto statuses = callFor(fixture, 300ms);
+        CHECK(areAllServed(statuses));
+        CHECK(statuses.size() > 20);
+    }
+    // A limit that is known stays in force, and the lower one of two holds.
+    AnnouncingBackend limited("Server-Limit: 90\r\nServer-Limit: 4\r\n");
+    AnnouncingBackend open("", lateAnswer);
+    DaemonFixture fixture;
+    fixture.startWith({&limited.server, &open.server});
+    callFor(fixture, 1s);
+    limited.setFields("Server-Limit: 1e999\r\n");
+    callFor(fixture, 5s);
+    CHECK(static_cast<double>(limited.mostInWindow()) <= allowedInWindow(4));
+}
+
+TEST_CASE("a limit outlives its announcement, its incarnation, or an answer of another instance")
+{
+    AnnouncingBackend limited("Server-Limit: 2\r\n");
+    AnnouncingBackend open("", lateAnswer);
+    DaemonFixture fixture;
+    fixture.startWith({&limited.server, &open.server});
+    callFor(fixture, 2s);
+    const std::size_t whileLimited = limited.received();
+    CHECK(static_cast<double>(whileLimited) <= allowedInWindow(2));
+    SUBCASE("its answers no longer name it")
+    {
+        limited.setFields("");
+        callFor(fixture, 6s);
+        CHECK(limited.received() > 10 * whileLimited);
+    }
+    SUBCASE("it has restarted under its id")
+    {
+        limited.setFields("");
+        fixture.addBackend("i-1", limited.server, "ready", "a", 2000);
+        callFor(fixture, 2s);
+        CHECK(limited.received() > 10 * whileLimited);
+    }
+    SUBCASE("another instance has its address")
+    {
+        RawServer other([](Socket &socket, const Request &request) {
+            sendBytes(socket,
+                      "HTTP/1.1 421 Misdirected\r\nServer-Limit: 0.1\r\nX-Eelgrassnotch-Attempt-Id: " + idOf(request)
+                          + "\r\nContent-Length: 0\r\n\r\n");
+            return true;
+        });
+        RawServer successor(answerOk);
+        fixture.addBackend("i-9", other);
+        callFor(fixture, 500ms);
+        fixture.addBackend("i-9", successor, "ready", "a", 2000);
+        callFor(fixture, 1s);
+        CHECK(successor.requests().size() > 50);
+    }
+}
