A failing test: a follower ignores what its relay tells after the store has come back from an older copy

The stand-in store can come back from a copy: later writes are gone, revisions are given out again, and Store-Era rises. The relay applies version 10 after the return, its follower keeps version 9 and an entry that is gone, and its confirmation grows younger all the while.

--- a/tests/proxy/test_mirror.cpp
+++ b/tests/proxy/test_mirror.cpp
@@ -420,6 +420,25 @@
     CHECK(back - lost >= 8s);
 }
 
+TEST_CASE_FIXTURE(Pair, "a follower ignores what its relay tells after the store has come back from an older copy")
+{
+    this->startFollowing();
+    const auto copy = this->store.copy();
+    for (int version = 2; version <= 9; ++version) {
+        this->store.put("config", "main", {{"version", version}});
+    }
+    this->store.put("servers", "i-2", {{"state", "ready"}});
+    REQUIRE(this->runUntil([this] { return this->atFollower.backends.contains("i-2"); }));
+    this->store.restore(copy);
+    REQUIRE(this->runUntil([this] { return this->atRelay.configuration.at("main") == nlohmann::json {{"version", 1}}.dump(); }));
+    this->store.put("config", "main", {{"version", 10}});
+    REQUIRE(this->runUntil([this] { return this->atRelay.configuration.at("main") == nlohmann::json {{"version", 10}}.dump(); }));
+    const Time before = readClock();
+    CHECK(this->runUntil([this] { return this->atFollower.configuration.at("main") == nlohmann::json {{"version", 10}}.dump(); }, 5s));
+    CHECK(this->runUntil([this] { return !this->atFollower.backends.contains("i-2"); }, 5s));
+    CHECK(this->runUntil([this, before] { return this->atFollower.confirmedAt > before; }, 5s));
+}
+
 TEST_CASE("a watch that is begun again tells of a lost store again")
 {
     standin::ObjectStore store;
--- a/tests/standin/object_store.cpp
+++ b/tests/standin/object_store.cpp
@@ -23,9 +23,10 @@
     return target.substr(from, target.find('&', from) - from);
 }
 
-std::string httpAnswer(unsigned status, const std::string &body)
+std::string httpAnswer(unsigned status, const std::string &body, std::uint64_t era)
 {
-    return "HTTP/1.1 " + std::to_string(status) + " -\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+    return "HTTP/1.1 " + std::to_string(status) + " -\r\nStore-Era: " + std::to_string(era)
+        + "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
 }
 
 }
@@ -67,6 +68,23 @@
     this->note(kind, name, nullptr, true);
 }
 
+ObjectStore::Copy ObjectStore::copy() const
+{
+    const std::lock_guard lock(this->mutex);
+    return {this->revision, this->objects};
+}
+
+void ObjectStore::restore(const Copy &older)
+{
+    const std::lock_guard lock(this->mutex);
+    this->objects = older.objects;
+    this->revision = older.revision;
+    std::erase_if(this->history, [&older](const Change &change) { return change.revision > older.revision; });
+    this->oldest = std::min(this->oldest, older.revision);
+    ++this->era;
+    this->changed.notify_all();
+}
+
 void ObjectStore::compact()
 {
     const std::lock_guard lock(this->mutex);
@@ -82,6 +100,12 @@
     return found != this->objects.end() && found->second.contains(name);
 }
 
+std::uint64_t ObjectStore::currentEra() const
+{
+    const std::lock_guard lock(this->mutex);
+    return this->era;
+}
+
 json ObjectStore::list(const std::string &kind) const
 {
     json items = json::array();
@@ -99,16 +123,19 @@
     this->firstWaitMs.compare_exchange_strong(unset, waitMs);
     std::unique_lock lock(this->mutex);
     json events = json::array();
+    const std::uint64_t eraAtBegin = this->era;
     const auto collect = [&] {
+        events.clear();
         for (const Change &change : this->history) {
             if (change.revision > from && change.kind == kind) {
                 events.push_back(change.event);
             }
         }
-        return !events.empty() || from < this->oldest || this->stopping;
+        return !events.empty() || from < this->oldest || from > this->revision || this->era != eraAtBegin || this->stopping;
     };
     this->changed.wait_for(lock, std::chrono::milliseconds(waitMs), collect);
-    status = from < this->oldest ? 410 : 200;
+    // Watches that wait are cut off by the return of the store; here they end with what the new era has.
+    status = from < this->oldest || from > this->revision ? 410 : 200;
     return json {{"events", events}, {"at", this->revision}}.dump();
 }
 
@@ -117,7 +144,7 @@
     ++this->calls;
     std::this_thread::sleep_for(std::chrono::milliseconds(this->delayMs));
     if (this->refusesAll) {
-        sendBytes(socket, httpAnswer(503, "{}"));
+        sendBytes(socket, httpAnswer(503, "{}", this->currentEra()));
         return true;
     }
     const std::string target(request.target().data(), request.target().size());
@@ -148,7 +175,7 @@
         sendReset(socket);
         return false;
     }
-    sendBytes(socket, httpAnswer(status, body));
+    sendBytes(socket, httpAnswer(status, body, this->currentEra()));
     return true;
 }
 
--- a/tests/standin/object_store.h
+++ b/tests/standin/object_store.h
@@ -24,6 +24,14 @@
 
     void put(const std::string &kind, const std::string &name, const nlohmann::json &spec);
     void remove(const std::string &kind, const std::string &name);
+    /** @brief What a store held at a time. */
+    struct Copy {
+        std::uint64_t revision = 0;
+        std::map<std::string, std::map<std::string, nlohmann::json>> objects;
+    };
+    Copy copy() const;
+    /** @brief Comes back from an older copy: later writes are gone, and their revisions are given out again in a new era. */
+    void restore(const Copy &older);
     /** @brief Drops the history, so that watches from an older revision get 410. */
     void compact();
     bool has(const std::string &kind, const std::string &name) const;
@@ -46,6 +54,7 @@
     };
 
     bool answer(Socket &socket, const Request &request);
+    std::uint64_t currentEra() const;
     nlohmann::json list(const std::string &kind) const;
     std::string watch(const std::string &kind, std::uint64_t revision, int waitMs, unsigned &status);
     void note(const std::string &kind, const std::string &name, const nlohmann::json &spec, bool isRemoved);
@@ -54,6 +63,7 @@
     std::condition_variable changed;
     std::uint64_t revision = 100;
     std::uint64_t oldest = 100;
+    std::uint64_t era = 1;
     std::map<std::string, std::map<std::string, nlohmann::json>> objects;
     std::vector<Change> history;
     bool stopping = false;
