Positions in the store's history have an era

A follower compared revisions only: it ignored what relays told until the revision had passed the one from before the return, and counted each reply as a confirmation. Class: a revision taken as ever growing. Change: a position is era and revision, in watches, mirrors, and what daemons tell each other (new optional fields; earlier versions are served as before). A later era begins with a list. What such a list lacks is no news for backend servers (2 s) and data centres that are taken out (5 s); removed entries that it brings back are ignored until written again; keys are not confirmed while the store's configuration is older than the known one.

--- a/src/connection/http/call_client.cpp
+++ b/src/connection/http/call_client.cpp
@@ -29,6 +29,7 @@
     ExchangeHooks exchange;
     exchange.onHeader = [result](const AnswerHeader &header) {
         result->status = header.result_int();
+        result->header = std::make_shared<const AnswerHeader>(header);
         return true;
     };
     exchange.onBody = [this, result, onDone](std::string_view part) {
@@ -36,7 +37,7 @@
         if (result->body.size() > maxCallAnswerBytes) {
             const OnDone done = onDone; // Cancelling destroys this hook.
             this->cancel();
-            done({0, "", "answer is too large"});
+            done({0, "", "answer is too large", nullptr});
         }
     };
     exchange.onEnd = [this, number, result, onDone](const ExchangeEnd &end) {
@@ -45,7 +46,7 @@
         }
         this->timer.cancel();
         if (end.kind != EndKind::Complete) {
-            *result = {0, "", end.detail};
+            *result = {0, "", end.detail, nullptr};
         }
         onDone(*result);
     };
@@ -53,7 +54,7 @@
     this->timer.async_wait([this, number, onDone](boost::system::error_code error) {
         if (!error && number == this->callNumber) {
             this->cancel();
-            onDone({0, "", "no answer in time"});
+            onDone({0, "", "no answer in time", nullptr});
         }
     });
     this->link->send(std::make_shared<const Request>(std::move(request)), timeouts.connect, std::move(exchange));
--- a/src/connection/http/call_client.h
+++ b/src/connection/http/call_client.h
@@ -14,6 +14,7 @@
     unsigned status = 0; ///< Zero without a whole answer.
     std::string body;
     std::string failure; ///< Cause, without a whole answer.
+    std::shared_ptr<const AnswerHeader> header; ///< Null without a whole answer.
 
     bool operator==(const CallResult &) const = default;
 };
--- a/src/process/directory/backend_directory.cpp
+++ b/src/process/directory/backend_directory.cpp
@@ -1,6 +1,9 @@
 #include "process/directory/backend_directory.h"
 
+#include "process/event_log.h"
+
 #include <algorithm>
+#include <utility>
 
 namespace eelgrassnotch::process::directory
 {
@@ -16,6 +19,8 @@
 constexpr Duration coldReportLag = 500ms;
 /** Entries of a backend server that has left may be written late; none is expected after this time. */
 constexpr Duration drainRetention = 10min;
+/** Copies that the store comes back from are younger than this. */
+constexpr Duration removalRetention = 60s;
 
 }
 
@@ -47,9 +52,9 @@
         backend.coldUntil = std::max(backend.coldUntil, now + record.coldLeft + coldReportLag);
     }
     if (record.isDraining) {
-        this->recordDrain(record, now);
+        recordFormer(this->drainedIncarnations, record, now);
     }
-    if (this->isDrained(record)) {
+    if (isFormer(this->drainedIncarnations, record)) {
         this->setAvailability(backend, Availability::Draining, "published");
     } else if (backend.availability != Availability::Draining) {
         this->setAvailability(backend, Availability::Ready, isSameIncarnation ? "published" : "new");
@@ -65,7 +70,7 @@
     BackendServer &backend = *known->second;
     const bool mayReappear = (this->isStoreUnavailable || now < this->graceUntil) && backend.availability != Availability::Draining;
     if (!mayReappear) {
-        this->removeBackend(id, "entry removed");
+        this->removeEntry(id, "entry removed", now);
         return;
     }
     if (backend.availability != Availability::Unconfirmed) {
@@ -76,8 +81,13 @@
 
 void BackendDirectory::replaceAll(const std::vector<BackendRecord> &records, Time now)
 {
+    const bool isRestored = std::exchange(this->isNextListRestored, false);
     std::set<std::string> listed;
     for (const BackendRecord &record : records) {
+        if (isRestored && isFormer(this->removedIncarnations, record)) {
+            logEvent("backend_entry_ignored", {{"backend", record.id}, {"cause", "its removal is known, and the store came back older"}});
+            continue;
+        }
         listed.insert(record.id);
         this->apply(record, now);
     }
@@ -118,8 +128,16 @@
     }
 }
 
+void BackendDirectory::onStoreRestored(Time now)
+{
+    this->onStoreUnavailable();
+    this->onStoreAvailable(now);
+    this->isNextListRestored = true;
+}
+
 void BackendDirectory::expireUnconfirmed(Time now)
 {
+    std::erase_if(this->removedIncarnations, [now](const auto &entry) { return now - entry.second.recordedAt > removalRetention; });
     std::erase_if(this->drainedIncarnations, [now](const auto &entry) { return now - entry.second.recordedAt > drainRetention; });
     if (this->isStoreUnavailable) {
         return;
@@ -131,37 +149,36 @@
         }
     }
     for (const std::string &id : ended) {
-        this->removeBackend(id, "entry did not reappear after a store outage");
+        this->removeEntry(id, "entry did not reappear after a store outage", now);
     }
 }
 
 void BackendDirectory::onDrainAnnounced(const BackendServerPtr &backend, Time now)
 {
-    this->recordDrain(backend->record, now);
+    recordFormer(this->drainedIncarnations, backend->record, now);
     if (backend->availability != Availability::Gone) {
         this->setAvailability(*backend, Availability::Draining, "its answer says so");
     }
 }
 
-void BackendDirectory::recordDrain(const BackendRecord &record, Time now)
+void BackendDirectory::recordFormer(FormerIncarnations &former, const BackendRecord &record, Time now)
 {
-    DrainedIncarnation &departure
-        = this->drainedIncarnations.try_emplace(record.id, DrainedIncarnation {record.startedAt, now}).first->second;
-    departure.startedAt = std::max(departure.startedAt, record.startedAt);
-    departure.recordedAt = now;
+    FormerIncarnation &incarnation = former.try_emplace(record.id, FormerIncarnation {record.startedAt, now}).first->second;
+    incarnation.startedAt = std::max(incarnation.startedAt, record.startedAt);
+    incarnation.recordedAt = now;
 }
 
-bool BackendDirectory::isDrained(const BackendRecord &record) const
+bool BackendDirectory::isFormer(const FormerIncarnations &former, const BackendRecord &record)
 {
-    const auto departure = this->drainedIncarnations.find(record.id);
-    return departure != this->drainedIncarnations.end() && record.startedAt <= departure->second.startedAt;
+    const auto incarnation = former.find(record.id);
+    return incarnation != former.end() && record.startedAt <= incarnation->second.startedAt;
 }
 
-void BackendDirectory::onWrongInstance(const BackendServerPtr &backend)
+void BackendDirectory::onWrongInstance(const BackendServerPtr &backend, Time now)
 {
     const auto known = this->backends.find(backend->record.id);
     if (known != this->backends.end() && known->second == backend) {
-        this->removeBackend(known->first, "its address answers for another instance");
+        this->removeEntry(known->first, "its address answers for another instance", now);
     }
 }
 
@@ -205,6 +222,12 @@
     this->onChange({backend.record.id, availability, cause});
 }
 
+void BackendDirectory::removeEntry(const std::string &id, const std::string &cause, Time now)
+{
+    recordFormer(this->removedIncarnations, this->backends.at(id)->record, now);
+    this->removeBackend(id, cause);
+}
+
 void BackendDirectory::removeBackend(const std::string &id, const std::string &cause)
 {
     const auto known = this->backends.find(id);
--- a/src/process/directory/backend_directory.h
+++ b/src/process/directory/backend_directory.h
@@ -50,13 +50,20 @@
     void onUnreadableEntry(const std::string &id, Time now);
     void onStoreUnavailable();
     void onStoreAvailable(Time now);
+    /**
+     * @brief Prepares for a list from a store that came back from an older copy.
+     *
+     * Backend servers that it lacks may have to write their entries again, as after an outage. Entries of those that are known to be gone
+     * are ignored until they are written again.
+     */
+    void onStoreRestored(Time now);
     /** @brief Removes backend servers whose entries have not reappeared in time after a store outage, and outdated records of drained
      * incarnations. */
     void expireUnconfirmed(Time now);
     /** @brief Handles a backend server's own announcement that it is leaving; final for this incarnation, whatever its entries say. */
     void onDrainAnnounced(const BackendServerPtr &backend, Time now);
     /** @brief Removes a backend server after another instance has answered at its address. */
-    void onWrongInstance(const BackendServerPtr &backend);
+    void onWrongInstance(const BackendServerPtr &backend, Time now);
 
     /**
      * @brief Sets the data centres that are out of use.
@@ -79,15 +86,19 @@
 
 private:
     /** @brief Incarnation of a backend server that has left or is leaving. */
-    struct DrainedIncarnation {
+    struct FormerIncarnation {
         std::int64_t startedAt = 0; ///< See BackendRecord.
         Time recordedAt {0};
     };
 
-    void recordDrain(const BackendRecord &record, Time now);
-    bool isDrained(const BackendRecord &record) const;
+    using FormerIncarnations = std::map<std::string, FormerIncarnation>;
+
+    static void recordFormer(FormerIncarnations &former, const BackendRecord &record, Time now);
+    static bool isFormer(const FormerIncarnations &former, const BackendRecord &record);
     void setAvailability(BackendServer &backend, Availability availability, const std::string &cause);
     void removeBackend(const std::string &id, const std::string &cause);
+    /** @brief Removes a backend server that is not followed by a newer incarnation. */
+    void removeEntry(const std::string &id, const std::string &cause, Time now);
     void rebuildIndex();
 
     CacheSizeLookup cacheSize;
@@ -95,7 +106,9 @@
     std::map<std::string, BackendServerPtr> backends;
     std::map<std::string, std::vector<BackendServerPtr>> byService;
     std::unordered_map<std::uint32_t, BackendServerPtr> byIncarnation;
-    std::map<std::string, DrainedIncarnation> drainedIncarnations; ///< Newest one by backend server id.
+    FormerIncarnations drainedIncarnations; ///< Newest one by backend server id.
+    FormerIncarnations removedIncarnations; ///< The same for those whose entry was removed.
+    bool isNextListRestored = false; ///< From an older copy of the store.
     std::set<std::string> takenOut;
     bool isStoreUnavailable = false;
     Time graceUntil {0}; ///< Entries that vanish before this time may reappear.
--- a/src/process/edge_knowledge.cpp
+++ b/src/process/edge_knowledge.cpp
@@ -3,6 +3,9 @@
 #include "process/clock.h"
 #include "process/event_log.h"
 
+#include <algorithm>
+#include <iterator>
+
 namespace eelgrassnotch::process
 {
 
@@ -32,6 +35,9 @@
 /** Backend servers of a data centre that comes back are taken as cold for this long. Source: cold periods of the deployments. */
 constexpr Duration coldAfterReturn = 3s;
 
+/** After the store's return from an older copy, an operator's later entries are written again within this time. */
+constexpr Duration operatorRewriteTime = 5s;
+
 store::WatchPace configurationPace(const proxy::Proxy &proxy)
 {
     const auto wait = static_cast<double>(proxy.keyLifetime().count()) * configurationWaitPart;
@@ -94,6 +100,10 @@
     if (now >= this->startSourceAt) {
         this->startSource();
     }
+    if (!this->unconfirmedTakenOut.empty() && now >= this->unconfirmedUntil) {
+        this->unconfirmedTakenOut.clear();
+        this->applyTakenOut();
+    }
     this->source.tick(now, this->proxy.isOverloaded(now));
 }
 
@@ -112,6 +122,9 @@
 {
     const std::string name = store::nameOf(collection);
     hooks.onCall = [this, name](unsigned status) { this->metrics.countStoreCall(name, status); };
+    if (!hooks.onEraChange) {
+        hooks.onEraChange = [] {};
+    }
     if (!hooks.onReachability) {
         hooks.onReachability = [](bool, const std::string &) {};
     }
@@ -121,7 +134,9 @@
 void EdgeKnowledge::applyConfiguration(const store::StoredObject &object)
 {
     try {
-        this->proxy.setRouteTable(std::make_shared<const version::RouteTable>(this->dialect->readConfiguration(object)));
+        auto table = std::make_shared<const version::RouteTable>(this->dialect->readConfiguration(object));
+        this->storedVersion = table->version();
+        this->proxy.setRouteTable(std::move(table));
     } catch (const std::exception &error) {
         logWarning("configuration_unreadable",
                    {{"object", object.name}, {"revision", std::to_string(object.revision)}, {"cause", error.what()}});
@@ -132,6 +147,7 @@
 {
     store::WatcherHooks hooks;
     hooks.onList = [this](const std::vector<store::StoredObject> &objects) {
+        this->storedVersion.reset();
         for (const auto &object : objects) {
             this->applyConfiguration(object);
         }
@@ -141,10 +157,26 @@
             this->applyConfiguration(change.object);
         }
     };
-    hooks.onConfirmed = [this](Time asOf, std::uint64_t) { this->proxy.confirmConfiguration(asOf); };
+    hooks.onConfirmed = [this](Time asOf, const store::Position &) {
+        if (this->isStoredConfigurationCurrent()) {
+            this->proxy.confirmConfiguration(asOf);
+        }
+    };
     return hooks;
 }
 
+bool EdgeKnowledge::isStoredConfigurationCurrent()
+{
+    const auto known = this->proxy.routeTable();
+    const bool isCurrent = !known || (this->storedVersion && *this->storedVersion >= known->version());
+    if (std::exchange(this->wasStoredConfigurationCurrent, isCurrent) != isCurrent) {
+        logWarning(isCurrent ? "store_has_configuration_again" : "store_has_older_configuration",
+                   {{"stored", this->storedVersion ? std::to_string(*this->storedVersion) : "none"},
+                    {"version", std::to_string(known ? known->version() : 0)}});
+    }
+    return isCurrent;
+}
+
 void EdgeKnowledge::logUnreadableBackend(const store::StoredObject &object)
 {
     logWarning("backend_entry_unreadable", {{"backend", object.name}, {"revision", std::to_string(object.revision)}});
@@ -176,7 +208,8 @@
             this->proxy.backends().onUnreadableEntry(change.object.name, now);
         }
     };
-    hooks.onConfirmed = [](Time, std::uint64_t) {};
+    hooks.onConfirmed = [](Time, const store::Position &) {};
+    hooks.onEraChange = [this] { this->proxy.backends().onStoreRestored(readClock()); };
     hooks.onReachability = [this](bool isReachable, const std::string &) {
         if (isReachable) {
             this->proxy.backends().onStoreAvailable(readClock());
@@ -189,32 +222,44 @@
 
 void EdgeKnowledge::applyTakenOut()
 {
-    for (const std::string &dataCentre : this->takenOut) {
-        logEvent("data_centre_taken_out", {{"data_centre", dataCentre}});
+    std::set<std::string> all = this->takenOut;
+    all.insert(this->unconfirmedTakenOut.begin(), this->unconfirmedTakenOut.end());
+    for (const std::string &dataCentre : all) {
+        logEvent("data_centre_taken_out",
+                 {{"data_centre", dataCentre}, {"in_store", this->takenOut.contains(dataCentre) ? "true" : "false"}});
     }
-    this->proxy.backends().setTakenOut(this->takenOut, coldAfterReturn, readClock());
+    this->proxy.backends().setTakenOut(all, coldAfterReturn, readClock());
 }
 
 store::WatcherHooks EdgeKnowledge::takenOutHooks()
 {
     store::WatcherHooks hooks;
     hooks.onList = [this](const std::vector<store::StoredObject> &objects) {
-        this->takenOut.clear();
+        std::set<std::string> listed;
         for (const auto &object : objects) {
-            this->takenOut.insert(object.name);
+            listed.insert(object.name);
+        }
+        if (std::exchange(this->isTakenOutRestored, false)) {
+            // An operator's entry that is missing after the return may just not be written again yet.
+            std::set_difference(this->takenOut.begin(), this->takenOut.end(), listed.begin(), listed.end(),
+                                std::inserter(this->unconfirmedTakenOut, this->unconfirmedTakenOut.end()));
+            this->unconfirmedUntil = readClock() + operatorRewriteTime;
         }
+        this->takenOut = std::move(listed);
         this->hasTakenOut = true;
         this->applyTakenOut();
     };
+    hooks.onEraChange = [this] { this->isTakenOutRestored = true; };
     hooks.onChange = [this](const store::ObjectChange &change) {
         if (change.isRemoved) {
             this->takenOut.erase(change.object.name);
+            this->unconfirmedTakenOut.erase(change.object.name);
         } else {
             this->takenOut.insert(change.object.name);
         }
         this->applyTakenOut();
     };
-    hooks.onConfirmed = [](Time, std::uint64_t) {};
+    hooks.onConfirmed = [](Time, const store::Position &) {};
     return hooks;
 }
 
--- a/src/process/edge_knowledge.h
+++ b/src/process/edge_knowledge.h
@@ -38,6 +38,8 @@
     /** @returns the hooks with counts and log lines added. */
     store::WatcherHooks observed(store::Collection collection, store::WatcherHooks hooks);
     void applyConfiguration(const store::StoredObject &object);
+    /** @returns whether the store has the newest configuration that is known; if it has an older one, keys that it holds may be revoked. */
+    bool isStoredConfigurationCurrent();
     void logUnreadableBackend(const store::StoredObject &object);
     void applyTakenOut();
     void writeOwnEntry();
@@ -51,7 +53,12 @@
     proxy::ProxyMetrics &metrics;
     proxy::Proxy &proxy;
     exchange::LoadExchange &exchange;
-    std::set<std::string> takenOut;
+    std::set<std::string> takenOut; ///< As the store has them.
+    std::set<std::string> unconfirmedTakenOut; ///< Known from before the store came back older, and not in it yet.
+    Time unconfirmedUntil {0}; ///< These are in force until then.
+    bool isTakenOutRestored = false; ///< The next list is the first one after the store came back older.
+    std::optional<std::uint64_t> storedVersion; ///< Of the configuration that the store has.
+    bool wasStoredConfigurationCurrent = true;
     std::map<DaemonHandle, DaemonRecord> records; ///< Of all daemons that were ever listed.
     std::vector<exchange::Peer> peers; ///< As last listed.
     bool hasBackends = false;
--- a/src/process/mirror/collection_mirror.cpp
+++ b/src/process/mirror/collection_mirror.cpp
@@ -50,33 +50,33 @@
     this->batch.push_back(std::move(object));
 }
 
-void CollectionMirror::confirm(std::uint64_t reached, Time at)
+void CollectionMirror::confirm(const store::Position &position, Time at)
 {
     if (this->isRelisted) {
         // Changes between the last batch and the list are not known one by one.
         this->isRelisted = false;
-        this->historyFrom = reached;
-        this->lastChange = reached;
+        this->historyFrom = position.revision;
+        this->lastChange = position.revision;
     }
     if (!this->batch.empty()) {
-        this->lastChange = reached;
+        this->lastChange = position.revision;
     }
     for (MirroredObject &object : this->batch) {
-        this->history.push_back({reached, std::move(object)});
+        this->history.push_back({position.revision, std::move(object)});
     }
     this->batch.clear();
     while (this->history.size() > historyLength) {
         this->historyFrom = this->history.front().revision;
         this->history.pop_front();
     }
-    this->revision = std::max(this->revision, reached);
+    this->reached = std::max(this->reached, position);
     this->asOf = std::max(this->asOf, at);
 }
 
-CollectionUpdate CollectionMirror::since(std::optional<std::uint64_t> known, Time now) const
+CollectionUpdate CollectionMirror::since(const std::optional<store::Position> &known, Time now) const
 {
-    CollectionUpdate update {this->collection, false, this->revision, now - this->asOf, {}};
-    if (!known || *known < this->historyFrom) {
+    CollectionUpdate update {this->collection, false, this->reached, now - this->asOf, {}};
+    if (!known || this->isOtherEra(*known) || known->revision < this->historyFrom) {
         update.isList = true;
         for (const auto &[name, object] : this->objects) {
             update.objects.push_back(object);
@@ -84,7 +84,7 @@
         return update;
     }
     for (const Change &change : this->history) {
-        if (change.revision > *known) {
+        if (change.revision > known->revision) {
             update.objects.push_back(change.object);
         }
     }
--- a/src/process/mirror/collection_source.cpp
+++ b/src/process/mirror/collection_source.cpp
@@ -54,11 +54,12 @@
         this->server.mirror(collection).apply(toMirrored(change.object, change.isRemoved));
         consumer.onChange(change);
     };
-    watcher.onConfirmed = [this, collection, &consumer](Time confirmedAt, std::uint64_t revision) {
-        this->positions[collection] = std::max(this->positions[collection], revision);
+    watcher.onEraChange = consumer.onEraChange;
+    watcher.onConfirmed = [this, collection, &consumer](Time confirmedAt, const store::Position &reached) {
+        this->positions[collection] = std::max(this->positions[collection], reached);
         this->asOf[collection] = confirmedAt;
-        consumer.onConfirmed(confirmedAt, revision);
-        this->server.mirror(collection).confirm(revision, confirmedAt);
+        consumer.onConfirmed(confirmedAt, reached);
+        this->server.mirror(collection).confirm(reached, confirmedAt);
         this->server.noteConfirmed(collection, readClock());
         this->startWatchers();
     };
@@ -164,8 +165,25 @@
     const store::WatcherHooks &consumer = this->hooks.at(update.collection);
     CollectionMirror &mirror = this->server.mirror(update.collection);
     const auto known = this->positions.find(update.collection);
+    const bool isKnown = known != this->positions.end();
+    store::Position reached = update.reached;
+    if (reached.era == untoldEra) {
+        reached.era = isKnown ? known->second.era : 0;
+    }
+    if (isKnown && (reached.era < known->second.era || (reached.era > known->second.era && !update.isList))) {
+        return; // Says nothing about the history that is known.
+    }
     // A relay that is behind tells of an older state, which still proves that nothing newer was accepted by then.
-    if (known == this->positions.end() || update.revision > known->second) {
+    if (!isKnown || reached > known->second) {
+        if (isKnown && reached.era > known->second.era) {
+            logEvent("store_came_back_older",
+                     {{"collection", store::nameOf(update.collection)},
+                      {"era", std::to_string(reached.era)},
+                      {"era_before", std::to_string(known->second.era)},
+                      {"revision", std::to_string(reached.revision)},
+                      {"relay", this->relays[this->followed].name}});
+            consumer.onEraChange();
+        }
         if (update.isList) {
             std::vector<store::StoredObject> objects;
             std::transform(update.objects.begin(), update.objects.end(), std::back_inserter(objects), toStored);
@@ -177,11 +195,11 @@
                 consumer.onChange({toStored(object), object.isRemoved});
             }
         }
-        this->positions[update.collection] = update.revision;
+        this->positions[update.collection] = reached;
     }
-    mirror.confirm(update.revision, confirmedAt);
+    mirror.confirm(reached, confirmedAt);
     this->asOf[update.collection] = std::max(this->asOf[update.collection], confirmedAt);
-    consumer.onConfirmed(confirmedAt, update.revision);
+    consumer.onConfirmed(confirmedAt, reached);
 }
 
 void CollectionSource::setRegion(std::uint32_t region, std::map<DaemonHandle, PossibleRelay> daemons)
--- a/src/process/mirror/mirror_codec.cpp
+++ b/src/process/mirror/mirror_codec.cpp
@@ -35,6 +35,17 @@
     return static_cast<Collection>(number);
 }
 
+/** Eras are one more on the wire, where zero stands for messages without one. */
+std::uint64_t toWireEra(std::uint64_t era)
+{
+    return era == untoldEra ? 0 : era + 1;
+}
+
+std::uint64_t fromWireEra(std::uint64_t told)
+{
+    return told == 0 ? untoldEra : told - 1;
+}
+
 std::string textOf(const flatbuffers::String *text)
 {
     return text == nullptr ? std::string() : text->str();
@@ -46,11 +57,14 @@
 {
     flatbuffers::FlatBufferBuilder builder;
     std::vector<wire::Position> known;
-    for (const auto &[collection, revision] : positions) {
-        known.emplace_back(static_cast<std::uint8_t>(collection), revision);
+    std::vector<std::uint64_t> eras;
+    for (const auto &[collection, position] : positions) {
+        known.emplace_back(static_cast<std::uint8_t>(collection), position.revision);
+        eras.push_back(toWireEra(position.era));
     }
     const auto offset = builder.CreateVectorOfStructs(known);
-    builder.Finish(wire::CreateSyncRequest(builder, offset));
+    const auto erasOffset = builder.CreateVector(eras);
+    builder.Finish(wire::CreateSyncRequest(builder, offset, erasOffset));
     return bytesOf(builder);
 }
 
@@ -62,12 +76,17 @@
     }
     Positions positions;
     if (const auto *known = request->positions()) {
-        for (const wire::Position *position : *known) {
+        const auto *eras = request->eras();
+        if (eras != nullptr && eras->size() != known->size()) {
+            return std::nullopt;
+        }
+        for (flatbuffers::uoffset_t index = 0; index < known->size(); ++index) {
+            const wire::Position *position = known->Get(index);
             const auto collection = collectionOf(position->collection());
             if (!collection) {
                 return std::nullopt;
             }
-            positions[*collection] = position->revision();
+            positions[*collection] = {fromWireEra(eras == nullptr ? 0 : eras->Get(index)), position->revision()};
         }
     }
     return positions;
@@ -86,7 +105,8 @@
         }
         const auto objectsOffset = builder.CreateVector(objects);
         updates.push_back(wire::CreateCollectionUpdate(builder, static_cast<std::uint8_t>(update.collection), update.isList,
-                                                       update.revision, static_cast<std::uint64_t>(update.age.count()), objectsOffset));
+                                                       update.reached.revision, static_cast<std::uint64_t>(update.age.count()),
+                                                       objectsOffset, toWireEra(update.reached.era)));
     }
     const auto updatesOffset = builder.CreateVector(updates);
     builder.Finish(wire::CreateSyncReply(builder, static_cast<std::uint64_t>(reply.held.count()), reply.outages, updatesOffset));
@@ -108,7 +128,8 @@
         if (!collection || told->age_us() > maxTimeUs) {
             return std::nullopt;
         }
-        CollectionUpdate update {*collection, told->is_list(), told->revision(), Duration(static_cast<std::int64_t>(told->age_us())), {}};
+        const store::Position reached {fromWireEra(told->era()), told->revision()};
+        CollectionUpdate update {*collection, told->is_list(), reached, Duration(static_cast<std::int64_t>(told->age_us())), {}};
         if (const auto *objects = told->objects()) {
             for (const wire::Object *object : *objects) {
                 update.objects.push_back({textOf(object->name()), object->revision(),
--- a/src/process/mirror/mirror_codec.h
+++ b/src/process/mirror/mirror_codec.h
@@ -12,8 +12,8 @@
 namespace eelgrassnotch::process::mirror
 {
 
-/** @brief Revision up to which each collection is known. */
-using Positions = std::map<store::Collection, std::uint64_t>;
+/** @brief Position up to which each collection is known. */
+using Positions = std::map<store::Collection, store::Position>;
 
 /** @brief Answer of a daemon that watches the store. */
 struct SyncReply {
--- a/src/process/mirror/mirror_server.cpp
+++ b/src/process/mirror/mirror_server.cpp
@@ -41,7 +41,7 @@
         return;
     }
     const Waiting asked {session, *known, now};
-    if (!this->canServe(now) || this->hasNewsFor(*known)) {
+    if (!this->canServe(*known, now) || this->hasNewsFor(*known)) {
         this->answer(asked, now);
         return;
     }
@@ -49,10 +49,12 @@
     session->watchCaller([this, place] { this->waiting.erase(place); });
 }
 
-bool MirrorServer::canServe(Time now) const
+bool MirrorServer::canServe(const Positions &known, Time now) const
 {
-    return this->isWatching && std::all_of(this->mirrors.begin(), this->mirrors.end(), [now](const auto &entry) {
-               return entry.second.isComplete() && now - entry.second.confirmedAt() <= maxAge;
+    return this->isWatching && std::all_of(this->mirrors.begin(), this->mirrors.end(), [&known, now](const auto &entry) {
+               const auto position = known.find(entry.first);
+               const bool isBehind = position != known.end() && entry.second.isBehind(position->second);
+               return entry.second.isComplete() && !isBehind && now - entry.second.confirmedAt() <= maxAge;
            });
 }
 
@@ -67,7 +69,7 @@
 void MirrorServer::answer(const Waiting &asked, Time now) const
 {
     http::Answer answer(boost::beast::http::status::ok, 11);
-    if (this->canServe(now)) {
+    if (this->canServe(asked.known, now)) {
         SyncReply reply {now - asked.since, this->outages, {}};
         for (const auto &[collection, mirror] : this->mirrors) {
             const auto position = asked.known.find(collection);
--- a/src/process/mirror/mirror_server.h
+++ b/src/process/mirror/mirror_server.h
@@ -47,7 +47,8 @@
 
     connection::http::SessionHooks hooks();
     void onRequest(const connection::http::ServerSessionPtr &session, const connection::http::Request &request);
-    bool canServe(Time now) const;
+    /** @returns whether what is mirrored is new enough for a follower that knows these positions. */
+    bool canServe(const Positions &known, Time now) const;
     bool hasNewsFor(const Positions &known) const;
     void answer(const Waiting &waiting, Time now) const;
     void answerThose(const std::function<bool(const Waiting &)> &isReady, Time now);
--- a/src/process/proxy/proxied_request.cpp
+++ b/src/process/proxy/proxied_request.cpp
@@ -658,7 +658,7 @@
 {
     BackendAttempt &attempt = *this->currentAttempt;
     if (attempt.answer.isWrongInstance) {
-        this->proxy.backends().onWrongInstance(attempt.backend);
+        this->proxy.backends().onWrongInstance(attempt.backend, now);
     } else {
         attempt.backend->recordErrorAnswer(now);
     }
--- a/src/process/store/collection_watcher.cpp
+++ b/src/process/store/collection_watcher.cpp
@@ -1,6 +1,7 @@
 #include "process/store/collection_watcher.h"
 
 #include "process/clock.h"
+#include "process/event_log.h"
 
 #include <algorithm>
 
@@ -77,9 +78,10 @@
     this->listed.clear();
 }
 
-void CollectionWatcher::skipTo(std::uint64_t knownRevision)
+void CollectionWatcher::skipTo(const Position &knownPosition)
 {
-    this->revision = std::max(this->revision.value_or(0), knownRevision);
+    this->position = std::max(this->position.value_or(Position {}), knownPosition);
+    this->era = this->position->era;
 }
 
 bool CollectionWatcher::setPace(WatchPace newPace)
@@ -92,11 +94,11 @@
     if (this->isStopped) {
         return;
     }
-    const bool isWatch = this->revision.has_value();
+    const bool isWatch = this->position.has_value();
     // After a failure the question is whether the store is back, and the answer must not wait for a change.
     const Duration wait = this->failures > 0 ? Duration(0) : this->pace.longestWait;
     const std::string after = this->listed.empty() ? "" : this->listed.back().name;
-    const auto target = isWatch ? this->dialect->watchTarget(this->collection, *this->revision, wait)
+    const auto target = isWatch ? this->dialect->watchTarget(this->collection, this->position->revision, wait)
                                 : this->dialect->listTarget(this->collection, after, this->isPolling());
     const Time sentAt = readClock();
     ++this->turn;
@@ -104,43 +106,60 @@
     this->client.call(http::Request(boost::beast::http::verb::get, target, 11), timeouts, [this, sentAt](const http::CallResult &result) {
         this->hooks.onCall(result.status);
         if (result.status != 0) {
-            this->onAnswer(result.status, result.body, sentAt);
+            this->onAnswer(result, sentAt);
         } else {
             this->onFailure(result.failure);
         }
     });
 }
 
-void CollectionWatcher::onAnswer(unsigned status, const std::string &body, Time sentAt)
+void CollectionWatcher::listAgain()
 {
-    if (status == statusGone && this->revision) {
-        // The store dropped the changes since our revision.
-        this->revision.reset();
-        this->listed.clear();
-        this->again(Duration(0));
+    this->position.reset();
+    this->listed.clear();
+    this->again(Duration(0));
+}
+
+void CollectionWatcher::onAnswer(const http::CallResult &result, Time sentAt)
+{
+    if (result.status == statusGone && this->position) {
+        // The store dropped the changes since our position.
+        this->listAgain();
         return;
     }
-    if (status != statusOk) {
-        this->onFailure("status " + std::to_string(status));
+    if (result.status != statusOk) {
+        this->onFailure("status " + std::to_string(result.status));
+        return;
+    }
+    const std::uint64_t answerEra = this->dialect->readEra(*result.header).value_or(this->era.value_or(0));
+    if (this->era && answerEra < *this->era) {
+        this->onFailure("answer of an earlier era");
+        return;
+    }
+    const std::uint64_t expectedEra = this->position ? this->position->era : (this->listed.empty() ? answerEra : this->listedEra);
+    if (answerEra != expectedEra) {
+        // Revisions of different eras can't be compared, whether the store has ours again or not.
+        this->listAgain();
         return;
     }
     try {
-        if (this->revision) {
-            this->takeChanges(body, sentAt);
+        if (this->position) {
+            this->takeChanges(result.body, sentAt);
         } else {
-            this->takePage(body, sentAt);
+            this->takePage(result.body, answerEra, sentAt);
         }
     } catch (const std::exception &error) {
         this->onFailure(error.what());
     }
 }
 
-void CollectionWatcher::takePage(const std::string &body, Time sentAt)
+void CollectionWatcher::takePage(const std::string &body, std::uint64_t answerEra, Time sentAt)
 {
     const ObjectPage page = this->dialect->readPage(body);
     if (this->listed.empty()) {
         this->listBegun = sentAt;
     }
+    this->listedEra = answerEra;
     this->listed.insert(this->listed.end(), page.objects.begin(), page.objects.end());
     this->noteReachable();
     if (page.hasMore && !page.objects.empty()) {
@@ -148,13 +167,23 @@
         return;
     }
     const auto objects = std::exchange(this->listed, {});
-    this->hooks.onList(objects);
     if (this->isPolling()) {
+        this->hooks.onList(objects);
         this->again(this->pace.pause);
         return;
     }
-    this->revision = page.revision;
-    this->hooks.onConfirmed(this->listBegun, page.revision);
+    if (this->era && answerEra > *this->era) {
+        logEvent("store_came_back_older",
+                 {{"collection", nameOf(this->collection)},
+                  {"era", std::to_string(answerEra)},
+                  {"era_before", std::to_string(*this->era)},
+                  {"revision", std::to_string(page.revision)}});
+        this->hooks.onEraChange();
+    }
+    this->hooks.onList(objects);
+    this->era = answerEra;
+    this->position = Position {answerEra, page.revision};
+    this->hooks.onConfirmed(this->listBegun, *this->position);
     this->again(Duration(0));
 }
 
@@ -165,8 +194,8 @@
     for (const ObjectChange &change : page.changes) {
         this->hooks.onChange(change);
     }
-    this->revision = std::max(*this->revision, page.revision);
-    this->hooks.onConfirmed(sentAt, *this->revision);
+    this->position->revision = std::max(this->position->revision, page.revision);
+    this->hooks.onConfirmed(sentAt, *this->position);
     this->again(page.changes.empty() ? Duration(0) : this->pace.pause);
 }
 
--- a/src/process/store/collection_watcher.h
+++ b/src/process/store/collection_watcher.h
@@ -31,6 +31,8 @@
     virtual ObjectPage readPage(const std::string &body) const = 0;
     /** @throws std::exception when the body is none. */
     virtual ChangePage readChanges(const std::string &body) const = 0;
+    /** @returns the era that an answer of the store names; nullopt when it names none. */
+    virtual std::optional<std::uint64_t> readEra(const connection::http::AnswerHeader &answer) const = 0;
     virtual std::string writeObject(const std::string &name, const nlohmann::json &content) const = 0;
 };
 
@@ -39,8 +41,10 @@
     /** All objects of the collection; earlier knowledge is replaced. */
     std::function<void(const std::vector<StoredObject> &)> onList;
     std::function<void(const ObjectChange &)> onChange;
-    /** All changes that the store had accepted at this time are known; later ones follow this revision. */
-    std::function<void(Time asOf, std::uint64_t revision)> onConfirmed;
+    /** The store came back from an older copy. The next list may lack what is known, or hold what has been replaced. */
+    std::function<void()> onEraChange;
+    /** All changes that the store had accepted at this time are known; later ones follow this position. */
+    std::function<void(Time asOf, const Position &reached)> onConfirmed;
     /** The store stopped answering, or answers again. */
     std::function<void(bool isReachable, const std::string &cause)> onReachability;
     /** One call was made, with its status; zero without an answer. */
@@ -66,16 +70,18 @@
     /** @brief Begins, or goes on where it stopped. */
     void start();
     void stop();
-    /** @brief Goes on after a revision that is known from elsewhere, if it is a later one. */
-    void skipTo(std::uint64_t knownRevision);
+    /** @brief Goes on after a position that is known from elsewhere, if it is a later one. */
+    void skipTo(const Position &knownPosition);
     /** @brief Takes another pace with the next call. @returns whether it differs from the last one. */
     bool setPace(WatchPace newPace);
 
 private:
     void call();
-    void onAnswer(unsigned status, const std::string &body, Time sentAt);
+    void onAnswer(const connection::http::CallResult &result, Time sentAt);
     void onFailure(const std::string &cause);
-    void takePage(const std::string &body, Time sentAt);
+    void listAgain();
+    /** @param answerEra As the answer names it; the last one known, where it names none. */
+    void takePage(const std::string &body, std::uint64_t answerEra, Time sentAt);
     void takeChanges(const std::string &body, Time sentAt);
     bool isPolling() const;
     void noteReachable();
@@ -87,8 +93,10 @@
     WatchPace pace;
     WatcherHooks hooks;
     boost::asio::steady_timer timer;
-    std::optional<std::uint64_t> revision; ///< Watch from here; list first without it.
+    std::optional<Position> position; ///< Watch from here; list first without it.
+    std::optional<std::uint64_t> era; ///< Of the last position.
     std::vector<StoredObject> listed; ///< Objects of the pages read so far.
+    std::uint64_t listedEra = 0; ///< Of these pages.
     Time listBegun {0};
     std::uint32_t failures = 0;
     std::uint64_t turn = 0; ///< Of calls and pauses; a pause that an earlier turn began does nothing.
--- a/src/process/store/objects.h
+++ b/src/process/store/objects.h
@@ -4,6 +4,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <compare>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -23,6 +24,17 @@
 /** @returns the name in logs and metrics. */
 const char *nameOf(Collection collection);
 
+/**
+ * @brief A point in a collection's history.
+ * @remarks Revisions grow within an era. When the store comes back from an older copy, an era begins, and revisions are given out again.
+ */
+struct Position {
+    std::uint64_t era = 0;
+    std::uint64_t revision = 0;
+
+    auto operator<=>(const Position &) const = default;
+};
+
 /** @brief One stored object. */
 struct StoredObject {
     std::string name;
--- a/tests/proxy/test_directory.cpp
+++ b/tests/proxy/test_directory.cpp
@@ -107,10 +107,35 @@
 TEST_CASE_FIXTURE(Fixture, "a backend server is removed when another instance answers at its address")
 {
     this->directory.apply(makeRecord("i-1"), start);
-    this->directory.onWrongInstance(this->directory.ofService("model").front());
+    this->directory.onWrongInstance(this->directory.ofService("model").front(), 1s);
     CHECK(this->directory.ofService("model").empty());
 }
 
+TEST_CASE_FIXTURE(Fixture,
+                  "a store that comes back from an older copy brings back backend servers that are gone, or loses those that it lacks")
+{
+    for (const char *id : {"i-1", "i-2", "i-3"}) {
+        this->directory.apply(makeRecord(id), start);
+    }
+    BackendRecord draining = makeRecord("i-2");
+    draining.isDraining = true;
+    this->directory.apply(draining, start + 5s);
+    this->directory.remove("i-1", start + 5s);
+    this->directory.apply(makeRecord("i-4"), start + 6s);
+    // The copy is from before all of this.
+    this->directory.onStoreRestored(start + 10s);
+    this->directory.replaceAll({makeRecord("i-1"), makeRecord("i-2"), makeRecord("i-3")}, start + 10s);
+    REQUIRE(this->directory.ofService("model").size() == 3);
+    CHECK(this->availability(0) == Availability::Draining);
+    CHECK(this->availability(1) == Availability::Ready);
+    CHECK(this->availability(2) == Availability::Unconfirmed);
+    // What is written again counts.
+    this->directory.apply(makeRecord("i-4"), start + 11s);
+    this->directory.apply(makeRecord("i-1"), start + 11s);
+    this->directory.expireUnconfirmed(start + 13s);
+    CHECK(this->directory.ofService("model").size() == 4);
+}
+
 TEST_CASE_FIXTURE(Fixture, "backend servers of a returning data centre are cold")
 {
     this->directory.apply(makeRecord("i-1"), start);
--- a/tests/proxy/test_edge_daemon.cpp
+++ b/tests/proxy/test_edge_daemon.cpp
@@ -699,3 +699,32 @@
     }
     CHECK(backend.requests().size() == 2 * breaks.size());
 }
+
+TEST_CASE("a revoked key is accepted, or a data centre is used, after the store has come back from before their change")
+{
+    RawServer backend(answerOk);
+    DaemonFixture fixture(3s);
+    fixture.startWith({&backend});
+    REQUIRE(eventually([&] { return fixture.call("/check/x", "q1").result_int() == 200; }));
+    const auto copy = fixture.store.copy();
+    nlohmann::json newer = makeConfiguration(4);
+    newer["tenants"][0]["api_keys"] = {"key-2"};
+    fixture.store.put("config", "main", newer);
+    fixture.store.put("evacuations", "a", nlohmann::json::object());
+    REQUIRE(eventually([&] { return fixture.call("/check/x", "q2").result_int() == 401; }));
+    REQUIRE(eventually([&] { return fixture.call("/check/x", "q3", "", "key-2").result_int() == 503; }));
+    const std::size_t received = backend.requests().size();
+    fixture.store.restore(copy);
+    for (const auto until = std::chrono::steady_clock::now() + 3500ms; std::chrono::steady_clock::now() < until;) {
+        CHECK(fixture.call("/check/x", "q4").result_int() != 200);
+        CHECK(fixture.call("/open/x", "q5").result_int() != 200);
+    }
+    CHECK(backend.requests().size() == received);
+    // The store has an older configuration than the daemon, so nothing tells whether the keys that it knows are still good.
+    CHECK(fixture.call("/check/x", "q6", "", "key-2").body().find("keys_unconfirmed") != std::string::npos);
+    fixture.store.put("config", "main", newer);
+    fixture.store.put("evacuations", "a", nlohmann::json::object());
+    fixture.store.remove("evacuations", "a");
+    CHECK(eventually([&] { return fixture.call("/check/x", "q7", "", "key-2").result_int() == 200; }));
+    CHECK(fixture.call("/check/x", "q8").result_int() == 401);
+}
--- a/tests/proxy/test_mirror.cpp
+++ b/tests/proxy/test_mirror.cpp
@@ -86,14 +86,14 @@
                 truth[name] = revision;
             }
         }
-        mirror.confirm(revision, Time(revision));
+        mirror.confirm({1, revision}, Time(revision));
         followers.emplace_back(revision, truth);
         auto &[known, state] = followers[random() % followers.size()];
-        const mirror::CollectionUpdate update = mirror.since(known, Time(revision));
+        const mirror::CollectionUpdate update = mirror.since(store::Position {1, known}, Time(revision));
         take(state, update);
-        known = update.revision;
+        known = update.reached.revision;
         REQUIRE(state == truth);
-        CHECK_FALSE(mirror.hasNewsSince(known));
+        CHECK_FALSE(mirror.hasNewsSince({1, known}));
     }
     std::map<std::string, std::uint64_t> fresh {{"stale", 1}};
     const auto list = mirror.since(std::nullopt, 5000us);
@@ -104,16 +104,16 @@
 
 TEST_CASE("requests and replies keep their meaning, and other bytes are refused")
 {
-    const mirror::Positions positions {{Collection::Configuration, 7}, {Collection::Backends, 1ULL << 40U}};
+    const mirror::Positions positions {{Collection::Configuration, {2, 7}}, {Collection::Backends, {0, 1ULL << 40U}}};
     CHECK(mirror::decodeRequest(mirror::encodeRequest(positions)) == positions);
-    mirror::SyncReply reply {250ms, 3, {{Collection::Backends, true, 99, 40ms, {object("a", 5), object("b", 6, true)}}}};
+    mirror::SyncReply reply {250ms, 3, {{Collection::Backends, true, {5, 99}, 40ms, {object("a", 5), object("b", 6, true)}}}};
     const std::string bytes = mirror::encodeReply(reply);
     const auto decoded = mirror::decodeReply(bytes);
     REQUIRE(decoded);
     CHECK(decoded->held == 250ms);
     CHECK(decoded->outages == 3);
     REQUIRE(decoded->updates.size() == 1);
-    CHECK(decoded->updates[0].revision == 99);
+    CHECK(decoded->updates[0].reached == store::Position {5, 99});
     CHECK(decoded->updates[0].age == 40ms);
     REQUIRE(decoded->updates[0].objects.size() == 2);
     CHECK(mirror::toStored(decoded->updates[0].objects[0]).content == nlohmann::json {{"value", 5}});
@@ -216,8 +216,10 @@
 struct Told {
     std::map<std::string, std::string> backends;
     std::map<std::string, std::string> configuration;
+    std::map<std::string, std::string> takenOut;
     Time confirmedAt {0};
     int outages = 0;
+    int eraChanges = 0;
     int calls = 0;
 
     store::WatcherHooks hooks(std::map<std::string, std::string> Told::*member)
@@ -236,7 +238,8 @@
                 (this->*member)[change.object.name] = change.object.content.dump();
             }
         };
-        hooks.onConfirmed = [this](Time asOf, std::uint64_t) { this->confirmedAt = std::max(this->confirmedAt, asOf); };
+        hooks.onEraChange = [this] { ++this->eraChanges; };
+        hooks.onConfirmed = [this](Time asOf, const store::Position &) { this->confirmedAt = std::max(this->confirmedAt, asOf); };
         hooks.onReachability = [this](bool isReachable, const std::string &) { this->outages += isReachable ? 0 : 1; };
         hooks.onCall = [this](unsigned) { ++this->calls; };
         return hooks;
@@ -333,7 +336,7 @@
             std::make_shared<const platform::Dialect>(),
             std::map<Collection, store::WatcherHooks> {{Collection::Configuration, told.hooks(&Told::configuration)},
                                                        {Collection::Backends, told.hooks(&Told::backends)},
-                                                       {Collection::TakenOutDataCentres, told.hooks(&Told::configuration)}});
+                                                       {Collection::TakenOutDataCentres, told.hooks(&Told::takenOut)}});
     }
 
     std::map<DaemonHandle, double> region6 = makeDaemons(6);
@@ -435,10 +438,56 @@
     REQUIRE(this->runUntil([this] { return this->atRelay.configuration.at("main") == nlohmann::json {{"version", 10}}.dump(); }));
     const Time before = readClock();
     CHECK(this->runUntil([this] { return this->atFollower.configuration.at("main") == nlohmann::json {{"version", 10}}.dump(); }, 5s));
+    CHECK(this->atFollower.eraChanges == 3);
     CHECK(this->runUntil([this] { return !this->atFollower.backends.contains("i-2"); }, 5s));
     CHECK(this->runUntil([this, before] { return this->atFollower.confirmedAt > before; }, 5s));
 }
 
+TEST_CASE_FIXTURE(Pair, "a follower goes on in a history that was replaced while it was cut off")
+{
+    this->startFollowing();
+    const auto copy = this->store.copy();
+    this->store.put("config", "main", {{"version", 2}});
+    this->store.put("servers", "i-2", {{"state", "ready"}});
+    REQUIRE(this->runUntil([this] { return this->atFollower.backends.contains("i-2"); }));
+    // Without its relay and the store, the follower misses the return. By then, the revisions that it knows have been given out again.
+    this->relay->stopServing();
+    this->store.refusesAll = true;
+    this->runUntil([] { return false; }, 3s);
+    this->store.restore(copy);
+    for (int change = 0; change < 20; ++change) {
+        this->store.put("servers", "i-3", {{"state", "ready"}, {"seq", change}});
+    }
+    this->store.put("config", "main", {{"version", 3}});
+    this->store.refusesAll = false;
+    CHECK(this->runUntil([this] { return this->atFollower.backends.contains("i-3") && !this->atFollower.backends.contains("i-2"); }, 10s));
+    CHECK(this->atFollower.configuration.at("main") == nlohmann::json {{"version", 3}}.dump());
+}
+
+TEST_CASE("a relay in an earlier era serves followers of a later one, or a later era is told as changes")
+{
+    CollectionMirror mirror(Collection::Backends);
+    mirror.replaceAll({object("a", 90)});
+    mirror.confirm({1, 100}, 1s);
+    CHECK(mirror.isBehind({2, 50}));
+    CHECK_FALSE(mirror.isBehind({1, 120}));
+    mirror.replaceAll({object("b", 50)});
+    mirror.confirm({2, 60}, 2s);
+    CHECK(mirror.hasNewsSince({1, 100}));
+    CHECK(mirror.since(store::Position {1, 100}, 2s).isList);
+    CHECK_FALSE(mirror.hasNewsSince({2, 60}));
+    mirror.apply(object("c", 70));
+    mirror.confirm({2, 70}, 3s);
+    const auto update = mirror.since(store::Position {2, 60}, 3s);
+    CHECK_FALSE(update.isList);
+    REQUIRE(update.objects.size() == 1);
+    CHECK(update.objects.front().name == "c");
+    CHECK(update.reached == store::Position {2, 70});
+    // A follower of an earlier version does not tell its era, and is served as before.
+    CHECK_FALSE(mirror.hasNewsSince({mirror::untoldEra, 70}));
+    CHECK_FALSE(mirror.isBehind({mirror::untoldEra, 500}));
+}
+
 TEST_CASE("a watch that is begun again tells of a lost store again")
 {
     standin::ObjectStore store;
