--- a/tests/proxy/test_endless_answers.cpp
+++ b/tests/proxy/test_endless_answers.cpp
@@ -188,3 +188,47 @@
     // The process has 88 MB on a VM; answers may use at most half of it.
     CHECK((callerCount - abortedEarly) * bufferedBytes <= (44u << 20));
 }
+
+TEST_CASE("an answer whose head is broken off is passed on as a whole one")
+{
+    const std::string id = "X-Eelgrassnotch-Attempt-Id: q\r\n";
+    const std::string signature = "X-Eelgrassnotch-Response-Signature: s\r\n";
+    const std::vector<std::string> heads = {
+        "HTTP/1.",
+        "HTTP/1.1 200",
+        "HTTP/1.1 200 OK\r\n",
+        "HTTP/1.1 200 OK\r\n" + id + signature,
+        "HTTP/1.1 200 OK\r\n" + id + signature + "Content-Le",
+        "HTTP/1.1 200 OK\r\n" + id + signature + "Content-Length: 4",
+        "HTTP/1.1 200 OK\r\n" + id + signature + "Content-Length: 0\r\n",
+        "HTTP/1.1 200 OK\r\n" + id + signature + "Content-Length: 0\r\n\r",
+        "HTTP/1.1 200 OK\r\n" + id + signature + "Content-Type: text/event-stream\r\n",
+        "HTTP/1.1 100 Continue\r\n\r\n",
+        "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\nHTTP/1.1 200 OK\r\n" + id + signature,
+    };
+    for (const std::string &head : heads) {
+        for (const bool isKept : {false, true}) {
+            CAPTURE(head);
+            CAPTURE(isKept);
+            RawServer backend([&head, isKept](Socket &socket, const Request &request) {
+                if (isKept && idOf(request) == "first") {
+                    return answerOk(socket, request);
+                }
+                sendBytes(socket, head);
+                return false;
+            });
+            DaemonFixture fixture;
+            fixture.startWith({&backend});
+            if (isKept) {
+                REQUIRE(fixture.call("/order/x", "first").result_int() == 200);
+            }
+            for (const char *path : {"/order/x", "/stream/x"}) {
+                const auto answer = fixture.call(path, "q");
+                CHECK(answer.result_int() != 200);
+                CHECK(answer.body().find("fine") == std::string::npos);
+            }
+            // The second request may be refused unsent, as the backend server has just failed.
+            CHECK(backend.requests().size() >= (isKept ? 2 : 1));
+        }
+    }
+}
