Requests that a stopping daemon has passed on are answered before its process ends

A slow request that may not be repeated, sent 2.2 s after the stop, was passed on and its connection ended without an answer (the test failed with it). Late ones are refused as before, since they are taken only if their deadline lies within the grace period. Change: 0.2 s before the process ends, requests in progress are answered: 504 where a backend server may have run them, 503 where none did; streams that have begun are broken off. The test sends to the last moment over kept and new connections, three deadlines, fast and slow backend servers. Also the linter's finding in test_limit_division: the spread of callers is computed in floating point.

--- a/src/process/edge_daemon.cpp
+++ b/src/process/edge_daemon.cpp
@@ -39,6 +39,8 @@
 constexpr Duration idleCloseAfterStop = 3s;
 /** The process ends this long before it would be killed. */
 constexpr Duration stopMargin = 300ms;
+/** Before that, requests still in progress are answered, which leaves this time for the answers. */
+constexpr Duration lastAnswersTime = 200ms;
 /** Descriptors that are kept for listeners, the store and backend servers. */
 constexpr std::uint32_t reservedDescriptors = 1200;
 constexpr unsigned statusOk = 200;
@@ -294,6 +296,9 @@
         }
         const Duration since = this->proxy.timeSinceStop(now);
         const bool isGraceOver = since >= this->settings.bounds.stopGrace - stopMargin;
+        if (since >= this->settings.bounds.stopGrace - stopMargin - lastAnswersTime) {
+            this->proxy.endRequests();
+        }
         if (since >= idleCloseAfterStop) {
             this->callers.closeIdle();
         }
--- a/src/process/proxy/proxied_request.cpp
+++ b/src/process/proxy/proxied_request.cpp
@@ -226,6 +226,25 @@
     this->refuse(RefusalReason::BackendFailed, Duration(0), "a part of the prompt was found to end backend servers");
 }
 
+void ProxiedRequest::endForStop()
+{
+    if (this->isFinished) {
+        return;
+    }
+    if (!this->currentAttempt && this->verdict == Verdict::NotRun) {
+        this->refuse(RefusalReason::Stopping, localRefusalRetryAfter, "this daemon stops");
+        return;
+    }
+    const Time now = readClock();
+    this->verdict = std::max(this->verdict, Verdict::MayHaveRun);
+    this->endAttempt(now, true);
+    if (this->hasAnswerStarted) {
+        this->abortStream("the daemon's grace period has ended");
+        return;
+    }
+    this->refuse(RefusalReason::DeadlineExpired, Duration(0), "the daemon's grace period has ended");
+}
+
 bool ProxiedRequest::checkPace(Time now)
 {
     const Duration paceDelay = this->proxy.pacer().delay(this->workspaceHandle(), now);
@@ -835,6 +854,7 @@
         return;
     }
     this->isFinished = true;
+    this->proxy.removeActive(*this);
     this->deadlineTimer.cancel();
     this->attemptTimer.cancel();
     this->pollTimer.cancel();
--- a/src/process/proxy/proxied_request.h
+++ b/src/process/proxy/proxied_request.h
@@ -31,6 +31,8 @@
     void start();
     /** @brief Ends an attempt that has not begun to be answered if a part of the prompt is quarantined. */
     void giveUpIfQuarantined();
+    /** @brief Answers the request, or breaks its stream off, since the process is about to end. */
+    void endForStop();
 
 private:
     /** @brief Finds the route of a request that is refused at once, for its log line, and records its demand. */
--- a/src/process/proxy/proxy.cpp
+++ b/src/process/proxy/proxy.cpp
@@ -86,7 +86,9 @@
 
 void Proxy::handle(const connection::http::ServerSessionPtr &session, connection::http::Request request)
 {
-    std::make_shared<ProxiedRequest>(*this, session, std::move(request))->start();
+    const auto proxied = std::make_shared<ProxiedRequest>(*this, session, std::move(request));
+    this->active[proxied.get()] = proxied;
+    proxied->start();
 }
 
 void Proxy::addUnanswered(const std::shared_ptr<ProxiedRequest> &request)
@@ -108,14 +110,31 @@
     if (!change.isQuarantined) {
         return;
     }
-    std::vector<std::shared_ptr<ProxiedRequest>> requests;
-    for (const auto &[address, weak] : this->unanswered) {
+    for (const auto &request : lock(this->unanswered)) {
+        request->giveUpIfQuarantined();
+    }
+}
+
+std::vector<std::shared_ptr<ProxiedRequest>> Proxy::lock(const Requests &requests)
+{
+    std::vector<std::shared_ptr<ProxiedRequest>> locked;
+    for (const auto &[address, weak] : requests) {
         if (auto request = weak.lock()) {
-            requests.push_back(std::move(request));
+            locked.push_back(std::move(request));
         }
     }
-    for (const auto &request : requests) {
-        request->giveUpIfQuarantined();
+    return locked;
+}
+
+void Proxy::removeActive(const ProxiedRequest &request)
+{
+    this->active.erase(&request);
+}
+
+void Proxy::endRequests()
+{
+    for (const auto &request : lock(this->active)) {
+        request->endForStop();
     }
 }
 
--- a/src/process/proxy/proxy.h
+++ b/src/process/proxy/proxy.h
@@ -119,6 +119,9 @@
         return this->shedding.acceptedFraction();
     }
     void setStopping(Time since);
+    /** @brief Answers all requests in progress, since the process is about to end. */
+    void endRequests();
+    void removeActive(const ProxiedRequest &request);
     bool isStopping() const
     {
         return this->stopping;
@@ -244,7 +247,10 @@
     dispatch::WorkspacePacer workspacePacer;
     dispatch::RequestCosts requestCosts;
     dispatch::PartQuarantine partQuarantine;
-    std::unordered_map<const ProxiedRequest *, std::weak_ptr<ProxiedRequest>> unanswered;
+    using Requests = std::unordered_map<const ProxiedRequest *, std::weak_ptr<ProxiedRequest>>;
+    static std::vector<std::shared_ptr<ProxiedRequest>> lock(const Requests &requests);
+    Requests active;
+    Requests unanswered;
     dispatch::LoadShedder shedding;
     RequestTotals requestTotals;
     BackendConnectionPool backendPool;
--- a/tests/proxy/test_edge_daemon.cpp
+++ b/tests/proxy/test_edge_daemon.cpp
@@ -7,9 +7,12 @@
 
 #include <boost/asio/read.hpp>
 
+#include <algorithm>
 #include <atomic>
 #include <fstream>
 #include <functional>
+#include <memory>
+#include <mutex>
 #include <thread>
 
 #include <unistd.h>
@@ -614,6 +617,79 @@
     }
 }
 
+TEST_CASE("a request that a stopping daemon took is cut off without an answer at the end of the grace period")
+{
+    // One route's backend server answers within the grace period, the other's answer would come after it.
+    RawServer backend([](standin::Socket &socket, const standin::Request &request) {
+        std::this_thread::sleep_for(idOf(request).starts_with("slow") ? 2700ms : 200ms);
+        return answerOk(socket, request);
+    });
+    auto world = std::make_unique<World>();
+    world->settings.bounds.stopGrace = 4s;
+    world->startWith({&backend});
+    const auto address = connection::http::parseEndpoint(world->settings.callersAddress);
+    const auto begin = std::chrono::steady_clock::now();
+    std::mutex mutex;
+    std::vector<std::string> unanswered;
+    const auto send = [&](const std::string &id, int deadlineMs, boost::asio::io_context &context, tcp::socket &socket) {
+        std::string text = World::requestText("/order/x", id);
+        text.replace(text.find("8000"), 4, std::to_string(deadlineMs));
+        boost::system::error_code error;
+        boost::beast::flat_buffer buffer;
+        World::Answer answer;
+        boost::asio::write(socket, boost::asio::buffer(text), error);
+        // A process that ends resets its connections; here they may stay open, and nothing is read.
+        boost::system::error_code result = boost::asio::error::timed_out;
+        boost::beast::http::async_read(socket, buffer, answer, [&result](boost::system::error_code read, std::size_t) { result = read; });
+        context.restart();
+        context.run_for(begin + 7s - std::chrono::steady_clock::now());
+        if (!error && result) {
+            error = result;
+            boost::system::error_code ignored;
+            socket.close(ignored);
+            context.run();
+        }
+        const auto requests = backend.requests();
+        const bool isPassedOn = std::any_of(requests.begin(), requests.end(), [&id](const auto &request) { return idOf(request) == id; });
+        if (error && isPassedOn) {
+            const std::lock_guard lock(mutex);
+            unanswered.push_back(id);
+        }
+        return !error && answer.keep_alive();
+    };
+    std::vector<std::thread> callers;
+    for (const int deadlineMs : {500, 1500, 8000}) {
+        for (const bool isSlow : {false, true}) {
+            callers.emplace_back([&, deadlineMs, isSlow] {
+                boost::asio::io_context context;
+                tcp::socket socket(context);
+                boost::system::error_code error;
+                for (int round = 0; std::chrono::steady_clock::now() - begin < 6s; ++round) {
+                    const std::string id = (isSlow ? "slow-" : "fast-") + std::to_string(deadlineMs) + "-" + std::to_string(round);
+                    if (!socket.is_open()) {
+                        socket.connect(address, error);
+                    }
+                    if (error || !send(id, deadlineMs, context, socket)) {
+                        boost::system::error_code ignored;
+                        socket.close(ignored);
+                        std::this_thread::sleep_for(10ms);
+                        error.clear();
+                    }
+                }
+            });
+        }
+    }
+    std::this_thread::sleep_for(500ms);
+    world->requestStop();
+    std::this_thread::sleep_for(4s);
+    world.reset(); // Closes the listener, as the end of a process does.
+    for (std::thread &caller : callers) {
+        caller.join();
+    }
+    CAPTURE(unanswered.empty() ? std::string() : unanswered.front());
+    CHECK(unanswered.empty());
+}
+
 TEST_CASE("a slow but sound stream is passed on to its end, and one that sends only comments ends at its caller's time limit")
 {
     constexpr int events = 8;
--- a/tests/proxy/test_limit_division.cpp
+++ b/tests/proxy/test_limit_division.cpp
@@ -246,15 +246,20 @@
 /** Operators hold requests against a limit from this time after its first announcement. */
 constexpr Duration settled = 3s;
 
+double spreadOf(std::size_t index, std::size_t size)
+{
+    return 1.0 + 20.0 * static_cast<double>(index) / static_cast<double>(size);
+}
+
 /** Callers are spread unevenly: the first daemon gets twenty times what the last one gets. */
 void spreadUnevenly(Fleet &fleet, double total)
 {
     double sum = 0;
     for (std::size_t index = 0; index < fleet.size(); ++index) {
-        sum += 1.0 / static_cast<double>(1 + index * 20 / fleet.size());
+        sum += 1.0 / spreadOf(index, fleet.size());
     }
     for (std::size_t index = 0; index < fleet.size(); ++index) {
-        fleet.at(index).wanted = total / static_cast<double>(1 + index * 20 / fleet.size()) / sum;
+        fleet.at(index).wanted = total / spreadOf(index, fleet.size()) / sum;
     }
 }
 
