--- a/src/process/proxy/proxied_request.cpp
+++ b/src/process/proxy/proxied_request.cpp
@@ -217,13 +217,18 @@
         || !this->proxy.quarantine().quarantinedPart(this->attributes.prompt)) {
         return;
     }
+    this->giveUpAttempt(RefusalReason::BackendFailed, "a part of the prompt was found to end backend servers", now);
+}
+
+void ProxiedRequest::giveUpAttempt(RefusalReason reason, const std::string &cause, Time now)
+{
     this->verdict = std::max(this->verdict, Verdict::MayHaveRun);
     this->endAttempt(now, true);
     if (this->hasAnswerStarted) {
-        this->abortStream("a part of the prompt was quarantined");
+        this->abortStream(cause);
         return;
     }
-    this->refuse(RefusalReason::BackendFailed, Duration(0), "a part of the prompt was found to end backend servers");
+    this->refuse(reason, Duration(0), cause);
 }
 
 void ProxiedRequest::endForStop()
@@ -235,14 +240,7 @@
         this->refuse(RefusalReason::Stopping, localRefusalRetryAfter, "this daemon stops");
         return;
     }
-    const Time now = readClock();
-    this->verdict = std::max(this->verdict, Verdict::MayHaveRun);
-    this->endAttempt(now, true);
-    if (this->hasAnswerStarted) {
-        this->abortStream("the daemon's grace period has ended");
-        return;
-    }
-    this->refuse(RefusalReason::DeadlineExpired, Duration(0), "the daemon's grace period has ended");
+    this->giveUpAttempt(RefusalReason::DeadlineExpired, "the daemon's grace period has ended", readClock());
 }
 
 bool ProxiedRequest::checkPace(Time now)
@@ -805,13 +803,7 @@
     if (!this->currentAttempt->hasHeader && this->currentAttempt->backend->isUnresponsive(now)) {
         this->currentAttempt->backend->recordFailure(now);
     }
-    this->verdict = std::max(this->verdict, Verdict::MayHaveRun);
-    this->endAttempt(now, true);
-    if (this->hasAnswerStarted) {
-        this->abortStream("time limit reached");
-        return;
-    }
-    this->refuse(RefusalReason::DeadlineExpired, Duration(0), "time limit reached");
+    this->giveUpAttempt(RefusalReason::DeadlineExpired, "time limit reached", now);
 }
 
 void ProxiedRequest::onCallerLeft()
--- a/src/process/proxy/proxied_request.h
+++ b/src/process/proxy/proxied_request.h
@@ -88,6 +88,8 @@
     void endAttempt(Time now, bool isCancelled);
     void forwardAnswer();
     void refuse(RefusalReason reason, Duration retryAfter, const std::string &detail);
+    /** @brief Cancels the attempt, which a backend server may have run, and ends the request with a refusal or a broken stream. */
+    void giveUpAttempt(RefusalReason reason, const std::string &cause, Time now);
     void abortStream(const std::string &cause);
     void onDeadline();
     void onAttemptTimeout();
