--- a/src/process/directory/backend_server.h
+++ b/src/process/directory/backend_server.h
@@ -130,7 +130,6 @@
     std::optional<LoadReport> loadReport;
     dispatch::AnnouncedLimit announcedLimit;
     std::optional<LimitHolding> limitHolding;
-    double limitDemandOfOthers = 0; ///< Requests per second for its service at the other daemons that hold a part of its limit.
     std::uint64_t heldBack = 0; ///< Requests that were placed elsewhere, or refused, since this daemon's part of its limit was used up.
     dispatch::DecayingAverage excessDelay; ///< Delay of first events beyond the prediction, in microseconds.
     dispatch::DecayingSum firstEventCount; ///< Recent first events at this daemon, with decay.
--- a/tests/proxy/test_edge_daemon.cpp
+++ b/tests/proxy/test_edge_daemon.cpp
@@ -619,7 +619,7 @@
 
 TEST_CASE("a request that a stopping daemon took is cut off without an answer at the end of the grace period")
 {
-    // One route's backend server answers within the grace period, the other's answer would come after it.
+    // Slow requests that are taken after the stop would be answered after the end of the grace period.
     RawServer backend([](standin::Socket &socket, const standin::Request &request) {
         std::this_thread::sleep_for(idOf(request).starts_with("slow") ? 2700ms : 200ms);
         return answerOk(socket, request);
