Linter: the answer of the stop test is read through a parser

The linter took the message that is read into for one that was moved away. Found by its run on the changed files; the test is as strict as before.

--- a/tests/proxy/test_edge_daemon.cpp
+++ b/tests/proxy/test_edge_daemon.cpp
@@ -636,7 +636,7 @@
         text.replace(text.find("8000"), 4, std::to_string(deadlineMs));
         boost::system::error_code error;
         boost::beast::flat_buffer buffer;
-        World::Answer answer;
+        boost::beast::http::response_parser<boost::beast::http::string_body> answer;
         boost::asio::write(socket, boost::asio::buffer(text), error);
         // A process that ends resets its connections; here they may stay open, and nothing is read.
         boost::system::error_code result = boost::asio::error::timed_out;
@@ -655,7 +655,7 @@
             const std::lock_guard lock(mutex);
             unanswered.push_back(id);
         }
-        return !error && answer.keep_alive();
+        return !error && answer.get().keep_alive();
     };
     std::vector<std::thread> callers;
     for (const int deadlineMs : {500, 1500, 8000}) {
