Requests that were sent without a limit are not held against the next one

What callers would have seen: a backend server whose limit has ended, and that announces one again, gets nothing from a daemon for as long as that daemon's requests in between stand for, since its bucket went down by one with each of them. Cause: the bucket was drawn from while an announcement was remembered, also after its end. The new test failed before (500 requests after the end, then no request within a second) and passes; all eight cases of the file pass.

--- a/src/process/dispatch/announced_limit.cpp
+++ b/src/process/dispatch/announced_limit.cpp
@@ -135,7 +135,7 @@
 
 void AnnouncedLimit::recordSent(Time now)
 {
-    if (this->announced) {
+    if (this->fleetRate(now)) {
         this->level = this->levelAt(now) - 1.0;
         this->levelAsOf = now;
     }
--- a/tests/proxy/test_limit_division.cpp
+++ b/tests/proxy/test_limit_division.cpp
@@ -391,3 +391,17 @@
     CHECK_FALSE(limit.merge({incarnation, 7, true, 900ms}, 160s));
     CHECK(limit.fleetRate(160s) == 4.0);
 }
+
+TEST_CASE("requests that were sent without a limit are held against the next one")
+{
+    dispatch::AnnouncedLimit limit;
+    limit.recordAnswer(4.0, 100s);
+    limit.setOwnRate(4.0, 100s);
+    limit.recordAnswer(std::nullopt, 101s);
+    for (int sent = 0; sent < 500; ++sent) {
+        limit.recordSent(110s);
+    }
+    limit.recordAnswer(4.0, 120s);
+    limit.setOwnRate(4.0, 120s);
+    CHECK(limit.delay(121s) == Duration(0));
+}
