Retries tell how much of the retry budget is left, and those that are withheld are logged and counted

retry lines now have budget_left and daemons; retry_withheld names the request, the service and the reason; eelgrassnotch_retries_withheld_total and eelgrassnotch_retry_budget tell operators the same. Decisions are unchanged.

--- a/src/process/dispatch/fleet_retry_budget.h
+++ b/src/process/dispatch/fleet_retry_budget.h
@@ -44,14 +44,19 @@
      */
     bool spend(Time now, std::size_t daemonCount)
     {
-        const double earned = this->limit.ratio * usedFraction * static_cast<double>(this->requests.count(now));
-        const double burst = this->limit.burst * usedFraction / static_cast<double>(std::max<std::size_t>(daemonCount, 1));
-        if (static_cast<double>(this->retries.count(now)) + 1.0 > earned + burst) {
+        if (this->left(now, daemonCount) < 1.0) {
             return false;
         }
         this->retries.add(now);
         return true;
     }
+    /** @returns how many retries the limit still allows. */
+    double left(Time now, std::size_t daemonCount)
+    {
+        const double earned = this->limit.ratio * usedFraction * static_cast<double>(this->requests.count(now));
+        const double burst = this->limit.burst * usedFraction / static_cast<double>(std::max<std::size_t>(daemonCount, 1));
+        return earned + burst - static_cast<double>(this->retries.count(now));
+    }
 
 private:
     /** Fraction of the limit that is used; the rest is a margin, as the daemons' windows are not aligned with each other. */
--- a/src/process/proxy/proxied_request.cpp
+++ b/src/process/proxy/proxied_request.cpp
@@ -751,7 +751,16 @@
         return false;
     }
     // A failed connection attempt puts no load on a backend server, so it needs no retry budget.
-    if (reason != RetryReason::ConnectFailed && !this->proxy.consumeRetryBudget(this->service->name, now)) {
+    const bool isWithheld = reason != RetryReason::ConnectFailed && !this->proxy.consumeRetryBudget(this->service->name, now);
+    const RetryBudgetStats budget = this->proxy.retryBudgetStats(this->service->name, now);
+    if (isWithheld) {
+        this->proxy.metrics().countWithheldRetry(this->service->name, reason);
+        logEvent("retry_withheld",
+                 {{"request", this->attributes.id},
+                  {"service", this->service->name},
+                  {"reason", std::string(nameOf(reason))},
+                  {"budget_left", std::to_string(budget.left)},
+                  {"daemons", std::to_string(budget.daemons)}});
         return false;
     }
     this->proxy.metrics().countRetry(reason);
@@ -761,7 +770,9 @@
               {"verdict", std::string(nameOf(attemptVerdict))},
               {"from", this->currentAttempt->backend->record.id},
               {"to", choice.backend->record.id},
-              {"send", std::to_string(this->attempts + 1)}});
+              {"send", std::to_string(this->attempts + 1)},
+              {"budget_left", std::to_string(budget.left)},
+              {"daemons", std::to_string(budget.daemons)}});
     this->endAttempt(now, attemptVerdict != Verdict::NotRun);
     this->splitter.discardPartialEvent();
     this->startAttempt(choice, now);
--- a/src/process/proxy/proxy.cpp
+++ b/src/process/proxy/proxy.cpp
@@ -362,6 +362,21 @@
     return this->retryBudgetOf(service).spend(now, this->activeDaemons.count());
 }
 
+RetryBudgetStats Proxy::retryBudgetStats(const std::string &service, Time now)
+{
+    const std::uint32_t daemons = this->activeDaemons.count();
+    return {service, this->retryBudgetOf(service).left(now, daemons), daemons};
+}
+
+std::vector<RetryBudgetStats> Proxy::retryBudgetStats(Time now)
+{
+    std::vector<RetryBudgetStats> stats;
+    for (const auto &[service, budget] : this->retryBudgets) {
+        stats.push_back(this->retryBudgetStats(service, now));
+    }
+    return stats;
+}
+
 void Proxy::countRequest(const std::string &service, Time now)
 {
     this->retryBudgetOf(service).countRequest(now);
--- a/src/process/proxy/proxy.h
+++ b/src/process/proxy/proxy.h
@@ -136,6 +136,10 @@
     BackendChoice chooseBackend(const PlacementQuery &query, Time now);
     /** @brief Takes one retry from the service's retry budget. @returns false when the budget is used up. */
     bool consumeRetryBudget(const std::string &service, Time now);
+    /** @returns the state of a service's retry budget, for logs and metrics. */
+    RetryBudgetStats retryBudgetStats(const std::string &service, Time now);
+    /** @returns the state of all retry budgets. */
+    std::vector<RetryBudgetStats> retryBudgetStats(Time now);
     /** @brief Counts a request that is about to be placed; limits that backend servers announce are divided by this demand. */
     void recordServiceDemand(const std::string &service, Time now);
     /** @brief Records what an answer states about its backend server's rate limit. */
--- a/src/process/proxy/proxy_metrics.cpp
+++ b/src/process/proxy/proxy_metrics.cpp
@@ -39,6 +39,12 @@
         = prometheus::BuildCounter().Name("eelgrassnotch_refusals_total").Help("Refused requests, by reason").Register(this->registry);
     prometheus::Family<prometheus::Counter> &retries
         = prometheus::BuildCounter().Name("eelgrassnotch_retries_total").Help("Requests sent again, by reason").Register(this->registry);
+    prometheus::Family<prometheus::Counter> &withheldRetries = prometheus::BuildCounter()
+                                                                   .Name("eelgrassnotch_retries_withheld_total")
+                                                                   .Help("Retries not sent, as the service's retry budget was used up")
+                                                                   .Register(this->registry);
+    prometheus::Family<prometheus::Gauge> &retryBudgets
+        = prometheus::BuildGauge().Name("eelgrassnotch_retry_budget").Help("Retry budgets of services").Register(this->registry);
     prometheus::Family<prometheus::Counter> &storeCalls
         = prometheus::BuildCounter().Name("eelgrassnotch_store_calls_total").Help("Calls to the platform's store").Register(this->registry);
     prometheus::Family<prometheus::Histogram> &firstEvents = prometheus::BuildHistogram()
@@ -136,6 +142,11 @@
     this->families->retries.Add({{"reason", std::string(nameOf(reason))}}).Increment();
 }
 
+void ProxyMetrics::countWithheldRetry(const std::string &service, RetryReason reason)
+{
+    this->families->withheldRetries.Add({{"service", service}, {"reason", std::string(nameOf(reason))}}).Increment();
+}
+
 void ProxyMetrics::countStoreCall(const std::string &collection, unsigned status)
 {
     this->families->storeCalls.Add({{"collection", collection}, {"status", std::to_string(status)}}).Increment();
@@ -200,6 +211,14 @@
     }
 }
 
+void ProxyMetrics::setRetryBudgets(const std::vector<RetryBudgetStats> &budgets)
+{
+    for (const RetryBudgetStats &budget : budgets) {
+        this->families->retryBudgets.Add({{"service", budget.service}, {"what", "left"}}).Set(budget.left);
+        this->families->retryBudgets.Add({{"service", budget.service}, {"what", "daemons"}}).Set(budget.daemons);
+    }
+}
+
 void ProxyMetrics::setDroppedLogLines(std::size_t count)
 {
     this->families->gauges.Add({{"what", "dropped_log_lines"}}).Set(static_cast<double>(count));
--- a/src/process/proxy/proxy_metrics.h
+++ b/src/process/proxy/proxy_metrics.h
@@ -24,6 +24,15 @@
     bool operator==(const BackendLimitStats &) const = default;
 };
 
+/** @brief State of this daemon's budget of retries to one service. */
+struct RetryBudgetStats {
+    std::string service;
+    double left = 0; ///< Retries that may be sent now.
+    std::uint32_t daemons = 0; ///< Daemons that the fleet's budget is divided among.
+
+    bool operator==(const RetryBudgetStats &) const = default;
+};
+
 /** @brief Metrics of one daemon; names and units are listed in docs/OPERATIONS.md. */
 class ProxyMetrics
 {
@@ -38,6 +47,8 @@
     /** @brief Counts a refusal by admission control. @param limit Name of the limit that the request exceeded. */
     void countAdmissionRefusal(std::string_view limit);
     void countRetry(RetryReason reason);
+    /** @brief Counts a retry that was not sent, since the service's budget was used up. */
+    void countWithheldRetry(const std::string &service, RetryReason reason);
     void countStoreCall(const std::string &collection, unsigned status);
     void observeFirstEvent(const std::string &route, Duration time);
     void observeAnswer(const std::string &route, Duration time);
@@ -52,6 +63,8 @@
     void setConfiguration(std::uint64_t version, Duration age);
     /** @brief Replaces the announced limits in force. */
     void setBackendLimits(const std::vector<BackendLimitStats> &limits);
+    /** @brief Sets the state of the services' retry budgets. */
+    void setRetryBudgets(const std::vector<RetryBudgetStats> &budgets);
     void setDroppedLogLines(std::size_t count);
     std::string serialize() const;
 
