Retry budgets are token buckets that are empty at first: a restart grants no retries

Cause: a daemon may spend what it has earned in ten seconds, and its part of the fixed amount, at once. Both live in its memory only, so that a daemon which starts in the middle of a window knows nothing of what it has spent, and has its part again. By the new log lines, edge-sound-north-a-3 had budget_left 0.2 at 5.99 s, was started at 6.54 s, and had 6.5 after its first retry at 6.59 s. Class: a limit whose forgetting is generous.

Each request now earns its part of a retry into a bucket that is empty at first and holds at most this daemon's part of the fixed amount. In any window the retries are then at most what the window's requests earn and what all buckets held at its beginning, whatever is forgotten in it. The whole ratio is used instead of 0.8 of it; of the fixed amount 0.8, for retries on the network. The window's length is no longer needed as a setting.

--- a/src/process/dispatch/fleet_retry_budget.h
+++ b/src/process/dispatch/fleet_retry_budget.h
@@ -1,70 +1,67 @@
 #pragma once
 
-/** @file This daemon's quota of the retries to a service. */
-
-#include "eelgrassnotch/types.h"
-#include "process/dispatch/sliding_window.h"
+/** @file This daemon's budget of retries to a service. */
 
 #include <algorithm>
 
 namespace eelgrassnotch::process::dispatch
 {
 
-/** @brief Limit on retries to one service, over all daemons. */
-struct RetryLimit {
-    double ratio = 0; ///< Retries per request.
-    double burst = 0; ///< Additional retries in one window, over all daemons.
-    Duration window {0};
-
-    bool operator==(const RetryLimit &) const = default;
-};
-
 /**
- * @brief Counts requests and retries to one service in a sliding window.
- * @remarks Load pattern: retry storms, that is waves of retries at backend servers that fail or shed load.
+ * @brief Token bucket that requests fill and retries empty.
+ *
+ * Within any time window, daemons together send at most the retries that the
+ * window's requests earn and what their buckets held at its beginning. The
+ * capacities of all daemons add up to at most the burst. A bucket is empty at
+ * first, so a daemon that forgets what it has spent sends less, not more.
+ *
+ * @remarks Load pattern: most answers of a service fail while daemons are killed, restarted or reloaded.
  */
 class FleetRetryBudget
 {
 public:
-    explicit FleetRetryBudget(RetryLimit retryLimit)
-        : limit(retryLimit)
-        , requests(retryLimit.window)
-        , retries(retryLimit.window)
+    explicit FleetRetryBudget(double retriesPerRequest)
+        : ratio(retriesPerRequest)
     {
     }
 
-    void countRequest(Time now)
+    void setRatio(double retriesPerRequest)
+    {
+        this->ratio = retriesPerRequest;
+    }
+    /** @param retries Most retries that the bucket may hold: this daemon's part of the fleet's burst. */
+    void setCapacity(double retries)
     {
-        this->requests.add(now);
+        this->capacity = retries;
+        this->level = std::min(this->level, this->capacity);
     }
-    /**
-     * @brief Counts one retry if the limit allows it.
-     * @param daemonCount Daemons that share the burst.
-     * @returns whether the retry may be sent.
-     */
-    bool spend(Time now, std::size_t daemonCount)
+    void countRequest()
     {
-        if (this->left(now, daemonCount) < 1.0) {
+        this->level = std::min(this->level + this->ratio, this->capacity);
+    }
+    /** @brief Takes one retry from the bucket. @returns whether the retry may be sent. */
+    bool spend()
+    {
+        if (this->level < 1.0) {
             return false;
         }
-        this->retries.add(now);
+        this->level -= 1.0;
         return true;
     }
-    /** @returns how many retries the limit still allows. */
-    double left(Time now, std::size_t daemonCount)
+    /** @returns how many retries the bucket holds. */
+    double left() const
     {
-        const double earned = this->limit.ratio * usedFraction * static_cast<double>(this->requests.count(now));
-        const double burst = this->limit.burst * usedFraction / static_cast<double>(std::max<std::size_t>(daemonCount, 1));
-        return earned + burst - static_cast<double>(this->retries.count(now));
+        return this->level;
+    }
+    double mostLeft() const
+    {
+        return this->capacity;
     }
 
 private:
-    /** Fraction of the limit that is used; the rest is a margin, as the daemons' windows are not aligned with each other. */
-    static constexpr double usedFraction = 0.8;
-
-    RetryLimit limit;
-    SlidingWindow requests;
-    SlidingWindow retries;
+    double ratio;
+    double capacity = 0;
+    double level = 0;
 };
 
 }
--- a/src/process/edge_daemon.cpp
+++ b/src/process/edge_daemon.cpp
@@ -173,7 +173,7 @@
             this->metrics.setConnections(this->callers.connectionCount());
             this->metrics.setConfiguration(table ? table->version() : 0, this->proxy.configurationAge(readClock()));
             this->metrics.setBackendLimits(this->proxy.limitStats(readClock()));
-            this->metrics.setRetryBudgets(this->proxy.retryBudgetStats(readClock()));
+            this->metrics.setRetryBudgets(this->proxy.retryBudgetStats());
             this->metrics.setDroppedLogLines(droppedLogLines());
             answerText(session, statusOk, this->metrics.serialize());
         };
--- a/src/process/edge_settings.h
+++ b/src/process/edge_settings.h
@@ -16,8 +16,7 @@
     Duration keyRevocation {0}; ///< A key that was taken away may not be used any more after this.
     Duration stopGrace {0}; ///< From SIGTERM to SIGKILL.
     double retryRatio = 0; ///< Repeated sends per request, over all daemons.
-    double retryBurst = 0; ///< Repeated sends beyond that in one window.
-    Duration retryWindow {0};
+    double retryBurst = 0; ///< Repeated sends beyond that in any time window.
     double coldOvershoot = 1; ///< Factor on the rate that a cold backend server bears, over all daemons.
     double coldSlack = 0; ///< Requests beyond that in one second.
 
--- a/src/process/proxy/proxied_request.cpp
+++ b/src/process/proxy/proxied_request.cpp
@@ -441,7 +441,7 @@
 {
     if (!this->wasCounted) {
         this->wasCounted = true;
-        this->proxy.countRequest(this->service->name, now);
+        this->proxy.countRequest(this->service->name);
         if (this->isEngineService()) {
             this->proxy.shares().recordServed(this->workspaceHandle(), this->cost(), now);
             this->proxy.pacer().recordAdmitted(this->workspaceHandle(), this->cost(), now);
@@ -751,8 +751,8 @@
         return false;
     }
     // A failed connection attempt puts no load on a backend server, so it needs no retry budget.
-    const bool isWithheld = reason != RetryReason::ConnectFailed && !this->proxy.consumeRetryBudget(this->service->name, now);
-    const RetryBudgetStats budget = this->proxy.retryBudgetStats(this->service->name, now);
+    const bool isWithheld = reason != RetryReason::ConnectFailed && !this->proxy.consumeRetryBudget(this->service->name);
+    const RetryBudgetStats budget = this->proxy.retryBudgetStats(this->service->name);
     if (isWithheld) {
         this->proxy.metrics().countWithheldRetry(this->service->name, reason);
         logEvent("retry_withheld",
@@ -760,6 +760,7 @@
                   {"service", this->service->name},
                   {"reason", std::string(nameOf(reason))},
                   {"budget_left", std::to_string(budget.left)},
+                  {"budget_capacity", std::to_string(budget.capacity)},
                   {"daemons", std::to_string(budget.daemons)}});
         return false;
     }
@@ -772,6 +773,7 @@
               {"to", choice.backend->record.id},
               {"send", std::to_string(this->attempts + 1)},
               {"budget_left", std::to_string(budget.left)},
+              {"budget_capacity", std::to_string(budget.capacity)},
               {"daemons", std::to_string(budget.daemons)}});
     this->endAttempt(now, attemptVerdict != Verdict::NotRun);
     this->splitter.discardPartialEvent();
--- a/src/process/proxy/proxy.cpp
+++ b/src/process/proxy/proxy.cpp
@@ -44,6 +44,8 @@
 constexpr double usableCacheFraction = 0.8;
 /** Fraction of a backend server's maximum connections that all daemons together may open. */
 constexpr double connectionFraction = 0.9;
+/** Fraction of the fleet's burst of retries that daemons may save up; the rest is for retries that are still on the network. */
+constexpr double retryBurstFraction = 0.8;
 /** A stopping daemon may send requests until its grace period ends, and these requests still count for this long afterwards. */
 constexpr Duration drainMargin = 2s;
 /** Daemon lists are requested every 3 s and can be 4 s old, plus 1 s for the answer. */
@@ -350,36 +352,53 @@
     return choice;
 }
 
+double Proxy::retryCapacity() const
+{
+    return this->currentSettings.bounds.retryBurst * retryBurstFraction / this->activeDaemons.count();
+}
+
 dispatch::FleetRetryBudget &Proxy::retryBudgetOf(const std::string &service)
 {
-    const OperatorBounds &bounds = this->currentSettings.bounds;
-    const dispatch::RetryLimit limit {bounds.retryRatio, bounds.retryBurst, bounds.retryWindow};
-    return this->retryBudgets.try_emplace(service, limit).first->second;
+    const auto [entry, isNew] = this->retryBudgets.try_emplace(service, this->currentSettings.bounds.retryRatio);
+    if (isNew) {
+        entry->second.setCapacity(this->retryCapacity());
+    }
+    return entry->second;
 }
 
-bool Proxy::consumeRetryBudget(const std::string &service, Time now)
+void Proxy::updateRetryBudgets()
 {
-    return this->retryBudgetOf(service).spend(now, this->activeDaemons.count());
+    for (auto &[service, budget] : this->retryBudgets) {
+        budget.setCapacity(this->retryCapacity());
+    }
 }
 
-RetryBudgetStats Proxy::retryBudgetStats(const std::string &service, Time now)
+bool Proxy::consumeRetryBudget(const std::string &service)
 {
-    const std::uint32_t daemons = this->activeDaemons.count();
-    return {service, this->retryBudgetOf(service).left(now, daemons), daemons};
+    return this->retryBudgetOf(service).spend();
+}
+
+RetryBudgetStats Proxy::retryBudgetStats(const std::string &service) const
+{
+    const auto found = this->retryBudgets.find(service);
+    if (found == this->retryBudgets.end()) {
+        return {service, 0, 0, this->activeDaemons.count()};
+    }
+    return {service, found->second.left(), found->second.mostLeft(), this->activeDaemons.count()};
 }
 
-std::vector<RetryBudgetStats> Proxy::retryBudgetStats(Time now)
+std::vector<RetryBudgetStats> Proxy::retryBudgetStats() const
 {
     std::vector<RetryBudgetStats> stats;
     for (const auto &[service, budget] : this->retryBudgets) {
-        stats.push_back(this->retryBudgetStats(service, now));
+        stats.push_back(this->retryBudgetStats(service));
     }
     return stats;
 }
 
-void Proxy::countRequest(const std::string &service, Time now)
+void Proxy::countRequest(const std::string &service)
 {
-    this->retryBudgetOf(service).countRequest(now);
+    this->retryBudgetOf(service).countRequest();
 }
 
 void Proxy::recordServiceDemand(const std::string &service, Time now)
@@ -568,6 +587,7 @@
     this->updateShares(others, now);
     this->requestCosts.removeUnusedRoutes(now);
     this->updateLimits(others, now);
+    this->updateRetryBudgets();
     this->updateShedding(others, now);
     std::map<std::uint32_t, exchange::BackendLoad> loadsFromOthers;
     for (const exchange::BackendLoad &load : otherLoad.backends) {
--- a/src/process/proxy/proxy.h
+++ b/src/process/proxy/proxy.h
@@ -135,11 +135,11 @@
     /** @returns the usable backend server with the lowest predicted cost. */
     BackendChoice chooseBackend(const PlacementQuery &query, Time now);
     /** @brief Takes one retry from the service's retry budget. @returns false when the budget is used up. */
-    bool consumeRetryBudget(const std::string &service, Time now);
+    bool consumeRetryBudget(const std::string &service);
     /** @returns the state of a service's retry budget, for logs and metrics. */
-    RetryBudgetStats retryBudgetStats(const std::string &service, Time now);
+    RetryBudgetStats retryBudgetStats(const std::string &service) const;
     /** @returns the state of all retry budgets. */
-    std::vector<RetryBudgetStats> retryBudgetStats(Time now);
+    std::vector<RetryBudgetStats> retryBudgetStats() const;
     /** @brief Counts a request that is about to be placed; limits that backend servers announce are divided by this demand. */
     void recordServiceDemand(const std::string &service, Time now);
     /** @brief Records what an answer states about its backend server's rate limit. */
@@ -150,8 +150,8 @@
     std::vector<exchange::LimitStatement> limitStatements(Time now) const;
     /** @returns the limits in force, for metrics. */
     std::vector<BackendLimitStats> limitStats(Time now) const;
-    /** @brief Counts a first attempt, in proportion to which retries are allowed. */
-    void countRequest(const std::string &service, Time now);
+    /** @brief Counts a first attempt, which earns a part of a retry. */
+    void countRequest(const std::string &service);
     /** @returns this daemon's load, as reported to the other daemons. */
     exchange::LoadSummary ownLoad(Time now) const;
     /** @brief Updates shares, costs and load shedding. @param others Sum of the other daemons' loads; nullopt when unknown. */
@@ -234,6 +234,9 @@
     std::optional<Time> findEarliestOpening(const PlacementQuery &query, const std::vector<directory::BackendServerPtr> &backends,
                                             Time now) const;
     dispatch::FleetRetryBudget &retryBudgetOf(const std::string &service);
+    /** @returns how many retries to a service this daemon may save up. */
+    double retryCapacity() const;
+    void updateRetryBudgets();
     /** @returns prompt tokens per second that all usable engines can prefill. */
     double engineThroughput(Time now) const;
     void updateShares(const std::optional<exchange::LoadSummary> &others, Time now);
--- a/src/process/proxy/proxy_metrics.cpp
+++ b/src/process/proxy/proxy_metrics.cpp
@@ -215,6 +215,7 @@
 {
     for (const RetryBudgetStats &budget : budgets) {
         this->families->retryBudgets.Add({{"service", budget.service}, {"what", "left"}}).Set(budget.left);
+        this->families->retryBudgets.Add({{"service", budget.service}, {"what", "capacity"}}).Set(budget.capacity);
         this->families->retryBudgets.Add({{"service", budget.service}, {"what", "daemons"}}).Set(budget.daemons);
     }
 }
--- a/src/process/proxy/proxy_metrics.h
+++ b/src/process/proxy/proxy_metrics.h
@@ -28,7 +28,8 @@
 struct RetryBudgetStats {
     std::string service;
     double left = 0; ///< Retries that may be sent now.
-    std::uint32_t daemons = 0; ///< Daemons that the fleet's budget is divided among.
+    double capacity = 0; ///< Retries that may be saved up.
+    std::uint32_t daemons = 0; ///< Daemons that the fleet's burst of retries is divided among.
 
     bool operator==(const RetryBudgetStats &) const = default;
 };
--- a/tests/proxy/daemon_fixture.h
+++ b/tests/proxy/daemon_fixture.h
@@ -114,7 +114,7 @@
         this->settings.metricsAddress = "127.0.0.1:" + std::to_string(findFreePort());
         this->settings.loadPort = findFreePort();
         this->settings.storeAddress = this->store.address();
-        this->settings.bounds = {keyRevocation, 8s, 0.2, 50, 10s, 1.5, 5};
+        this->settings.bounds = {keyRevocation, 8s, 0.2, 50, 1.5, 5};
     }
 
     ~DaemonFixture()
