A reload of the settings keeps what requests have earned for retries

After a reload, a daemon sent no retries until new requests had earned some: setSettings cleared all retry budgets, whatever had changed. A new ratio now counts from the next request on, and a smaller burst cuts what has been saved.

What else setSettings touches: nothing is forgotten; the timings of the daemon list and the cached localities keep their old values.

--- a/src/process/proxy/proxy.cpp
+++ b/src/process/proxy/proxy.cpp
@@ -181,7 +181,10 @@
 void Proxy::setSettings(const EdgeSettings &newSettings)
 {
     this->currentSettings = newSettings;
-    this->retryBudgets.clear();
+    for (auto &[service, budget] : this->retryBudgets) {
+        budget.setRatio(newSettings.bounds.retryRatio);
+    }
+    this->updateRetryBudgets();
 }
 
 void Proxy::recordTimerLag(Duration lag, Time now)
--- a/src/process/proxy/proxy.h
+++ b/src/process/proxy/proxy.h
@@ -92,7 +92,7 @@
     {
         return this->activeDaemons;
     }
-    /** @brief Applies new settings after a change of the settings file; retry budgets start anew. */
+    /** @brief Applies new settings after a change of the settings file; what retry budgets hold is kept within their new limits. */
     void setSettings(const EdgeSettings &newSettings);
     /** @brief Records by how much the daemon's timers ran late; requests wait for as long before they are read. */
     void recordTimerLag(Duration lag, Time now);
--- a/tests/proxy/test_retry_budget.cpp
+++ b/tests/proxy/test_retry_budget.cpp
@@ -38,8 +38,6 @@
     Kills,
     PlannedRestarts,
     Reloads,
-    NoLists,
-    PartialLists,
     Replacements
 };
 
@@ -50,11 +48,27 @@
     Trouble trouble = Trouble::None;
 };
 
+EdgeSettings settingsOf(const std::string &name, double burst)
+{
+    EdgeSettings settings;
+    settings.name = name;
+    settings.dataCentre = "a";
+    settings.bounds.stopGrace = 8s;
+    settings.bounds.retryRatio = ratio;
+    settings.bounds.retryBurst = burst;
+    return settings;
+}
+
 /** One process; its knowledge ends with it. */
 struct Process {
+    explicit Process(const EdgeSettings &settings)
+        : proxy(this->context, settings, std::make_shared<const platform::Dialect>(), this->metrics)
+    {
+    }
+
     boost::asio::io_context context;
     proxy::ProxyMetrics metrics;
-    std::unique_ptr<proxy::Proxy> proxy;
+    proxy::Proxy proxy;
     Time nextList {0};
     std::optional<Time> endsAt;
 };
@@ -113,24 +127,11 @@
     }
 
 private:
-    static EdgeSettings settingsOf(const std::string &name, const FleetOptions &fleet)
-    {
-        EdgeSettings settings;
-        settings.name = name;
-        settings.dataCentre = "a";
-        settings.bounds.stopGrace = 8s;
-        settings.bounds.retryRatio = ratio;
-        settings.bounds.retryBurst = fleet.burst;
-        return settings;
-    }
-
     void start(std::size_t index, Time now)
     {
-        auto process = std::make_unique<Process>();
-        const auto &name = this->slots[index].first;
-        process->proxy = std::make_unique<proxy::Proxy>(process->context, settingsOf(name, this->options),
-                                                        std::make_shared<const platform::Dialect>(), process->metrics);
-        process->proxy->daemons().recordOwnEntry(now);
+        const std::string &name = this->slots[index].first;
+        auto process = std::make_unique<Process>(settingsOf(name, this->options.burst));
+        process->proxy.daemons().recordOwnEntry(now);
         process->nextList = now + 30ms;
         this->slots[index].second = std::move(process);
         this->entries.push_back(handleOf<DaemonHandle>(name));
@@ -156,12 +157,12 @@
             }
             if (now >= process->nextList) {
                 process->nextList = now + listPeriod;
-                process->proxy->daemons().recordDaemonList(this->history[this->random() % this->history.size()].second, now);
+                process->proxy.daemons().recordDaemonList(this->history[this->random() % this->history.size()].second, now);
             }
             const bool isHeard = this->options.trouble == Trouble::None && running > 1;
             exchange::LoadSummary others;
             others.daemons = running - 1;
-            process->proxy->updateLoadFromOthers(isHeard ? std::optional(others) : std::nullopt, now);
+            process->proxy.updateLoadFromOthers(isHeard ? std::optional(others) : std::nullopt, now);
         }
     }
 
@@ -196,14 +197,14 @@
             if (!process->endsAt) {
                 const auto handle = handleOf<DaemonHandle>(this->slots[index].first);
                 this->entries.erase(std::remove(this->entries.begin(), this->entries.end(), handle), this->entries.end());
-                process->proxy->setStopping(now);
+                process->proxy.setStopping(now);
                 process->endsAt = now + std::chrono::milliseconds(500 + this->random() % 7500);
             }
             break;
         case Trouble::Reloads: {
-            EdgeSettings settings = settingsOf(this->slots[index].first, this->options);
+            EdgeSettings settings = settingsOf(this->slots[index].first, this->options.burst);
             settings.maxDescriptors += static_cast<std::uint32_t>(now.count() % 1000);
-            process->proxy->setSettings(settings);
+            process->proxy.setSettings(settings);
             break;
         }
         case Trouble::None:
@@ -218,8 +219,8 @@
             return;
         }
         this->requestedAt.push_back(now);
-        process->proxy->countRequest(service);
-        while (fails && process->proxy->consumeRetryBudget(service)) {
+        process->proxy.countRequest(service);
+        while (fails && process->proxy.consumeRetryBudget(service)) {
             this->retriedAt.push_back(now);
         }
     }
@@ -263,6 +264,24 @@
     CHECK(largestExcess({6, 52, 120, Trouble::Reloads}) <= 0);
 }
 
+TEST_CASE("a reload of the settings forgets the retries that requests have earned")
+{
+    constexpr double burst = 50;
+    Process process(settingsOf("d-1", burst));
+    for (int request = 0; request < 40; ++request) {
+        process.proxy.countRequest(service);
+    }
+    const double earned = process.proxy.retryBudgetStats(service).left;
+    REQUIRE(earned > 5);
+    EdgeSettings settings = settingsOf("d-1", burst);
+    settings.maxDescriptors += 1;
+    process.proxy.setSettings(settings);
+    CHECK(process.proxy.retryBudgetStats(service).left == earned);
+    settings.bounds.retryBurst = 2;
+    process.proxy.setSettings(settings);
+    CHECK(process.proxy.retryBudgetStats(service).left < 2);
+}
+
 TEST_CASE("more daemons than the budget's fixed part send retries beyond the fleet's budget")
 {
     CHECK(largestExcess({69, 178, 600, Trouble::Kills}) <= 0);
