A daemon that others don't count yet saves up one retry, and none before it knows any daemon

Class: a limit that is divided among too few when the others are not known.

ActiveDaemons::part is nothing before the first list, one until the others have seen this daemon's entry or when the newest list lacks it, and a whole number by rendezvous hashing where the limit is below one for each daemon. A fifth of the burst is left for daemons that aren't counted yet.

A list that names a third of the daemons holds as long as their load is heard; without both, daemons that it names still take three times their part.

--- a/src/process/dispatch/active_daemons.cpp
+++ b/src/process/dispatch/active_daemons.cpp
@@ -29,6 +29,7 @@
     }
     this->changes += current == this->active ? 0 : 1;
     this->active = std::move(current);
+    this->hasList = true;
     this->isListed = std::find(listed.begin(), listed.end(), this->self) != listed.end();
 }
 
@@ -77,4 +78,16 @@
     return coldQuota(limit, this->self, this->active, seed);
 }
 
+double ActiveDaemons::part(double limit, std::uint32_t seed, Time now) const
+{
+    if (!this->hasList) {
+        return 0;
+    }
+    const double equalPart = limit / this->count();
+    if (equalPart < 1.0) {
+        return this->quota(static_cast<std::uint32_t>(limit), seed, now);
+    }
+    return this->isKnownToOthers(now) && this->isListed ? equalPart : 1.0;
+}
+
 }
--- a/src/process/dispatch/active_daemons.h
+++ b/src/process/dispatch/active_daemons.h
@@ -63,6 +63,16 @@
      * @param seed Selects the daemons that get the remainder of the division; differs for each limited resource.
      */
     std::uint32_t quota(std::uint32_t limit, std::uint32_t seed, Time now) const;
+    /**
+     * @brief Computes this daemon's part of a limit that needn't be divided in whole numbers.
+     *
+     * It is zero before the first list, and at most one until all other daemons
+     * have seen this daemon's entry. Where the limit is below one for each daemon,
+     * whole parts are assigned as by quota(), since a fraction of a request can't be sent.
+     *
+     * @param seed As for quota().
+     */
+    double part(double limit, std::uint32_t seed, Time now) const;
 
 private:
     DaemonHandle self;
@@ -71,6 +81,7 @@
     std::vector<DaemonHandle> active;
     std::uint64_t changes = 0;
     std::optional<Time> ownEntrySince;
+    bool hasList = false;
     bool isListed = false; ///< In the newest list.
     std::uint32_t reportingDaemons = 0; ///< Maximum within the retention time, this daemon included.
     Time reportingDaemonsAt {0};
--- a/src/process/edge_daemon.cpp
+++ b/src/process/edge_daemon.cpp
@@ -283,7 +283,7 @@
                 return;
             }
             this->settings = read;
-            this->proxy.setSettings(read);
+            this->proxy.setSettings(read, readClock());
             logEvent("settings_reloaded", {{"data_centre", read.dataCentre}});
         } catch (const std::exception &error) {
             logWarning("settings_not_reloaded", {{"cause", error.what()}});
--- a/src/process/proxy/proxied_request.cpp
+++ b/src/process/proxy/proxied_request.cpp
@@ -441,7 +441,7 @@
 {
     if (!this->wasCounted) {
         this->wasCounted = true;
-        this->proxy.countRequest(this->service->name);
+        this->proxy.countRequest(this->service->name, now);
         if (this->isEngineService()) {
             this->proxy.shares().recordServed(this->workspaceHandle(), this->cost(), now);
             this->proxy.pacer().recordAdmitted(this->workspaceHandle(), this->cost(), now);
@@ -751,7 +751,7 @@
         return false;
     }
     // A failed connection attempt puts no load on a backend server, so it needs no retry budget.
-    const bool isWithheld = reason != RetryReason::ConnectFailed && !this->proxy.consumeRetryBudget(this->service->name);
+    const bool isWithheld = reason != RetryReason::ConnectFailed && !this->proxy.consumeRetryBudget(this->service->name, now);
     const RetryBudgetStats budget = this->proxy.retryBudgetStats(this->service->name);
     if (isWithheld) {
         this->proxy.metrics().countWithheldRetry(this->service->name, reason);
--- a/src/process/proxy/proxy.cpp
+++ b/src/process/proxy/proxy.cpp
@@ -44,7 +44,8 @@
 constexpr double usableCacheFraction = 0.8;
 /** Fraction of a backend server's maximum connections that all daemons together may open. */
 constexpr double connectionFraction = 0.9;
-/** Fraction of the fleet's burst of retries that daemons may save up; the rest is for retries that are still on the network. */
+/** Fraction of the fleet's burst of retries that daemons may save up; the rest is for daemons that the others don't count yet, and for
+ * retries that are still on the network. */
 constexpr double retryBurstFraction = 0.8;
 /** A stopping daemon may send requests until its grace period ends, and these requests still count for this long afterwards. */
 constexpr Duration drainMargin = 2s;
@@ -178,13 +179,13 @@
     return std::max(this->currentSettings.bounds.keyRevocation - keyExpiryMargin, minKeyLifetime);
 }
 
-void Proxy::setSettings(const EdgeSettings &newSettings)
+void Proxy::setSettings(const EdgeSettings &newSettings, Time now)
 {
     this->currentSettings = newSettings;
     for (auto &[service, budget] : this->retryBudgets) {
         budget.setRatio(newSettings.bounds.retryRatio);
     }
-    this->updateRetryBudgets();
+    this->updateRetryBudgets(now);
 }
 
 void Proxy::recordTimerLag(Duration lag, Time now)
@@ -355,30 +356,30 @@
     return choice;
 }
 
-double Proxy::retryCapacity() const
+double Proxy::retryCapacity(const std::string &service, Time now) const
 {
-    return this->currentSettings.bounds.retryBurst * retryBurstFraction / this->activeDaemons.count();
+    return this->activeDaemons.part(this->currentSettings.bounds.retryBurst * retryBurstFraction, hashName(service), now);
 }
 
-dispatch::FleetRetryBudget &Proxy::retryBudgetOf(const std::string &service)
+dispatch::FleetRetryBudget &Proxy::retryBudgetOf(const std::string &service, Time now)
 {
     const auto [entry, isNew] = this->retryBudgets.try_emplace(service, this->currentSettings.bounds.retryRatio);
     if (isNew) {
-        entry->second.setCapacity(this->retryCapacity());
+        entry->second.setCapacity(this->retryCapacity(service, now));
     }
     return entry->second;
 }
 
-void Proxy::updateRetryBudgets()
+void Proxy::updateRetryBudgets(Time now)
 {
     for (auto &[service, budget] : this->retryBudgets) {
-        budget.setCapacity(this->retryCapacity());
+        budget.setCapacity(this->retryCapacity(service, now));
     }
 }
 
-bool Proxy::consumeRetryBudget(const std::string &service)
+bool Proxy::consumeRetryBudget(const std::string &service, Time now)
 {
-    return this->retryBudgetOf(service).spend();
+    return this->retryBudgetOf(service, now).spend();
 }
 
 RetryBudgetStats Proxy::retryBudgetStats(const std::string &service) const
@@ -399,9 +400,9 @@
     return stats;
 }
 
-void Proxy::countRequest(const std::string &service)
+void Proxy::countRequest(const std::string &service, Time now)
 {
-    this->retryBudgetOf(service).countRequest();
+    this->retryBudgetOf(service, now).countRequest();
 }
 
 void Proxy::recordServiceDemand(const std::string &service, Time now)
@@ -590,7 +591,7 @@
     this->updateShares(others, now);
     this->requestCosts.removeUnusedRoutes(now);
     this->updateLimits(others, now);
-    this->updateRetryBudgets();
+    this->updateRetryBudgets(now);
     this->updateShedding(others, now);
     std::map<std::uint32_t, exchange::BackendLoad> loadsFromOthers;
     for (const exchange::BackendLoad &load : otherLoad.backends) {
--- a/src/process/proxy/proxy.h
+++ b/src/process/proxy/proxy.h
@@ -93,7 +93,7 @@
         return this->activeDaemons;
     }
     /** @brief Applies new settings after a change of the settings file; what retry budgets hold is kept within their new limits. */
-    void setSettings(const EdgeSettings &newSettings);
+    void setSettings(const EdgeSettings &newSettings, Time now);
     /** @brief Records by how much the daemon's timers ran late; requests wait for as long before they are read. */
     void recordTimerLag(Duration lag, Time now);
     /** @returns the last recorded timer lag: how long callers' requests wait before they are read. */
@@ -135,7 +135,7 @@
     /** @returns the usable backend server with the lowest predicted cost. */
     BackendChoice chooseBackend(const PlacementQuery &query, Time now);
     /** @brief Takes one retry from the service's retry budget. @returns false when the budget is used up. */
-    bool consumeRetryBudget(const std::string &service);
+    bool consumeRetryBudget(const std::string &service, Time now);
     /** @returns the state of a service's retry budget, for logs and metrics. */
     RetryBudgetStats retryBudgetStats(const std::string &service) const;
     /** @returns the state of all retry budgets. */
@@ -151,7 +151,7 @@
     /** @returns the limits in force, for metrics. */
     std::vector<BackendLimitStats> limitStats(Time now) const;
     /** @brief Counts a first attempt, which earns a part of a retry. */
-    void countRequest(const std::string &service);
+    void countRequest(const std::string &service, Time now);
     /** @returns this daemon's load, as reported to the other daemons. */
     exchange::LoadSummary ownLoad(Time now) const;
     /** @brief Updates shares, costs and load shedding. @param others Sum of the other daemons' loads; nullopt when unknown. */
@@ -233,10 +233,10 @@
      */
     std::optional<Time> findEarliestOpening(const PlacementQuery &query, const std::vector<directory::BackendServerPtr> &backends,
                                             Time now) const;
-    dispatch::FleetRetryBudget &retryBudgetOf(const std::string &service);
+    dispatch::FleetRetryBudget &retryBudgetOf(const std::string &service, Time now);
     /** @returns how many retries to a service this daemon may save up. */
-    double retryCapacity() const;
-    void updateRetryBudgets();
+    double retryCapacity(const std::string &service, Time now) const;
+    void updateRetryBudgets(Time now);
     /** @returns prompt tokens per second that all usable engines can prefill. */
     double engineThroughput(Time now) const;
     void updateShares(const std::optional<exchange::LoadSummary> &others, Time now);
--- a/tests/proxy/test_daemon_roll.cpp
+++ b/tests/proxy/test_daemon_roll.cpp
@@ -192,3 +192,33 @@
     CHECK_FALSE(activeDaemons.isOwnEntryMissing(12s));
     CHECK(activeDaemons.quota(coldLimit, backend, 12s) == 0);
 }
+
+TEST_CASE("a daemon takes the whole of a limit before it knows any other daemon")
+{
+    const auto self = handleOf<DaemonHandle>("self");
+    const std::vector<DaemonHandle> both {self, handleOf<DaemonHandle>("other")};
+    dispatch::ActiveDaemons activeDaemons(self, listTimings);
+    activeDaemons.recordOwnEntry(0s);
+    CHECK(activeDaemons.part(40, backend, 20s) == 0);
+    activeDaemons.recordDaemonList(both, 1s);
+    CHECK(activeDaemons.part(40, backend, 2s) == 1);
+    CHECK(activeDaemons.part(40, backend, 20s) == 20);
+    activeDaemons.recordDaemonList(std::vector {both.back()}, 21s);
+    CHECK(activeDaemons.part(40, backend, 21s) == 1);
+}
+
+TEST_CASE("parts of a limit that is below one for each daemon are whole and add up to the limit")
+{
+    std::vector<DaemonHandle> daemons;
+    for (int index = 0; index < 50; ++index) {
+        daemons.push_back(handleOf<DaemonHandle>("daemon-" + std::to_string(index)));
+    }
+    double sum = 0;
+    for (const DaemonHandle daemon : daemons) {
+        dispatch::ActiveDaemons activeDaemons(daemon, listTimings);
+        activeDaemons.recordOwnEntry(0s);
+        activeDaemons.recordDaemonList(daemons, 20s);
+        sum += activeDaemons.part(20.5, backend, 20s);
+    }
+    CHECK(sum == 20);
+}
--- a/tests/proxy/test_retry_budget.cpp
+++ b/tests/proxy/test_retry_budget.cpp
@@ -38,7 +38,9 @@
     Kills,
     PlannedRestarts,
     Reloads,
-    Replacements
+    Replacements,
+    NoLists,
+    PartialLists,
 };
 
 struct FleetOptions {
@@ -155,11 +157,16 @@
                 this->slots[index].second.reset();
                 continue;
             }
-            if (now >= process->nextList) {
+            if (now >= process->nextList && this->options.trouble != Trouble::NoLists) {
                 process->nextList = now + listPeriod;
-                process->proxy.daemons().recordDaemonList(this->history[this->random() % this->history.size()].second, now);
+                auto listed = this->history[this->random() % this->history.size()].second;
+                if (this->options.trouble == Trouble::PartialLists) {
+                    // The same daemons each time, so that the others are forgotten.
+                    listed.resize(listed.size() / 3);
+                }
+                process->proxy.daemons().recordDaemonList(listed, now);
             }
-            const bool isHeard = this->options.trouble == Trouble::None && running > 1;
+            const bool isHeard = (this->options.trouble == Trouble::None || this->options.trouble == Trouble::PartialLists) && running > 1;
             exchange::LoadSummary others;
             others.daemons = running - 1;
             process->proxy.updateLoadFromOthers(isHeard ? std::optional(others) : std::nullopt, now);
@@ -204,9 +211,11 @@
         case Trouble::Reloads: {
             EdgeSettings settings = settingsOf(this->slots[index].first, this->options.burst);
             settings.maxDescriptors += static_cast<std::uint32_t>(now.count() % 1000);
-            process->proxy.setSettings(settings);
+            process->proxy.setSettings(settings, now);
             break;
         }
+        case Trouble::NoLists:
+        case Trouble::PartialLists:
         case Trouble::None:
             break;
         }
@@ -219,8 +228,8 @@
             return;
         }
         this->requestedAt.push_back(now);
-        process->proxy.countRequest(service);
-        while (fails && process->proxy.consumeRetryBudget(service)) {
+        process->proxy.countRequest(service, now);
+        while (fails && process->proxy.consumeRetryBudget(service, now)) {
             this->retriedAt.push_back(now);
         }
     }
@@ -264,21 +273,34 @@
     CHECK(largestExcess({6, 52, 120, Trouble::Reloads}) <= 0);
 }
 
+TEST_CASE("daemons without a list of daemons, or with a third of it, send retries beyond the fleet's budget")
+{
+    for (const double rate : {20.0, 120.0}) {
+        CHECK(largestExcess({6, 52, rate, Trouble::NoLists}) <= 0);
+        CHECK(largestExcess({6, 52, rate, Trouble::PartialLists}) <= 0);
+    }
+    CHECK(largestExcess({69, 178, 600, Trouble::NoLists}) <= 0);
+    CHECK(largestExcess({69, 178, 600, Trouble::PartialLists}) <= 0);
+}
+
 TEST_CASE("a reload of the settings forgets the retries that requests have earned")
 {
     constexpr double burst = 50;
+    constexpr Time now = 100s;
     Process process(settingsOf("d-1", burst));
+    process.proxy.daemons().recordOwnEntry(now - 20s);
+    process.proxy.daemons().recordDaemonList(std::vector {handleOf<DaemonHandle>("d-1")}, now);
     for (int request = 0; request < 40; ++request) {
-        process.proxy.countRequest(service);
+        process.proxy.countRequest(service, now);
     }
     const double earned = process.proxy.retryBudgetStats(service).left;
     REQUIRE(earned > 5);
     EdgeSettings settings = settingsOf("d-1", burst);
     settings.maxDescriptors += 1;
-    process.proxy.setSettings(settings);
+    process.proxy.setSettings(settings, now);
     CHECK(process.proxy.retryBudgetStats(service).left == earned);
     settings.bounds.retryBurst = 2;
-    process.proxy.setSettings(settings);
+    process.proxy.setSettings(settings, now);
     CHECK(process.proxy.retryBudgetStats(service).left < 2);
 }
 
