One token bucket for retries: request::RetryBudget

Both daemons had a bucket of their own for retries, with the same arithmetic. Their difference is now an argument: what a bucket holds at first.

The tests of the bucket moved with it to the unit tests, unchanged.

--- a/src/process/proxy/proxy.cpp
+++ b/src/process/proxy/proxy.cpp
@@ -361,13 +361,13 @@
     return this->activeDaemons.part(this->currentSettings.bounds.retryBurst * retryBurstFraction, hashName(service), now);
 }
 
-dispatch::FleetRetryBudget &Proxy::retryBudgetOf(const std::string &service, Time now)
+request::RetryBudget &Proxy::retryBudgetOf(const std::string &service, Time now)
 {
-    const auto [entry, isNew] = this->retryBudgets.try_emplace(service, this->currentSettings.bounds.retryRatio);
-    if (isNew) {
-        entry->second.setCapacity(this->retryCapacity(service, now));
+    if (const auto known = this->retryBudgets.find(service); known != this->retryBudgets.end()) {
+        return known->second;
     }
-    return entry->second;
+    const request::RetryBudget budget(this->currentSettings.bounds.retryRatio, this->retryCapacity(service, now));
+    return this->retryBudgets.emplace(service, budget).first->second;
 }
 
 void Proxy::updateRetryBudgets(Time now)
--- a/src/process/proxy/proxy.h
+++ b/src/process/proxy/proxy.h
@@ -6,7 +6,6 @@
 #include "process/directory/backend_directory.h"
 #include "process/dispatch/active_daemons.h"
 #include "process/dispatch/fair_share_tracker.h"
-#include "process/dispatch/fleet_retry_budget.h"
 #include "process/dispatch/load_shedder.h"
 #include "process/dispatch/part_quarantine.h"
 #include "process/dispatch/placement.h"
@@ -18,6 +17,7 @@
 #include "process/proxy/proxy_metrics.h"
 #include "process/proxy_dialect.h"
 #include "process/published.h"
+#include "request/retry_budget.h"
 
 #include <boost/asio/io_context.hpp>
 
@@ -233,7 +233,7 @@
      */
     std::optional<Time> findEarliestOpening(const PlacementQuery &query, const std::vector<directory::BackendServerPtr> &backends,
                                             Time now) const;
-    dispatch::FleetRetryBudget &retryBudgetOf(const std::string &service, Time now);
+    request::RetryBudget &retryBudgetOf(const std::string &service, Time now);
     /** @returns how many retries to a service this daemon may save up. */
     double retryCapacity(const std::string &service, Time now) const;
     void updateRetryBudgets(Time now);
@@ -262,7 +262,7 @@
     RequestTotals requestTotals;
     BackendConnectionPool backendPool;
     AnswerBufferBudget bufferBudget;
-    std::map<std::string, dispatch::FleetRetryBudget> retryBudgets;
+    std::map<std::string, request::RetryBudget> retryBudgets;
     std::map<std::string, dispatch::DecayingSum> serviceDemands; ///< Requests by service.
     dispatch::ActiveDaemons activeDaemons;
     Time configurationConfirmedAt = Time::min();
--- a/src/process/router.cpp
+++ b/src/process/router.cpp
@@ -54,7 +54,7 @@
     this->now = std::max(this->now, submittedAt);
     const std::uint64_t id = this->nextRequest++;
     ++this->counters.submitted;
-    this->retryBudget.earn();
+    this->retryBudget.countRequest();
     const PoolKey pool {info.service, this->localDataCentre};
     this->deadlines.emplace(info.deadline, id);
     this->requests[id] = {std::move(info), Phase::Pending, pool, {}, 0, submittedAt, Verdict::NotRun};
--- a/src/process/router.h
+++ b/src/process/router.h
@@ -214,7 +214,7 @@
     std::map<DaemonHandle, connection::wire::FrameT> frames;
     std::vector<StartAttempt> starts;
     std::vector<RefuseRequest> refusals;
-    request::RetryBudget retryBudget;
+    request::RetryBudget retryBudget {config::retryBudgetRatio, config::retryBudgetBurst, config::retryBudgetBurst};
     RouterStats counters;
 };
 
--- a/tests/proxy/test_dispatch.cpp
+++ b/tests/proxy/test_dispatch.cpp
@@ -2,11 +2,11 @@
 
 #include "process/dispatch/cold_quota.h"
 #include "process/dispatch/fair_share_tracker.h"
-#include "process/dispatch/fleet_retry_budget.h"
 #include "process/dispatch/placement.h"
 #include "process/dispatch/prefix_cache_model.h"
 #include "process/proxy/admission.h"
 #include "process/rendezvous.h"
+#include "request/retry_budget.h"
 
 #include <doctest/doctest.h>
 
@@ -64,8 +64,7 @@
     constexpr std::size_t daemonCount = 6;
     constexpr double ratio = 0.2;
     constexpr double burst = 52;
-    dispatch::FleetRetryBudget allowance(ratio);
-    allowance.setCapacity(burst / daemonCount);
+    request::RetryBudget allowance(ratio, burst / daemonCount);
     int requests = 0;
     int retries = 0;
     for (Time now = start; now < start + 10s; now += 100ms) {
@@ -79,26 +78,6 @@
     CHECK(retries * daemonCount <= ratio * requests * daemonCount + burst);
 }
 
-TEST_CASE("a retry budget that has just been created holds no retries")
-{
-    dispatch::FleetRetryBudget budget(0.2);
-    budget.setCapacity(10);
-    CHECK_FALSE(budget.spend());
-}
-
-TEST_CASE("a retry budget whose capacity falls keeps no more than that")
-{
-    dispatch::FleetRetryBudget budget(1.0);
-    budget.setCapacity(10);
-    for (int request = 0; request < 20; ++request) {
-        budget.countRequest();
-    }
-    CHECK(budget.left() == 10);
-    budget.setCapacity(2);
-    budget.setCapacity(10);
-    CHECK(budget.left() == 2);
-}
-
 TEST_CASE("a prompt part counts as cached only while all parts before it are cached")
 {
     dispatch::PrefixCacheModel cache(20000);
--- a/tests/unit/test_core_parts.cpp
+++ b/tests/unit/test_core_parts.cpp
@@ -131,15 +131,33 @@
 
 TEST_CASE("retries are limited to a fraction of the requests")
 {
-    request::RetryBudget budget;
+    request::RetryBudget budget(config::retryBudgetRatio, config::retryBudgetBurst, config::retryBudgetBurst);
     int spent = 0;
     for (int request = 0; request < 1000; ++request) {
-        budget.earn();
+        budget.countRequest();
         spent += budget.spend() ? 1 : 0;
     }
     CHECK(spent <= 1000 * config::retryBudgetRatio + config::retryBudgetBurst + 1);
 }
 
+TEST_CASE("a retry budget that has just been created holds no retries")
+{
+    request::RetryBudget budget(0.2, 10);
+    CHECK_FALSE(budget.spend());
+}
+
+TEST_CASE("a retry budget whose capacity falls keeps no more than that")
+{
+    request::RetryBudget budget(1.0, 10);
+    for (int request = 0; request < 20; ++request) {
+        budget.countRequest();
+    }
+    CHECK(budget.left() == 10);
+    budget.setCapacity(2);
+    budget.setCapacity(10);
+    CHECK(budget.left() == 2);
+}
+
 TEST_CASE("a silent member is counted until the platform removes it, or a majority may use its slots")
 {
     const DaemonIdentity self {"a", "127.0.0.1", 1, DataCentreHandle {9}, 1};
