Before its first list of daemons, a daemon holds no part of any shared limit

A daemon whose own entry had been accepted, but that had not read the list of daemons yet, counted itself alone: it could use the whole cold limit of a backend server, nine tenths of its connections, and the whole of an announced limit.

Now only a daemon that has read a list counts as known to the others, and its connections to a backend server are one until then. The test was red without the change (the whole of 40 instead of nothing).

--- a/src/process/dispatch/active_daemons.cpp
+++ b/src/process/dispatch/active_daemons.cpp
@@ -58,7 +58,7 @@
 
 bool ActiveDaemons::isKnownToOthers(Time now) const
 {
-    return this->ownEntrySince && now - *this->ownEntrySince >= this->timings.propagationDelay;
+    return this->hasList && this->ownEntrySince && now - *this->ownEntrySince >= this->timings.propagationDelay;
 }
 
 bool ActiveDaemons::isOwnEntryMissing(Time now) const
@@ -83,11 +83,16 @@
     if (!this->hasList) {
         return 0;
     }
-    const double equalPart = limit / this->count();
-    if (equalPart < 1.0) {
+    const double equal = this->equalPart(limit);
+    if (equal < 1.0) {
         return this->quota(static_cast<std::uint32_t>(limit), seed, now);
     }
-    return this->isKnownToOthers(now) && this->isListed ? equalPart : 1.0;
+    return this->isKnownToOthers(now) && this->isListed ? equal : 1.0;
+}
+
+double ActiveDaemons::equalPart(double limit) const
+{
+    return this->hasList ? limit / this->count() : 0;
 }
 
 }
--- a/src/process/dispatch/active_daemons.h
+++ b/src/process/dispatch/active_daemons.h
@@ -54,7 +54,7 @@
     double reportingFraction(std::uint32_t reporting) const;
     /** @returns how many daemons may be sending requests; can exceed the handles, which are known only from lists. */
     std::uint32_t count() const;
-    /** @returns whether all other daemons have seen this daemon's entry. */
+    /** @returns whether all other daemons have seen this daemon's entry, and this daemon has seen a list of them. */
     bool isKnownToOthers(Time now) const;
     /** @returns whether the newest list lacks this daemon's entry although it has propagated: a late removal has deleted it. */
     bool isOwnEntryMissing(Time now) const;
@@ -63,6 +63,8 @@
      * @param seed Selects the daemons that get the remainder of the division; differs for each limited resource.
      */
     std::uint32_t quota(std::uint32_t limit, std::uint32_t seed, Time now) const;
+    /** @returns the same part of a limit for each daemon; zero before the first list. */
+    double equalPart(double limit) const;
     /**
      * @brief Computes this daemon's part of a limit that needn't be divided in whole numbers.
      *
--- a/src/process/proxy/proxy.cpp
+++ b/src/process/proxy/proxy.cpp
@@ -272,8 +272,7 @@
         return false;
     }
     if (query.service->maxConnections > 0 && backend.idleConnections.empty()) {
-        const double connectionLimit
-            = connectionFraction * query.service->maxConnections / static_cast<double>(this->activeDaemons.count());
+        const double connectionLimit = this->activeDaemons.equalPart(connectionFraction * query.service->maxConnections);
         if (static_cast<double>(backend.openConnections) >= std::max(1.0, std::floor(connectionLimit))) {
             return false;
         }
--- a/tests/proxy/test_daemon_roll.cpp
+++ b/tests/proxy/test_daemon_roll.cpp
@@ -200,8 +200,12 @@
     dispatch::ActiveDaemons activeDaemons(self, listTimings);
     activeDaemons.recordOwnEntry(0s);
     CHECK(activeDaemons.part(40, backend, 20s) == 0);
+    CHECK(activeDaemons.equalPart(40) == 0);
+    CHECK(activeDaemons.quota(40, backend, 20s) == 0);
+    CHECK_FALSE(activeDaemons.isKnownToOthers(20s));
     activeDaemons.recordDaemonList(both, 1s);
     CHECK(activeDaemons.part(40, backend, 2s) == 1);
+    CHECK(activeDaemons.equalPart(40) == 20);
     CHECK(activeDaemons.part(40, backend, 20s) == 20);
     activeDaemons.recordDaemonList(std::vector {both.back()}, 21s);
     CHECK(activeDaemons.part(40, backend, 21s) == 1);
