Connections that are reset at the same moment are one failure of their backend server

Cause: at 4.7 s nearly all connections were reset. edge-sound-north-a-3 had 75 attempts in progress; each counted as another failure in a row, so that with two of them a backend server was asked by one probe only, after half a second or, with five, two. All 18 were: 1,269 requests of that daemon were refused with "none of 18 backend servers is usable", those of no other daemon. Ruled out: the evidence against prompt parts. One part was quarantined, by all daemons, and it is the deadly one; 63 requests were refused for it.

Attempts that were in progress at the last counted failure say nothing new; only an attempt that began later counts as the next failure in a row. A backend server that is really gone is found by the next attempt.

--- a/src/process/directory/backend_server.cpp
+++ b/src/process/directory/backend_server.cpp
@@ -87,10 +87,14 @@
     this->failureRate.add(0.0, now);
 }
 
-void BackendServer::recordFailure(Time now)
+void BackendServer::recordFailure(Time sentAt, Time now)
 {
-    ++this->consecutiveFailures;
     this->failureRate.add(1.0, now);
+    if (sentAt < this->lastCountedFailureAt) {
+        return;
+    }
+    this->lastCountedFailureAt = now;
+    ++this->consecutiveFailures;
     if (this->consecutiveFailures >= failuresBeforeProbing) {
         const std::uint32_t doublings = std::min<std::uint32_t>(this->consecutiveFailures - failuresBeforeProbing, 4);
         this->nextProbeAt = now + std::min(minProbeInterval * (1 << doublings), maxProbeInterval);
--- a/src/process/directory/backend_server.h
+++ b/src/process/directory/backend_server.h
@@ -97,8 +97,12 @@
      * @param coldPeriod How long it is treated as cold if it has failed repeatedly before, since it may have restarted.
      */
     void recordSuccess(Time now, Duration coldPeriod);
-    /** @brief Records a failed connection, a missing answer or an aborted answer. */
-    void recordFailure(Time now);
+    /**
+     * @brief Records a failed connection, a missing answer or an aborted answer.
+     * @param sentAt When the attempt began. Attempts that were in progress at an earlier failure may have failed from the same
+     * cause, so that only later ones count as another failure in a row.
+     */
+    void recordFailure(Time sentAt, Time now);
     /** @brief Records an answer with an internal error: it counts in the failure rate, but proves that it can be reached. */
     void recordErrorAnswer(Time now);
     /** @brief Records that a request is being sent. */
@@ -141,6 +145,7 @@
 
 private:
     std::uint32_t consecutiveFailures = 0;
+    Time lastCountedFailureAt = Time::min();
     Time nextProbeAt {0}; ///< Earliest time of the next probe request.
     Time backoffEnd {0};
     bool isAwaitingAcceptance = false; ///< It has refused requests and has not accepted one since.
--- a/src/process/proxy/proxied_request.cpp
+++ b/src/process/proxy/proxied_request.cpp
@@ -708,7 +708,7 @@
         ++this->possibleExecutions;
         this->verdict = std::max(this->verdict, Verdict::MayHaveRun);
     }
-    this->currentAttempt->backend->recordFailure(now);
+    this->currentAttempt->backend->recordFailure(this->currentAttempt->startedAt, now);
     logEvent("send_failed",
              {{"request", this->attributes.id},
               {"backend", this->currentAttempt->backend->record.id},
@@ -796,13 +796,14 @@
 {
     const Time now = readClock();
     const directory::BackendServerPtr backend = this->currentAttempt->backend;
+    const Time sentAt = this->currentAttempt->startedAt;
     if (this->possibleExecutions + 1 >= this->route->maxAttempts) {
         return;
     }
     if (this->retry(RetryReason::TimedOut, Verdict::MayHaveRun, now)) {
         ++this->possibleExecutions;
         this->verdict = std::max(this->verdict, Verdict::MayHaveRun);
-        backend->recordFailure(now);
+        backend->recordFailure(sentAt, now);
     }
 }
 
@@ -814,7 +815,7 @@
         return;
     }
     if (!this->currentAttempt->hasHeader && this->currentAttempt->backend->isUnresponsive(now)) {
-        this->currentAttempt->backend->recordFailure(now);
+        this->currentAttempt->backend->recordFailure(this->currentAttempt->startedAt, now);
     }
     this->giveUpAttempt(RefusalReason::DeadlineExpired, "time limit reached", now);
 }
@@ -826,7 +827,7 @@
     }
     const Time now = readClock();
     if (this->currentAttempt && !this->currentAttempt->hasHeader && this->currentAttempt->backend->isUnresponsive(now)) {
-        this->currentAttempt->backend->recordFailure(now);
+        this->currentAttempt->backend->recordFailure(this->currentAttempt->startedAt, now);
     }
     this->endAttempt(now, true);
     this->finish("caller_left", 0);
--- a/tests/proxy/test_directory.cpp
+++ b/tests/proxy/test_directory.cpp
@@ -151,9 +151,9 @@
 {
     BackendServer backend(makeRecord("i-1"), 0);
     CHECK(backend.isRequestAllowed(start));
-    backend.recordFailure(start);
+    backend.recordFailure(start, start);
     CHECK(backend.isRequestAllowed(start));
-    backend.recordFailure(start);
+    backend.recordFailure(start, start);
     CHECK_FALSE(backend.isRequestAllowed(start + 100ms));
     CHECK(backend.isRequestAllowed(start + 600ms));
     backend.recordAttempt(start + 600ms);
@@ -163,6 +163,18 @@
     CHECK(backend.isCold(start + 3s));
 }
 
+TEST_CASE("a backend server whose connections were reset at the same moment gets no more requests")
+{
+    BackendServer backend(makeRecord("i-1"), 0);
+    for (int connection = 0; connection < 20; ++connection) {
+        backend.recordFailure(start + connection * 1ms, start + 100ms + connection * 2ms);
+    }
+    CHECK(backend.isRequestAllowed(start + 200ms));
+    // The next attempt tells whether it still works.
+    backend.recordFailure(start + 200ms, start + 210ms);
+    CHECK_FALSE(backend.isRequestAllowed(start + 220ms));
+}
+
 TEST_CASE("an unresponsive backend server gets no more requests, and one that answers other requests is not unresponsive")
 {
     BackendServer backend(makeRecord("i-1"), 0);
