--- a/tests/proxy/test_daemon_roll.cpp
+++ b/tests/proxy/test_daemon_roll.cpp
@@ -213,9 +213,9 @@
 
 TEST_CASE("parts of a limit that is below one for each daemon are whole and add up to the limit")
 {
-    std::vector<DaemonHandle> daemons;
-    for (int index = 0; index < 50; ++index) {
-        daemons.push_back(handleOf<DaemonHandle>("daemon-" + std::to_string(index)));
+    std::vector<DaemonHandle> daemons(50);
+    for (std::size_t index = 0; index < daemons.size(); ++index) {
+        daemons[index] = handleOf<DaemonHandle>("daemon-" + std::to_string(index));
     }
     double sum = 0;
     for (const DaemonHandle daemon : daemons) {
--- a/tests/proxy/test_retry_budget.cpp
+++ b/tests/proxy/test_retry_budget.cpp
@@ -34,20 +34,20 @@
 
 /** What happens to daemons besides the failing requests. */
 enum class Trouble {
-    None,
-    Kills,
-    PlannedRestarts,
-    Reloads,
-    Replacements,
-    NoLists,
-    PartialLists,
+    none,
+    kills,
+    plannedRestarts,
+    reloads,
+    replacements,
+    noLists,
+    partialLists,
 };
 
 struct FleetOptions {
     std::size_t daemons = 6;
     double burst = 52;
     double requestsPerSecond = 60; ///< At all daemons together; half of them arrive at the first one.
-    Trouble trouble = Trouble::None;
+    Trouble trouble = Trouble::none;
 };
 
 EdgeSettings settingsOf(const std::string &name, double burst)
@@ -157,16 +157,16 @@
                 this->slots[index].second.reset();
                 continue;
             }
-            if (now >= process->nextList && this->options.trouble != Trouble::NoLists) {
+            if (now >= process->nextList && this->options.trouble != Trouble::noLists) {
                 process->nextList = now + listPeriod;
                 auto listed = this->history[this->random() % this->history.size()].second;
-                if (this->options.trouble == Trouble::PartialLists) {
+                if (this->options.trouble == Trouble::partialLists) {
                     // The same daemons each time, so that the others are forgotten.
                     listed.resize(listed.size() / 3);
                 }
                 process->proxy.daemons().recordDaemonList(listed, now);
             }
-            const bool isHeard = (this->options.trouble == Trouble::None || this->options.trouble == Trouble::PartialLists) && running > 1;
+            const bool isHeard = (this->options.trouble == Trouble::none || this->options.trouble == Trouble::partialLists) && running > 1;
             exchange::LoadSummary others;
             others.daemons = running - 1;
             process->proxy.updateLoadFromOthers(isHeard ? std::optional(others) : std::nullopt, now);
@@ -189,18 +189,18 @@
             return;
         }
         switch (this->options.trouble) {
-        case Trouble::Kills:
+        case Trouble::kills:
             for (std::size_t other = 0; other < this->slots.size(); ++other) {
                 if (this->random() % 3 != 0) {
                     this->kill(other);
                 }
             }
             break;
-        case Trouble::Replacements:
+        case Trouble::replacements:
             this->kill(index);
             this->slots[index].first += 'x';
             break;
-        case Trouble::PlannedRestarts:
+        case Trouble::plannedRestarts:
             if (!process->endsAt) {
                 const auto handle = handleOf<DaemonHandle>(this->slots[index].first);
                 this->entries.erase(std::remove(this->entries.begin(), this->entries.end(), handle), this->entries.end());
@@ -208,15 +208,15 @@
                 process->endsAt = now + std::chrono::milliseconds(500 + this->random() % 7500);
             }
             break;
-        case Trouble::Reloads: {
+        case Trouble::reloads: {
             EdgeSettings settings = settingsOf(this->slots[index].first, this->options.burst);
             settings.maxDescriptors += static_cast<std::uint32_t>(now.count() % 1000);
             process->proxy.setSettings(settings, now);
             break;
         }
-        case Trouble::NoLists:
-        case Trouble::PartialLists:
-        case Trouble::None:
+        case Trouble::noLists:
+        case Trouble::partialLists:
+        case Trouble::none:
             break;
         }
     }
@@ -261,26 +261,26 @@
 TEST_CASE("daemons that are killed or restarted send retries beyond the fleet's budget")
 {
     for (const double rate : {20.0, 120.0}) {
-        CHECK(largestExcess({6, 52, rate, Trouble::Kills}) <= 0);
-        CHECK(largestExcess({6, 52, rate, Trouble::PlannedRestarts}) <= 0);
-        CHECK(largestExcess({6, 52, rate, Trouble::Replacements}) <= 0);
+        CHECK(largestExcess({6, 52, rate, Trouble::kills}) <= 0);
+        CHECK(largestExcess({6, 52, rate, Trouble::plannedRestarts}) <= 0);
+        CHECK(largestExcess({6, 52, rate, Trouble::replacements}) <= 0);
     }
 }
 
 TEST_CASE("daemons that reload their settings send retries beyond the fleet's budget")
 {
-    CHECK(largestExcess({6, 52, 20, Trouble::Reloads}) <= 0);
-    CHECK(largestExcess({6, 52, 120, Trouble::Reloads}) <= 0);
+    CHECK(largestExcess({6, 52, 20, Trouble::reloads}) <= 0);
+    CHECK(largestExcess({6, 52, 120, Trouble::reloads}) <= 0);
 }
 
 TEST_CASE("daemons without a list of daemons, or with a third of it, send retries beyond the fleet's budget")
 {
     for (const double rate : {20.0, 120.0}) {
-        CHECK(largestExcess({6, 52, rate, Trouble::NoLists}) <= 0);
-        CHECK(largestExcess({6, 52, rate, Trouble::PartialLists}) <= 0);
+        CHECK(largestExcess({6, 52, rate, Trouble::noLists}) <= 0);
+        CHECK(largestExcess({6, 52, rate, Trouble::partialLists}) <= 0);
     }
-    CHECK(largestExcess({69, 178, 600, Trouble::NoLists}) <= 0);
-    CHECK(largestExcess({69, 178, 600, Trouble::PartialLists}) <= 0);
+    CHECK(largestExcess({69, 178, 600, Trouble::noLists}) <= 0);
+    CHECK(largestExcess({69, 178, 600, Trouble::partialLists}) <= 0);
 }
 
 TEST_CASE("a reload of the settings forgets the retries that requests have earned")
@@ -306,9 +306,9 @@
 
 TEST_CASE("more daemons than the budget's fixed part send retries beyond the fleet's budget")
 {
-    CHECK(largestExcess({69, 178, 600, Trouble::Kills}) <= 0);
-    CHECK(largestExcess({350, 100, 1500, Trouble::None}) <= 0);
-    CHECK(largestExcess({350, 100, 1500, Trouble::Kills}) <= 0);
+    CHECK(largestExcess({69, 178, 600, Trouble::kills}) <= 0);
+    CHECK(largestExcess({350, 100, 1500, Trouble::none}) <= 0);
+    CHECK(largestExcess({350, 100, 1500, Trouble::kills}) <= 0);
 }
 
 TEST_CASE("a fleet that runs undisturbed sends nearly all retries that its requests allow")
