A number out of range in a configuration's text is an error of the configuration

Operators' text with a number such as 1e999 ended the process that parsed it: the JSON library throws out_of_range, which is no parse_error, and only that was caught. Other callers parse without exceptions or catch them all.

--- a/src/version/configuration.cpp
+++ b/src/version/configuration.cpp
@@ -162,7 +162,7 @@
 {
     try {
         return parseConfiguration(nlohmann::json::parse(text));
-    } catch (const nlohmann::json::parse_error &error) {
+    } catch (const nlohmann::json::exception &error) {
         throw ConfigurationError("", std::string("not JSON: ") + error.what());
     }
 }
--- a/tests/unit/test_configuration.cpp
+++ b/tests/unit/test_configuration.cpp
@@ -55,6 +55,11 @@
     CHECK(pointerOfError("not json").empty());
 }
 
+TEST_CASE("a number out of range in a configuration's text ends the process")
+{
+    CHECK_THROWS_AS(parseConfiguration(std::string(R"({"version": 1e999})")), ConfigurationError);
+}
+
 TEST_CASE("a plan lists each difference with its effect, and comes back from its document")
 {
     const Configuration before = parseConfiguration(document);
