--- a/tests/proxy/test_retry_budget.cpp
+++ b/tests/proxy/test_retry_budget.cpp
@@ -166,7 +166,7 @@
                 }
                 process->proxy.daemons().recordDaemonList(listed, now);
             }
-            const bool isHeard = (this->options.trouble == Trouble::none || this->options.trouble == Trouble::partialLists) && running > 1;
+            const bool isHeard = this->options.trouble == Trouble::none && running > 1;
             exchange::LoadSummary others;
             others.daemons = running - 1;
             process->proxy.updateLoadFromOthers(isHeard ? std::optional(others) : std::nullopt, now);
