Review: a key that was taken away is accepted after the store's return from a copy

Promise: CONFIG, strict_revoke: no request with a key runs later than revoke_ms after the key was taken away. Disruption: a drill brings the store back from an older copy while one machine is killed and started again (node_kill).

--- a/review/harness/harness.cpp
+++ b/review/harness/harness.cpp
@@ -15,6 +15,7 @@
 #include <iomanip>
 #include <sstream>
 #include <thread>
+#include <utility>
 
 namespace harness
 {
@@ -73,7 +74,7 @@
 }
 
 json makeSettings(const std::string &name, const std::string &ip, const std::string &zone, std::uint16_t front, std::uint16_t ready,
-                  std::uint16_t internal, const std::string &store)
+                  std::uint16_t internal, const std::string &store, bool isFirstStart)
 {
     const json bounds = {{"seed_lag_s", 3},         {"reuse_after_s", 2},        {"contact_ms", 3000},    {"ack_ms", 4000},
                          {"catch_up_s", 4},         {"drain_ms", 2500},          {"grace_s", 8},          {"loss_slack_ms", 200},
@@ -92,7 +93,7 @@
             {"listen", {{"front", ip + ":" + std::to_string(front)}, {"ready", ip + ":" + std::to_string(ready)}}},
             {"internal_ports", {internal, internal + internalPorts}},
             {"seeds", json::array()},
-            {"bootstrap", true},
+            {"bootstrap", isFirstStart},
             {"counts_as_loss", false},
             {"limits", {{"cpu_share", 0.25}, {"cores", 1}, {"memory_mb", 110}, {"max_fds", 4100}, {"link_mbps", 1000.0}, {"disk_mb", 0}}},
             {"data_dir", nullptr},
@@ -156,8 +157,9 @@
     this->end();
     const std::string name = "edge-" + this->zone + "-" + this->address.substr(this->address.rfind('.') + 1);
     const std::string path = this->folder + "/" + name + ".json";
-    std::ofstream(path)
-        << makeSettings(name, this->address, this->zone, this->front, this->ready, this->internal, this->storeAddress).dump();
+    std::ofstream(path) << makeSettings(name, this->address, this->zone, this->front, this->ready, this->internal, this->storeAddress,
+                                        std::exchange(this->isFirstStart, false))
+                               .dump();
     const std::string log = this->folder + "/" + name + ".log";
     const std::string variable = "EELGRASSNOTCH_SETTINGS=" + path;
     this->process = ::fork();
@@ -310,7 +312,7 @@
                         {"priority", 1},
                         {"service", "yard-ledger"},
                         {"max_attempts", 1},
-                        {"public", true},
+                        {"public", route.isPublic},
                         {"sticky", false},
                         {"resumable", false},
                         {"home_regions", json::array()}};
@@ -325,7 +327,7 @@
               {"header_timeout_ms", 3000},
               {"idle_timeout_ms", 15000},
               {"tokens_per_s", 410000}}},
-            {"tenants", {{{"name", "hule930"}, {"api_keys", {"asnmgkcuyj8pjbvk9m68"}}, {"priority", 1}, {"home_regions", json::array()}}}}};
+            {"tenants", {{{"name", "hule930"}, {"api_keys", route.keys}, {"priority", 1}, {"home_regions", json::array()}}}}};
 }
 
 json makeReplicaEntry(const std::string &address, const std::string &zone, const std::string &state)
@@ -335,11 +337,15 @@
             {"state", state},           {"cold_left_ms", 0},  {"seq", 1},     {"born", born}};
 }
 
-ClientRequest makeRequest(const std::string &attemptId, int deadlineMs, std::size_t bodyBytes)
+ClientRequest makeRequest(const std::string &attemptId, int deadlineMs, std::size_t bodyBytes, const std::string &key)
 {
     std::ostringstream header;
     header << "POST /orders/2f HTTP/1.1\r\nHost: orders.example\r\nX-Eelgrassnotch-Attempt-Id: " << attemptId
-           << "\r\nX-Eelgrassnotch-Deadline-Ms: " << deadlineMs << "\r\nContent-Length: " << bodyBytes << "\r\n\r\n";
+           << "\r\nX-Eelgrassnotch-Deadline-Ms: " << deadlineMs << "\r\nContent-Length: " << bodyBytes << "\r\n";
+    if (!key.empty()) {
+        header << "X-Eelgrassnotch-Credential: " << key << "\r\n";
+    }
+    header << "\r\n";
     return {header.str(), std::string(bodyBytes, 'b')};
 }
 
--- a/review/harness/harness.h
+++ b/review/harness/harness.h
@@ -79,6 +79,7 @@
     std::uint16_t ready = 0;
     std::uint16_t internal = 0;
     int process = -1;
+    bool isFirstStart = true;
 };
 
 /** @brief A client's connection, with plain blocking calls. */
@@ -117,11 +118,14 @@
     std::string kind = "non_idempotent";
     int timeoutMs = 5000;
     int goalMs = 300;
+    bool isPublic = true;
+    std::vector<std::string> keys {"asnmgkcuyj8pjbvk9m68"}; ///< Of the one tenant.
 };
 
 nlohmann::json makeConfiguration(int version, const RouteSettings &route);
 nlohmann::json makeReplicaEntry(const std::string &address, const std::string &zone, const std::string &state);
-ClientRequest makeRequest(const std::string &attemptId, int deadlineMs, std::size_t bodyBytes);
+/** @param key API key; none for routes that are public. */
+ClientRequest makeRequest(const std::string &attemptId, int deadlineMs, std::size_t bodyBytes, const std::string &key = "");
 /** @returns a whole answer of a replica that has run the request. */
 std::string ranAnswer(const Request &request, std::size_t bodyBytes = 800);
 std::string attemptIdOf(const Request &request);
--- a/review/harness/store.cpp
+++ b/review/harness/store.cpp
@@ -71,6 +71,41 @@
     this->erase(kind, name);
 }
 
+Store::Copy Store::copy()
+{
+    const std::lock_guard lock(this->mutex);
+    return {this->revision, this->objects};
+}
+
+void Store::leave()
+{
+    const std::lock_guard lock(this->mutex);
+    this->away = true;
+    this->changed.notify_all();
+}
+
+void Store::comeBack(const Copy &older)
+{
+    const std::lock_guard lock(this->mutex);
+    this->objects = older.objects;
+    this->revision = older.revision;
+    std::erase_if(this->history, [&older](const Change &change) { return change.revision > older.revision; });
+    ++this->era;
+    this->away = false;
+}
+
+bool Store::isAway()
+{
+    const std::lock_guard lock(this->mutex);
+    return this->away;
+}
+
+std::uint64_t Store::currentEra()
+{
+    const std::lock_guard lock(this->mutex);
+    return this->era;
+}
+
 json Store::list(const std::string &kind)
 {
     const std::lock_guard lock(this->mutex);
@@ -84,6 +119,9 @@
 json Store::watch(const std::string &kind, std::uint64_t from, int waitMs)
 {
     std::unique_lock lock(this->mutex);
+    if (from > this->revision) {
+        return nullptr;
+    }
     json events = json::array();
     this->changed.wait_for(lock, std::chrono::milliseconds(waitMs), [&] {
         events.clear();
@@ -92,13 +130,16 @@
                 events.push_back(change.event);
             }
         }
-        return !events.empty() || this->stopping;
+        return !events.empty() || this->away || this->stopping;
     });
     return {{"events", events}, {"at", this->revision}};
 }
 
 bool Store::answer(Socket &socket, const Request &request)
 {
+    if (this->isAway()) {
+        return false;
+    }
     const std::string target(request.target().data(), request.target().size());
     const std::string path = target.substr(std::string(prefix).size(), target.find('?') - std::string(prefix).size());
     const std::string kind = path.substr(0, path.find('/'));
@@ -118,10 +159,16 @@
     } else if (request.method() == verb::delete_) {
         this->remove(kind, name);
     }
+    if (this->isAway()) {
+        return false;
+    }
+    if (body.is_null() && request.method() == verb::get) {
+        status = 410;
+    }
     const std::string text = body.dump();
     sendBytes(socket,
-              "HTTP/1.1 " + std::to_string(status)
-                  + " -\r\nContent-Type: application/json\r\nContent-Length: " + std::to_string(text.size()) + "\r\n\r\n" + text);
+              "HTTP/1.1 " + std::to_string(status) + " -\r\nStore-Era: " + std::to_string(this->currentEra())
+                  + "\r\nContent-Type: application/json\r\nContent-Length: " + std::to_string(text.size()) + "\r\n\r\n" + text);
     return true;
 }
 
