A session's expired timer can't refuse a request that was handed on

What callers saw: a machine stood still for longer than header_timeout_ms while it received an order.

Cause: after a standstill the rest of the request and the expiry of the header timer are found in the same turn of the event loop. The socket's handlers run first: onRequestRead() cancelled the timer and handed the request on. steady_timer::cancel() doesn't reach a handler that has already been queued; it ran, looked into the parser that had been released, and answered 408.

Fix: OneShotTimer, whose function is not called after cancel(), start() or destruction, whichever handlers are queued. The session's three uses (header, idle, last answer) share it.

--- a/src/connection/http/server_session.cpp
+++ b/src/connection/http/server_session.cpp
@@ -104,10 +104,8 @@
 
 void ServerSession::arm(Duration timeout, std::function<void()> onExpiry)
 {
-    this->timer.expires_after(timeout);
-    this->timer.async_wait([weak = this->weak_from_this(), onExpiry = std::move(onExpiry)](boost::system::error_code error) {
-        const auto self = weak.lock();
-        if (!error && self && !self->closed) {
+    this->timer.start(timeout, [weak = this->weak_from_this(), onExpiry = std::move(onExpiry)] {
+        if (const auto self = weak.lock()) {
             onExpiry();
         }
     });
--- a/src/connection/http/server_session.h
+++ b/src/connection/http/server_session.h
@@ -3,9 +3,9 @@
 /** @file One connection of a caller: reads requests, writes answers, notices when the caller leaves. */
 
 #include "connection/http/types.h"
+#include "connection/one_shot_timer.h"
 #include "eelgrassnotch/types.h"
 
-#include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/parser.hpp>
 
@@ -97,7 +97,7 @@
 
     Socket socket;
     std::shared_ptr<const SessionHooks> hooks;
-    boost::asio::steady_timer timer;
+    OneShotTimer timer;
     boost::beast::flat_buffer buffer;
     std::optional<Parser> parser;
     std::function<void()> onCallerLeft;
