A call that has its answer doesn't end a second time by its time limit

What followed from it: after a standstill, a relay that had just answered counted as silent and was left; a watcher of the store counted a failure after an answer; a daemon's entry that the store had accepted was written again.

CallClient cancelled its timer when the answer was complete, but a handler that is already queued runs nevertheless, and callNumber only changes with the next call, so onDone() was called with "no answer in time" after the answer.

Ruled out: answers with a body, which are read in a later turn than their header: there the time limit comes first, cancels the exchange, and the answer is dropped, as it should be.

Evidence: the new test lets the answer of a call arrive while the event loop is stopped beyond the call's limit. Before: two results for an answer without a body. After: one result in both forms, and the next call is answered. A second test shows that the connect timeout, which is guarded by the connection's generation, never had the fault (it passes before and after).

--- a/src/connection/http/call_client.cpp
+++ b/src/connection/http/call_client.cpp
@@ -6,7 +6,7 @@
 CallClient::CallClient(boost::asio::io_context &ioContext, Endpoint serverAddress)
     : context(ioContext)
     , server(std::move(serverAddress))
-    , timer(ioContext)
+    , timer(ioContext.get_executor())
 {
 }
 
@@ -50,12 +50,9 @@
         }
         onDone(*result);
     };
-    this->timer.expires_after(timeouts.whole);
-    this->timer.async_wait([this, number, onDone](boost::system::error_code error) {
-        if (!error && number == this->callNumber) {
-            this->cancel();
-            onDone({0, "", "no answer in time", nullptr});
-        }
+    this->timer.start(timeouts.whole, [this, onDone] {
+        this->cancel();
+        onDone({0, "", "no answer in time", nullptr});
     });
     this->link->send(std::make_shared<const Request>(std::move(request)), timeouts.connect, std::move(exchange));
 }
--- a/src/connection/http/call_client.h
+++ b/src/connection/http/call_client.h
@@ -3,6 +3,7 @@
 /** @file Calls to one server, one at a time, whose answers are read whole and in bounded time. */
 
 #include "connection/http/client_connection.h"
+#include "connection/one_shot_timer.h"
 
 #include <boost/asio/io_context.hpp>
 
@@ -45,7 +46,7 @@
 private:
     boost::asio::io_context &context;
     Endpoint server;
-    boost::asio::steady_timer timer;
+    OneShotTimer timer;
     std::shared_ptr<ClientConnection> link;
     std::uint64_t callNumber = 0;
 };
--- a/tests/proxy/test_client_connection.cpp
+++ b/tests/proxy/test_client_connection.cpp
@@ -10,6 +10,7 @@
 
 #include <array>
 #include <atomic>
+#include <thread>
 
 using namespace eelgrassnotch::connection::http;
 using namespace std::chrono_literals;
@@ -235,3 +236,65 @@
     CHECK(std::chrono::steady_clock::now() - before < 10s);
     CHECK(sent < mostBytesTaken);
 }
+
+namespace
+{
+
+/** A server that answers after this time, also while the client's process stands still. */
+standin::RawServer makeLateServer(std::chrono::milliseconds delay, const std::string &body)
+{
+    return standin::RawServer([delay, body](standin::Socket &socket, const standin::Request &) {
+        std::this_thread::sleep_for(delay);
+        standin::sendBytes(socket, "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
+        return true;
+    });
+}
+
+}
+
+// Guards against an answer that is followed by "no answer in time": a relay would count as silent, an object be written again.
+TEST_CASE("a call whose answer and whose time limit are found in the same turn ends once")
+{
+    for (const std::string body : {"", "ab"}) {
+        CAPTURE(body);
+        standin::RawServer server = makeLateServer(50ms, body);
+        boost::asio::io_context context;
+        CallClient client(context, parseEndpoint(server.address()));
+        std::vector<CallResult> results;
+        const auto call = [&](eelgrassnotch::Duration timeout) {
+            client.call(Request(boost::beast::http::verb::get, "/x", 11), {1s, timeout},
+                        [&](const CallResult &result) { results.push_back(result); });
+        };
+        call(150ms);
+        context.run_for(20ms);
+        std::this_thread::sleep_for(300ms);
+        context.run_for(50ms);
+        REQUIRE(results.size() == 1);
+        CHECK((results.front().status == 200 || results.front().failure == "no answer in time"));
+        context.restart();
+        call(1s);
+        context.run_for(200ms);
+        REQUIRE(results.size() == 2);
+        CHECK(results.back().status == 200);
+        CHECK(results.back().body == body);
+    }
+}
+
+TEST_CASE("a connection that opens while the process stands still beyond the connect timeout is used")
+{
+    standin::RawServer server = makeLateServer(0ms, "ab");
+    boost::asio::io_context context;
+    const auto connection = connectTo(context, server);
+    std::vector<EndKind> ends;
+    ExchangeHooks hooks;
+    hooks.onHeader = [](const AnswerHeader &) { return true; };
+    hooks.onBody = [](std::string_view) {};
+    hooks.onEnd = [&](const ExchangeEnd &end) { ends.push_back(end.kind); };
+    auto request = std::make_shared<Request>(boost::beast::http::verb::get, "/x", 11);
+    request->prepare_payload();
+    connection->send(request, 50ms, std::move(hooks));
+    std::this_thread::sleep_for(100ms);
+    context.run_for(200ms);
+    CHECK(ends == std::vector<EndKind> {EndKind::Complete});
+    CHECK(server.connections() == 1);
+}
