All timers of the edge daemon are OneShotTimers

Cause: six more parts cancelled a steady_timer and guarded its handler by hand, each in its own way (generation, turn, attempt number, isFinished, isRemoved).

Change: connect timeout, accept pause, retry of a write, pause of a watcher, the three timers of a request and the daemon's tick use OneShotTimer; the guards go. A pause of CollectionWatcher needed `turn` only for this, so it goes too.

Ruled out: that a guard did more than guard. ProxiedRequest's attempt timer is cancelled by its own header, by endAttempt() and by finish(), which are all ways in which the conditions of its handler could turn false; ClientConnection cancels on connect, end() and cancel().

--- a/src/connection/http/client_connection.cpp
+++ b/src/connection/http/client_connection.cpp
@@ -54,12 +54,7 @@
 
 void ClientConnection::connect(Duration timeout)
 {
-    this->connectTimer.expires_after(timeout);
-    this->connectTimer.async_wait([self = this->shared_from_this(), number = this->generation](boost::system::error_code error) {
-        if (!error && number == self->generation && !self->isOpen) {
-            self->end(EndKind::ConnectFailed, "connect timed out");
-        }
-    });
+    this->connectTimer.start(timeout, [self = this->shared_from_this()] { self->end(EndKind::ConnectFailed, "connect timed out"); });
     this->socket.async_connect(this->server, [self = this->shared_from_this(), number = this->generation](boost::system::error_code error) {
         if (number != self->generation) {
             return;
--- a/src/connection/http/client_connection.h
+++ b/src/connection/http/client_connection.h
@@ -4,9 +4,9 @@
 
 #include "connection/http/limits.h"
 #include "connection/http/types.h"
+#include "connection/one_shot_timer.h"
 #include "eelgrassnotch/types.h"
 
-#include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/buffer_body.hpp>
 #include <boost/beast/http/parser.hpp>
@@ -83,7 +83,7 @@
 
     Endpoint server;
     Socket socket;
-    boost::asio::steady_timer connectTimer;
+    OneShotTimer connectTimer;
     boost::beast::flat_buffer buffer;
     std::optional<Parser> parser;
     std::array<char, readChunkBytes> chunk {};
--- a/src/connection/http/listener.cpp
+++ b/src/connection/http/listener.cpp
@@ -8,7 +8,7 @@
 Listener::Listener(boost::asio::io_context &ioContext, const Endpoint &address, SessionHooks sessionHooks, std::size_t mostConnections)
     : context(ioContext)
     , acceptor(ioContext)
-    , pause(ioContext)
+    , pause(ioContext.get_executor())
     , hooks(std::make_shared<const SessionHooks>(std::move(sessionHooks)))
     , maxConnections(mostConnections)
 {
@@ -33,12 +33,7 @@
             this->accept();
             return;
         }
-        this->pause.expires_after(acceptPause);
-        this->pause.async_wait([this](boost::system::error_code waitError) {
-            if (!waitError) {
-                this->accept();
-            }
-        });
+        this->pause.start(acceptPause, [this] { this->accept(); });
     });
 }
 
--- a/src/connection/http/listener.h
+++ b/src/connection/http/listener.h
@@ -3,6 +3,7 @@
 /** @file Accepts connections on one address. */
 
 #include "connection/http/server_session.h"
+#include "connection/one_shot_timer.h"
 
 #include <boost/asio/io_context.hpp>
 
@@ -38,7 +39,7 @@
 
     boost::asio::io_context &context;
     boost::asio::ip::tcp::acceptor acceptor;
-    boost::asio::steady_timer pause;
+    OneShotTimer pause;
     std::shared_ptr<const SessionHooks> hooks;
     std::size_t maxConnections;
     std::list<std::weak_ptr<ServerSession>> sessions;
--- a/src/process/edge_daemon.cpp
+++ b/src/process/edge_daemon.cpp
@@ -1,6 +1,7 @@
 #include "process/edge_daemon.h"
 
 #include "connection/http/listener.h"
+#include "connection/one_shot_timer.h"
 #include "process/clock.h"
 #include "process/edge_knowledge.h"
 #include "process/event_log.h"
@@ -74,7 +75,7 @@
         , readSettings(std::move(settingsReader))
         , proxy(this->context, this->settings, this->dialect, this->metrics)
         , signals(this->context, SIGTERM, SIGINT, SIGHUP)
-        , tick(this->context)
+        , tick(this->context.get_executor())
         , loadSocket(this->context, this->settings.ip, this->settings.loadPort,
                      [this](const exchange::Message &message, const std::string &from) { this->takeMessage(message, from, readClock()); })
         , exchange({handleOf<DaemonHandle>(this->settings.name), handleOf<DataCentreHandle>(this->settings.dataCentre), this->settings.ip},
@@ -216,12 +217,7 @@
         }
         this->timers.advance(now);
         this->nextTick = now + tickPeriod;
-        this->tick.expires_after(tickPeriod);
-        this->tick.async_wait([this](boost::system::error_code error) {
-            if (!error) {
-                this->onTick();
-            }
-        });
+        this->tick.start(tickPeriod, [this] { this->onTick(); });
     }
 
     void takeMessage(const exchange::Message &message, const std::string &from, Time now)
@@ -323,7 +319,7 @@
     proxy::ProxyMetrics metrics;
     proxy::Proxy proxy;
     boost::asio::signal_set signals;
-    boost::asio::steady_timer tick;
+    connection::OneShotTimer tick;
     Time nextTick {0};
     TimerService timers;
     std::vector<TimerService::Subscription> subscriptions;
--- a/src/process/proxy/proxied_request.cpp
+++ b/src/process/proxy/proxied_request.cpp
@@ -93,9 +93,9 @@
     : proxy(owner)
     , session(std::move(callerSession))
     , request(std::move(callerRequest))
-    , deadlineTimer(owner.context())
-    , attemptTimer(owner.context())
-    , pollTimer(owner.context())
+    , deadlineTimer(owner.context().get_executor())
+    , attemptTimer(owner.context().get_executor())
+    , pollTimer(owner.context().get_executor())
     , receivedAt(readClock())
 {
 }
@@ -181,12 +181,7 @@
             self->onCallerLeft();
         }
     });
-    this->deadlineTimer.expires_after(this->deadline - now);
-    this->deadlineTimer.async_wait([self = this->shared_from_this()](boost::system::error_code error) {
-        if (!error && !self->isFinished) {
-            self->onDeadline();
-        }
-    });
+    this->deadlineTimer.start(this->deadline - now, [self = this->shared_from_this()] { self->onDeadline(); });
     if (this->isEngineService() && (!this->checkQuarantine(now) || !this->checkPace(now))) {
         return;
     }
@@ -261,12 +256,7 @@
         this->refuse(RefusalReason::NoConfiguration, missingStateRetryAfter, "no configuration is known yet");
         return;
     }
-    this->pollTimer.expires_after(pollInterval);
-    this->pollTimer.async_wait([self = this->shared_from_this()](boost::system::error_code error) {
-        if (!error && !self->isFinished) {
-            self->prepare();
-        }
-    });
+    this->pollTimer.start(pollInterval, [self = this->shared_from_this()] { self->prepare(); });
 }
 
 std::string_view ProxiedRequest::path() const
@@ -384,12 +374,7 @@
         this->refuse(RefusalReason::NoBackend, retryAfter, detail);
         return;
     }
-    this->pollTimer.expires_after(pollInterval);
-    this->pollTimer.async_wait([self = this->shared_from_this()](boost::system::error_code error) {
-        if (!error && !self->isFinished) {
-            self->place();
-        }
-    });
+    this->pollTimer.start(pollInterval, [self = this->shared_from_this()] { self->place(); });
 }
 
 Duration ProxiedRequest::computeRetryAfter(const BackendChoice &choice, Time now) const
@@ -485,13 +470,7 @@
 
 void ProxiedRequest::limitWaitForHeader(Duration timeout, std::function<void()> onExpiry)
 {
-    this->attemptTimer.expires_after(timeout);
-    this->attemptTimer.async_wait([self = this->shared_from_this(), attemptNumber = this->attempts,
-                                   onExpiry = std::move(onExpiry)](boost::system::error_code error) {
-        if (!error && !self->isFinished && self->currentAttempt && attemptNumber == self->attempts && !self->currentAttempt->hasHeader) {
-            onExpiry();
-        }
-    });
+    this->attemptTimer.start(timeout, [self = this->shared_from_this(), onExpiry = std::move(onExpiry)] { onExpiry(); });
 }
 
 void ProxiedRequest::onOwnAnswerMissing()
--- a/src/process/proxy/proxied_request.h
+++ b/src/process/proxy/proxied_request.h
@@ -3,14 +3,13 @@
 /** @file One request of a caller, from admission to the end of its answer. */
 
 #include "connection/http/server_session.h"
+#include "connection/one_shot_timer.h"
 #include "eelgrassnotch/verdict.h"
 #include "process/proxy/admission.h"
 #include "process/proxy/backend_attempt.h"
 #include "process/proxy/proxy.h"
 #include "request/event_splitter.h"
 
-#include <boost/asio/steady_timer.hpp>
-
 #include <functional>
 #include <memory>
 #include <string>
@@ -116,9 +115,9 @@
     const version::Service *service = nullptr;
     const version::RoutedWorkspace *workspace = nullptr;
     version::Service undeclaredService; ///< Used when the configuration does not declare the route's service.
-    boost::asio::steady_timer deadlineTimer;
-    boost::asio::steady_timer attemptTimer;
-    boost::asio::steady_timer pollTimer;
+    connection::OneShotTimer deadlineTimer;
+    connection::OneShotTimer attemptTimer;
+    connection::OneShotTimer pollTimer;
     Time receivedAt {0};
     Time deadline {0}; ///< Earlier one of the caller's deadline and the route's timeout.
     Time backendWaitDeadline {0}; ///< Until then the request waits for a backend server to become usable.
--- a/src/process/store/collection_watcher.cpp
+++ b/src/process/store/collection_watcher.cpp
@@ -55,7 +55,7 @@
     , collection(watched)
     , pace(watchPace)
     , hooks(std::move(watcherHooks))
-    , timer(ioContext)
+    , timer(ioContext.get_executor())
 {
 }
 
@@ -72,7 +72,6 @@
 void CollectionWatcher::stop()
 {
     this->isStopped = true;
-    ++this->turn;
     this->timer.cancel();
     this->client.cancel();
     this->listed.clear();
@@ -101,7 +100,6 @@
     const auto target = isWatch ? this->dialect->watchTarget(this->collection, this->position->revision, wait)
                                 : this->dialect->listTarget(this->collection, after, this->isPolling());
     const Time sentAt = readClock();
-    ++this->turn;
     const http::CallTimeouts timeouts {connectTimeout, (isWatch ? wait : Duration(0)) + answerTimeout};
     this->client.call(http::Request(boost::beast::http::verb::get, target, 11), timeouts, [this, sentAt](const http::CallResult &result) {
         this->hooks.onCall(result.status);
@@ -231,12 +229,7 @@
     if (this->isStopped) {
         return;
     }
-    this->timer.expires_after(pause);
-    this->timer.async_wait([this, begun = this->turn](boost::system::error_code error) {
-        if (!error && begun == this->turn) {
-            this->call();
-        }
-    });
+    this->timer.start(pause, [this] { this->call(); });
 }
 
 }
--- a/src/process/store/collection_watcher.h
+++ b/src/process/store/collection_watcher.h
@@ -6,7 +6,6 @@
 #include "process/store/objects.h"
 
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/steady_timer.hpp>
 
 #include <functional>
 #include <memory>
@@ -92,14 +91,13 @@
     Collection collection;
     WatchPace pace;
     WatcherHooks hooks;
-    boost::asio::steady_timer timer;
+    connection::OneShotTimer timer;
     std::optional<Position> position; ///< Watch from here; list first without it.
     std::optional<std::uint64_t> era; ///< Of the last position.
     std::vector<StoredObject> listed; ///< Objects of the pages read so far.
     std::uint64_t listedEra = 0; ///< Of these pages.
     Time listBegun {0};
     std::uint32_t failures = 0;
-    std::uint64_t turn = 0; ///< Of calls and pauses; a pause that an earlier turn began does nothing.
     bool isReachable = true;
     bool isStopped = true;
 };
--- a/src/process/store/object_writer.cpp
+++ b/src/process/store/object_writer.cpp
@@ -29,7 +29,7 @@
     , collection(written)
     , name(std::move(objectName))
     , onCall(std::move(callHook))
-    , retryTimer(ioContext)
+    , retryTimer(ioContext.get_executor())
 {
 }
 
@@ -52,12 +52,7 @@
                        this->onStored();
                        return;
                    }
-                   this->retryTimer.expires_after(retryPause);
-                   this->retryTimer.async_wait([this](boost::system::error_code error) {
-                       if (!error && !this->isRemoved) {
-                           this->tryCreate();
-                       }
-                   });
+                   this->retryTimer.start(retryPause, [this] { this->tryCreate(); });
                });
 }
 
--- a/src/process/store/object_writer.h
+++ b/src/process/store/object_writer.h
@@ -33,7 +33,7 @@
     nlohmann::json content;
     std::function<void()> onStored;
     std::function<void(unsigned status)> onCall;
-    boost::asio::steady_timer retryTimer;
+    connection::OneShotTimer retryTimer;
     bool isRemoved = false;
 };
 
