A session that has refused a request hands nothing of it on

No cut network is needed: a client that pauses just longer than header_timeout_ms before its last byte meets it as well.

Cause: reject() wrote the answer and left the pending async_read in place. While the connection lingered, closeGently() had `serving` set to false, so that onRequestRead() found a session that was neither closed nor serving, and handed the request on. Three flags told together what the session did, and each handler read those that it thought of.

Fix: one state of the session (idle, receiving, serving, refusing, closing, closed), set in enter(), which ends the timer and the waits of the state before; handlers are bound to the state in which they were started. Requests are read by waits and reads that don't wait, so that no composed operation can go on by itself after the state has changed. The time limit reads once more before it refuses: after a standstill the rest may be there, and the caller is served. A connection isn't closed as idle while a request waits in its socket.

Ruled out: that refusals with 400, 413 and 431 have the fault: their read has ended (the test for them passes before and after).

--- a/src/connection/http/limits.h
+++ b/src/connection/http/limits.h
@@ -28,8 +28,9 @@
 constexpr std::size_t maxCallAnswerBytes = 16u << 20;
 /** Bytes queued for a caller that does not read, before its answer is broken off. */
 constexpr std::size_t maxQueuedAnswerBytes = 1u << 20;
-/** Bytes of a next request that a caller may send while its present one is served. */
-constexpr std::size_t maxPipelinedBytes = 64u << 10;
+/** Least space for one read of a request, and bytes of a request that are read before other work goes on. */
+constexpr std::size_t minReadBytes = 4096;
+constexpr std::size_t maxReceivedPerTurn = 64u << 10;
 /** Keep-alive probes find a silent peer after this idle time, ... */
 constexpr int keepAliveIdleSeconds = 1;
 /** ... this pause between probes ... */
--- a/src/connection/http/server_session.cpp
+++ b/src/connection/http/server_session.cpp
@@ -4,10 +4,10 @@
 
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/empty_body.hpp>
-#include <boost/beast/http/read.hpp>
 #include <boost/beast/http/serializer.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include <algorithm>
 #include <array>
 #include <charconv>
 #include <sstream>
@@ -36,11 +36,9 @@
     return error == beast::http::error::body_limit ? statusBodyTooLarge : statusBadRequest;
 }
 
-/** Whether the caller closed or reset; otherwise the bytes were no valid request. */
-bool isDisconnect(boost::system::error_code error)
+bool isWouldBlock(boost::system::error_code error)
 {
-    return error == beast::http::error::end_of_stream || error == beast::http::error::partial_message
-        || error.category() == boost::system::system_category() || error == boost::asio::error::eof;
+    return error == boost::asio::error::would_block || error == boost::asio::error::try_again;
 }
 
 /** A coding other than "chunked" would leave the end of the body to guesswork, and what follows it to be taken for a request. */
@@ -99,10 +97,38 @@
 void ServerSession::start()
 {
     configureSocket(this->socket);
+    boost::system::error_code ignored; // A socket that can't be configured fails with its first read.
+    this->socket.non_blocking(true, ignored);
     this->waitForRequest();
 }
 
-void ServerSession::arm(Duration timeout, std::function<void()> onExpiry)
+void ServerSession::enter(State next)
+{
+    this->state = next;
+    ++this->stateNumber;
+    this->timer.cancel();
+    boost::system::error_code ignored; // Cancelling a wait can't fail on an open socket.
+    this->socket.cancel(ignored);
+}
+
+template <class Handler>
+auto ServerSession::inThisState(Handler handler)
+{
+    return [self = this->shared_from_this(), number = this->stateNumber, handler = std::move(handler)](boost::system::error_code error,
+                                                                                                       auto...) {
+        if (number == self->stateNumber) {
+            handler(error);
+        }
+    };
+}
+
+void ServerSession::whenReadable(std::function<void()> onReadable)
+{
+    this->socket.async_wait(Socket::wait_read,
+                            this->inThisState([onReadable = std::move(onReadable)](boost::system::error_code) { onReadable(); }));
+}
+
+void ServerSession::whenExpired(Duration timeout, std::function<void()> onExpiry)
 {
     this->timer.start(timeout, [weak = this->weak_from_this(), onExpiry = std::move(onExpiry)] {
         if (const auto self = weak.lock()) {
@@ -113,78 +139,99 @@
 
 void ServerSession::waitForRequest()
 {
-    this->serving = false;
+    this->enter(State::idle);
     this->answerEnds = false;
-    this->reading = this->buffer.size() > 0;
-    if (this->reading) {
-        this->readHeader();
+    if (this->buffer.size() > 0) {
+        this->beginRequest();
         return;
     }
     // Thousands of idle connections would hold most of a small VM's memory.
     this->buffer.shrink_to_fit();
-    this->arm(this->hooks->limits().idleTimeout, [this] { this->closeIfIdle(); });
-    this->socket.async_wait(Socket::wait_read, [self = this->shared_from_this()](boost::system::error_code error) {
-        if (error || self->closed) {
-            return;
-        }
-        self->reading = true;
-        self->readHeader();
-    });
+    this->whenExpired(this->hooks->limits().idleTimeout, [this] { this->closeIfIdle(); });
+    this->whenReadable([this] { this->beginRequest(); });
 }
 
-void ServerSession::readHeader()
+void ServerSession::beginRequest()
 {
+    this->enter(State::receiving);
     const SessionLimits limits = this->hooks->limits();
     this->buffer.reserve(requestBufferBytes);
     this->parser.emplace();
     this->parser->header_limit(limits.maxHeaderBytes);
     this->parser->body_limit(limits.maxBodyBytes);
-    this->arm(limits.headerTimeout, [this] {
-        if (this->parser->got_some()) {
-            this->reject(statusTimeout, "request not received in time");
-        } else {
-            this->abort();
-        }
-    });
-    beast::http::async_read_header(
-        this->socket, this->buffer, *this->parser,
-        [self = this->shared_from_this()](boost::system::error_code error, std::size_t) { self->onHeaderRead(error); });
+    this->whenExpired(limits.headerTimeout, [this] { this->onRequestTimeout(); });
+    this->receive();
 }
 
-void ServerSession::onHeaderRead(boost::system::error_code error)
+void ServerSession::receive()
 {
-    if (this->closed || this->serving) {
-        return;
-    }
-    if (error) {
-        this->onRequestRead(error);
-        return;
+    std::size_t received = 0;
+    while (this->parseReceived() && received < maxReceivedPerTurn) {
+        const std::size_t size = this->readArrived();
+        if (size == 0) {
+            break;
+        }
+        received += size;
     }
-    if (hasUnknownTransferCoding(this->parser->get())) {
-        this->reject(statusBadRequest, "unknown transfer coding");
-        return;
+    if (this->state == State::receiving) {
+        this->whenReadable([this] { this->receive(); });
     }
-    beast::http::async_read(
-        this->socket, this->buffer, *this->parser,
-        [self = this->shared_from_this()](boost::system::error_code bodyError, std::size_t) { self->onRequestRead(bodyError); });
 }
 
-void ServerSession::onRequestRead(boost::system::error_code error)
+std::size_t ServerSession::readArrived()
 {
-    if (this->closed || this->serving) {
-        return;
+    const std::size_t space = std::max(this->buffer.capacity() - this->buffer.size(), minReadBytes);
+    boost::system::error_code error;
+    const std::size_t size = this->socket.read_some(this->buffer.prepare(space), error);
+    this->buffer.commit(size);
+    if (error && !isWouldBlock(error)) {
+        this->abort();
     }
-    this->timer.cancel();
-    if (error) {
-        if (isDisconnect(error)) {
-            this->abort();
-            return;
+    return size;
+}
+
+bool ServerSession::parseReceived()
+{
+    while (this->buffer.size() > 0) {
+        const bool hadHeader = this->parser->is_header_done();
+        boost::system::error_code error;
+        this->buffer.consume(this->parser->put(this->buffer.data(), error));
+        if (error == beast::http::error::need_more) {
+            return true;
+        }
+        if (error) {
+            this->reject(statusOf(error), error.message());
+            return false;
+        }
+        if (!hadHeader && this->parser->is_header_done() && hasUnknownTransferCoding(this->parser->get())) {
+            this->reject(statusBadRequest, "unknown transfer coding");
+            return false;
+        }
+        if (this->parser->is_done()) {
+            this->handOn();
+            return false;
         }
-        this->reject(statusOf(error), error.message());
+    }
+    return true;
+}
+
+void ServerSession::onRequestTimeout()
+{
+    // After a standstill of the process, the rest may wait in the socket.
+    this->receive();
+    if (this->state != State::receiving) {
         return;
     }
-    this->serving = true;
-    this->reading = false;
+    if (this->parser->got_some()) {
+        this->reject(statusTimeout, "request not received in time");
+    } else {
+        this->abort();
+    }
+}
+
+void ServerSession::handOn()
+{
+    this->enter(State::serving);
     ++this->requests;
     Request request = this->parser->release();
     this->parser.reset();
@@ -195,7 +242,9 @@
 
 void ServerSession::reject(unsigned status, const std::string &reason)
 {
-    this->serving = true;
+    this->enter(State::refusing);
+    this->parser.reset();
+    this->buffer = {};
     this->closeAfter = true;
     this->hooks->onRejected(status, reason);
     Answer answer(static_cast<beast::http::status>(status), 11);
@@ -211,25 +260,19 @@
 
 void ServerSession::waitForLeaving()
 {
-    this->socket.async_wait(Socket::wait_read,
-                            [self = this->shared_from_this(), number = ++this->watchNumber](boost::system::error_code error) {
-                                if (!error && number == self->watchNumber && self->serving && !self->closed) {
-                                    self->onBytesWhileServing();
-                                }
-                            });
+    this->whenReadable([this] {
+        const SocketState found = peek(this->socket.native_handle());
+        if (found == SocketState::quiet) {
+            this->waitForLeaving();
+        } else if (found == SocketState::ended) {
+            this->leaveCaller();
+        }
+        // Bytes of the next request stay in the socket, where the end of the connection can't be seen past them.
+    });
 }
 
-void ServerSession::onBytesWhileServing()
+void ServerSession::leaveCaller()
 {
-    const SocketState state = peek(this->socket.native_handle());
-    if (state == SocketState::hasBytes) {
-        // The next request came early: it stays in the socket, where the end of the connection can't be seen past it.
-        return;
-    }
-    if (state == SocketState::quiet) {
-        this->waitForLeaving();
-        return;
-    }
     const auto onLeft = std::exchange(this->onCallerLeft, nullptr);
     this->abort();
     if (onLeft) {
@@ -237,9 +280,14 @@
     }
 }
 
+bool ServerSession::isAnswering() const
+{
+    return this->state == State::serving || this->state == State::refusing;
+}
+
 void ServerSession::sendAnswer(Answer answer)
 {
-    if (this->closed) {
+    if (!this->isAnswering()) {
         return;
     }
     this->onCallerLeft = nullptr;
@@ -253,7 +301,7 @@
 
 void ServerSession::startStream(AnswerHeader header)
 {
-    if (this->closed) {
+    if (!this->isAnswering()) {
         return;
     }
     beast::http::response<beast::http::empty_body> answer(std::move(header));
@@ -267,15 +315,11 @@
 
 void ServerSession::sendPart(std::string_view part)
 {
-    if (this->closed || part.empty()) {
+    if (!this->isAnswering() || part.empty()) {
         return;
     }
     if (this->waiting.size() + part.size() > maxQueuedAnswerBytes) {
-        const auto onLeft = std::exchange(this->onCallerLeft, nullptr);
-        this->abort();
-        if (onLeft) {
-            onLeft();
-        }
+        this->leaveCaller();
         return;
     }
     this->queue(toChunk(part));
@@ -283,7 +327,7 @@
 
 void ServerSession::finishStream()
 {
-    if (this->closed) {
+    if (!this->isAnswering()) {
         return;
     }
     this->onCallerLeft = nullptr;
@@ -304,74 +348,54 @@
     this->writing = true;
     this->outgoing.swap(this->waiting);
     this->waiting.clear();
-    boost::asio::async_write(this->socket, boost::asio::buffer(this->outgoing),
-                             [self = this->shared_from_this()](boost::system::error_code error, std::size_t) {
-                                 self->writing = false;
-                                 if (self->closed) {
-                                     return;
-                                 }
-                                 if (error) {
-                                     const auto onLeft = std::exchange(self->onCallerLeft, nullptr);
-                                     self->abort();
-                                     if (onLeft) {
-                                         onLeft();
-                                     }
-                                     return;
-                                 }
-                                 if (!self->waiting.empty()) {
-                                     self->writeQueued();
-                                 } else if (self->answerEnds) {
-                                     self->onAnswerWritten();
-                                 }
-                             });
+    boost::asio::async_write(this->socket, boost::asio::buffer(this->outgoing), this->inThisState([this](boost::system::error_code error) {
+        this->writing = false;
+        if (error) {
+            this->leaveCaller();
+        } else if (!this->waiting.empty()) {
+            this->writeQueued();
+        } else if (this->answerEnds) {
+            this->onAnswerWritten();
+        }
+    }));
 }
 
 void ServerSession::onAnswerWritten()
 {
-    ++this->watchNumber;
     if (this->closeAfter) {
         this->closeGently();
-        return;
+    } else {
+        this->waitForRequest();
     }
-    boost::system::error_code ignored; // Cancelling a wait can't fail on an open socket.
-    this->socket.cancel(ignored);
-    this->waitForRequest();
 }
 
 void ServerSession::closeGently()
 {
-    this->serving = false;
+    this->enter(State::closing);
     boost::system::error_code ignored; // The caller may have closed first.
     this->socket.shutdown(Socket::shutdown_send, ignored);
-    this->arm(lingerTimeout, [this] { this->abort(); });
-    this->socket.async_wait(Socket::wait_read, [self = this->shared_from_this()](boost::system::error_code) {
-        if (!self->closed) {
-            self->abort();
-        }
-    });
+    this->whenExpired(lingerTimeout, [this] { this->abort(); });
+    this->whenReadable([this] { this->abort(); });
 }
 
 void ServerSession::closeIfIdle()
 {
-    if (this->serving || this->reading || this->closed) {
+    // A request that has arrived is read in a later turn.
+    if (this->state != State::idle || peek(this->socket.native_handle()) == SocketState::hasBytes) {
         return;
     }
-    this->closed = true;
-    this->timer.cancel();
+    this->enter(State::closed);
     boost::system::error_code ignored; // The socket is given up either way.
     this->socket.close(ignored);
 }
 
 void ServerSession::abort()
 {
-    if (this->closed) {
+    if (this->state == State::closed) {
         return;
     }
-    this->closed = true;
-    this->serving = false;
-    this->reading = false;
+    this->enter(State::closed);
     this->onCallerLeft = nullptr;
-    this->timer.cancel();
     resetSocket(this->socket);
 }
 
--- a/src/connection/http/server_session.h
+++ b/src/connection/http/server_session.h
@@ -55,7 +55,7 @@
     /** @returns whether a request is being served. */
     bool isServing() const
     {
-        return this->serving;
+        return this->state == State::serving;
     }
 
     /** @returns how many requests have been read from the connection, the present one included. */
@@ -80,18 +80,45 @@
     bool hasCallerLeft();
 
 private:
+    /** What the session does; what was started in one state doesn't go on in another. */
+    enum class State {
+        idle, ///< Waits for a request.
+        receiving, ///< Reads a request.
+        serving, ///< Has handed a request on, whose answer is being made or written.
+        refusing, ///< Writes its own answer; nothing of the request is handed on.
+        closing, ///< Waits until the caller has received the last answer.
+        closed,
+    };
+
+    /** @brief Ends what the present state waits for. */
+    void enter(State next);
+    /** @returns a handler that does nothing once the session has left its present state. */
+    template <class Handler>
+    auto inThisState(Handler handler);
+    /** @brief Calls a function when bytes have arrived or the caller has closed, unless the state changes before. */
+    void whenReadable(std::function<void()> onReadable);
+    /** @brief Calls a function after this time, unless the state changes before. */
+    void whenExpired(Duration timeout, std::function<void()> onExpiry);
     void waitForRequest();
-    void readHeader();
-    void onHeaderRead(boost::system::error_code error);
-    void onRequestRead(boost::system::error_code error);
+    void beginRequest();
+    /** @brief Reads what has arrived of a request, up to a bound for one turn of the event loop. */
+    void receive();
+    /** @brief Reads bytes that have arrived. @returns how many; the connection may have been closed. */
+    std::size_t readArrived();
+    /** @brief Parses what has been read. @returns whether more bytes are needed; otherwise the request was handed on or refused. */
+    bool parseReceived();
+    void onRequestTimeout();
+    void handOn();
     void reject(unsigned status, const std::string &reason);
     void waitForLeaving();
-    void onBytesWhileServing();
+    /** @returns whether an answer may be sent. */
+    bool isAnswering() const;
+    /** @brief Ends the connection with a reset, and tells whom watchCaller() named. */
+    void leaveCaller();
     void queue(const std::string &bytes);
     void writeQueued();
     void onAnswerWritten();
     void closeGently();
-    void arm(Duration timeout, std::function<void()> onExpiry);
 
     using Parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
 
@@ -103,14 +130,12 @@
     std::function<void()> onCallerLeft;
     std::string outgoing; ///< Bytes being written.
     std::string waiting; ///< Bytes to write after those.
-    std::uint64_t watchNumber = 0;
+    State state = State::idle;
+    std::uint64_t stateNumber = 0; ///< Of the states that the session has been in.
     std::uint64_t requests = 0;
-    bool serving = false;
     bool writing = false;
     bool answerEnds = false; ///< The answer is complete once all queued bytes are written.
     bool closeAfter = false;
-    bool closed = false;
-    bool reading = false;
 };
 
 }
--- a/tests/proxy/test_server_session.cpp
+++ b/tests/proxy/test_server_session.cpp
@@ -38,9 +38,13 @@
         std::this_thread::sleep_for(duration);
     }
 
-    Socket connect()
+    /** @param receiveBuffer Bytes that the kernel keeps for the caller; zero leaves the default. */
+    Socket connect(int receiveBuffer = 0)
     {
-        Socket caller(this->context);
+        Socket caller(this->context, this->address.protocol());
+        if (receiveBuffer > 0) {
+            caller.set_option(boost::asio::socket_base::receive_buffer_size(receiveBuffer));
+        }
         caller.connect(this->address);
         this->run();
         return caller;
@@ -51,28 +55,46 @@
         boost::asio::write(caller, boost::asio::buffer(bytes));
     }
 
-    void answerAll()
+    void answerAll(const std::string &body = "ran")
     {
         for (const auto &session : std::exchange(this->waiting, {})) {
             Answer answer(boost::beast::http::status::ok, 11);
-            answer.body() = "ran";
+            answer.body() = body;
             session->sendAnswer(std::move(answer));
         }
         this->run();
     }
 
-    /** Returns what has arrived at a caller. */
-    static std::string received(Socket &caller)
+    /** Returns what has arrived at a caller. @param error Receives the result of the read. */
+    static std::string received(Socket &caller, boost::system::error_code *error = nullptr, std::size_t maxBytes = 4096)
     {
-        std::string bytes(4096, '\0');
-        boost::system::error_code error;
+        std::string bytes(maxBytes, '\0');
+        boost::system::error_code result;
         caller.non_blocking(true);
-        bytes.resize(caller.read_some(boost::asio::buffer(bytes), error));
+        bytes.resize(caller.read_some(boost::asio::buffer(bytes), result));
+        if (error != nullptr) {
+            *error = result;
+        }
         return bytes;
     }
 
+    /** Lets a caller carry one request, so that its connection has been used before. */
+    void useOnce(Socket &caller, const std::string &request)
+    {
+        this->send(caller, request);
+        this->run();
+        this->answerAll();
+        REQUIRE(received(caller).starts_with("HTTP/1.1 200"));
+    }
+
+    std::size_t connectionCount()
+    {
+        return this->listener.connectionCount();
+    }
+
     std::size_t handedOn = 0;
     std::vector<unsigned> rejected;
+    bool isClosing = false;
 
 private:
     SessionHooks hooks()
@@ -84,7 +106,7 @@
             this->waiting.push_back(session);
         };
         hooks.onRejected = [this](unsigned status, const std::string &) { this->rejected.push_back(status); };
-        hooks.isClosing = [] { return false; };
+        hooks.isClosing = [this] { return this->isClosing; };
         return hooks;
     }
 
@@ -109,10 +131,7 @@
                 SessionFixture fixture;
                 Socket caller = fixture.connect();
                 if (isKept) {
-                    fixture.send(caller, request);
-                    fixture.run();
-                    fixture.answerAll();
-                    REQUIRE(SessionFixture::received(caller).starts_with("HTTP/1.1 200"));
+                    fixture.useOnce(caller, request);
                 }
                 const std::size_t before = fixture.handedOn;
                 fixture.send(caller, request.substr(0, split));
@@ -132,3 +151,83 @@
         }
     }
 }
+
+// Guards against an order that is refused with 408 and runs when its end arrives after the refusal.
+TEST_CASE("nothing of a request is handed on after its time limit, whenever its rest arrives")
+{
+    for (const std::string &request : {withLength, inChunks}) {
+        for (const bool isKept : {false, true}) {
+            for (const std::size_t split : {std::size_t(1), request.find("\r\n\r\n"), request.size() - 4, request.size() - 1}) {
+                for (const Duration delay : {0ms, 20ms, 300ms}) {
+                    SessionFixture fixture;
+                    Socket caller = fixture.connect();
+                    if (isKept) {
+                        fixture.useOnce(caller, request);
+                    }
+                    const std::size_t before = fixture.handedOn;
+                    fixture.send(caller, request.substr(0, split));
+                    fixture.run(headerTimeout + 20ms);
+                    REQUIRE(fixture.rejected == std::vector<unsigned> {408});
+                    fixture.run(delay);
+                    fixture.send(caller, request.substr(split) + request);
+                    fixture.run();
+                    CAPTURE(request);
+                    CAPTURE(split);
+                    CAPTURE(isKept);
+                    CHECK(fixture.handedOn == before);
+                    CHECK(SessionFixture::received(caller).starts_with("HTTP/1.1 408"));
+                }
+            }
+        }
+    }
+}
+
+TEST_CASE("a request whose last byte comes about the moment of its time limit is handed on or refused, not both")
+{
+    for (const std::string &request : {withLength, inChunks}) {
+        for (int offset = -4; offset <= 4; ++offset) {
+            SessionFixture fixture;
+            Socket caller = fixture.connect();
+            fixture.send(caller, request.substr(0, request.size() - 1));
+            fixture.run(headerTimeout + std::chrono::milliseconds(offset));
+            fixture.send(caller, request.substr(request.size() - 1));
+            fixture.run(50ms);
+            CAPTURE(offset);
+            CHECK(fixture.handedOn + fixture.rejected.size() == 1);
+        }
+    }
+}
+
+TEST_CASE("nothing is handed on after a refusal of bytes that are no request, or of one beyond the limits")
+{
+    const std::string head = "POST /order/x HTTP/1.1\r\nHost: h.example\r\n";
+    const std::vector<std::pair<unsigned, std::string>> refused {
+        {400, "no request\r\n\r\n"},
+        {400, head + "Transfer-Encoding: gzip\r\n\r\n"},
+        {400, head + "Content-Length: 6\r\nTransfer-Encoding: chunked\r\n\r\n"},
+        {400, head + "Transfer-Encoding: chunked\r\n\r\nzz\r\n"},
+        {413, head + "Content-Length: 70000\r\n\r\nabc"},
+        {413, head + "Transfer-Encoding: chunked\r\n\r\n11170\r\nabc"},
+        {431, head + "X-Long: " + std::string(20000, 'x')},
+    };
+    for (const auto &[status, bytes] : refused) {
+        for (const bool isKept : {false, true}) {
+            for (const bool isTogether : {false, true}) {
+                SessionFixture fixture;
+                Socket caller = fixture.connect();
+                if (isKept) {
+                    fixture.useOnce(caller, withLength);
+                }
+                const std::size_t before = fixture.handedOn;
+                fixture.send(caller, bytes + (isTogether ? withLength : ""));
+                fixture.run();
+                fixture.send(caller, std::string(70000, 'y') + "\r\n\r\n" + withLength);
+                fixture.run(50ms);
+                CAPTURE(bytes.substr(0, 120));
+                CHECK(fixture.handedOn == before);
+                CHECK(fixture.rejected == std::vector<unsigned> {status});
+                CHECK(SessionFixture::received(caller).starts_with("HTTP/1.1 " + std::to_string(status)));
+            }
+        }
+    }
+}
