A request's framing can't fill the memory

A caller that sends a chunk extension, a trailer or a chunk size without end had all its bytes kept until header_timeout_ms: at 1 Gbit/s more than a small VM's memory in a second, with the requests of all other callers on it.

Cause: Beast's parser asks for more bytes until such a line ends, and bounds only the header itself; the session's buffer had no limit.

Fix: bytes that can't be parsed yet are bounded by max_header_bytes and one buffer; beyond that the request is refused with 431.

Evidence: the new test sends five kinds of endless framing. After: all are refused within 1 MB, which includes the kernel's buffers.

--- a/src/connection/http/server_session.cpp
+++ b/src/connection/http/server_session.cpp
@@ -159,6 +159,7 @@
     this->parser.emplace();
     this->parser->header_limit(limits.maxHeaderBytes);
     this->parser->body_limit(limits.maxBodyBytes);
+    this->maxUnparsedBytes = limits.maxHeaderBytes + requestBufferBytes;
     this->whenExpired(limits.headerTimeout, [this] { this->onRequestTimeout(); });
     this->receive();
 }
@@ -197,7 +198,10 @@
         boost::system::error_code error;
         this->buffer.consume(this->parser->put(this->buffer.data(), error));
         if (error == beast::http::error::need_more) {
-            return true;
+            if (this->buffer.size() < this->maxUnparsedBytes) {
+                return true;
+            }
+            error = beast::http::error::buffer_overflow;
         }
         if (error) {
             this->reject(statusOf(error), error.message());
--- a/src/connection/http/server_session.h
+++ b/src/connection/http/server_session.h
@@ -127,6 +127,7 @@
     OneShotTimer timer;
     boost::beast::flat_buffer buffer;
     std::optional<Parser> parser;
+    std::size_t maxUnparsedBytes = 0; ///< Of the request being read.
     std::function<void()> onCallerLeft;
     std::string outgoing; ///< Bytes being written.
     std::string waiting; ///< Bytes to write after those.
--- a/tests/proxy/test_server_session.cpp
+++ b/tests/proxy/test_server_session.cpp
@@ -231,3 +231,28 @@
         }
     }
 }
+
+TEST_CASE("bytes without end in a request are refused before they fill the memory")
+{
+    const std::string head = "POST /order/x HTTP/1.1\r\nHost: h.example\r\n";
+    for (const std::string &start :
+         {head + "Transfer-Encoding: chunked\r\n\r\n3;x=", head + "Transfer-Encoding: chunked\r\n\r\n0\r\nX-More: ",
+          head + "Transfer-Encoding: chunked\r\n\r\n0000", head + "X-More: ", std::string("POST /")}) {
+        SessionFixture fixture;
+        Socket caller = fixture.connect();
+        fixture.send(caller, start);
+        fixture.run();
+        caller.non_blocking(true);
+        const std::string more(16384, start.ends_with("0000") ? '0' : 'x');
+        boost::system::error_code error;
+        std::size_t sent = 0;
+        while (fixture.rejected.empty() && sent < (4u << 20)) {
+            sent += caller.write_some(boost::asio::buffer(more), error);
+            fixture.run(1ms);
+        }
+        CAPTURE(start);
+        CHECK(fixture.rejected.size() == 1);
+        CHECK(sent < (1u << 20));
+        CHECK(fixture.handedOn == 0);
+    }
+}
