A connection closes once its caller has the last answer, not after a second

A caller that was still sending its body when it was refused got a reset in place of the refusal.

Cause: closeGently() aborted a second after the kernel had taken the last byte, and abort() closes with a reset, which throws away what the kernel still holds. It also aborted as soon as any byte arrived.

Fix: while it closes, a session looks every 250 ms whether the caller still takes bytes (TIOCOUTQ) or sends some. It closes in order when the caller closes, or a second after the last byte was acknowledged; it resets after unacknowledgedTimeout without progress, after 60 s, or when the caller sends more than a request may have. What arrives is read and dropped, since unread bytes would make the kernel reset. The session's buffers are freed before. During a stop, the end of the grace period bounds it as before.

Ruled out: the writing itself (async_write had ended in all cases seen); the end of the process, where the kernel goes on sending what it holds.

Not measured: 1,500 receivers at once.

--- a/src/connection/http/limits.h
+++ b/src/connection/http/limits.h
@@ -39,8 +39,11 @@
 constexpr int keepAliveProbes = 3;
 /** Sent bytes that a peer has not acknowledged for this long end the connection (TCP_USER_TIMEOUT). */
 constexpr auto unacknowledgedTimeout = 2500ms;
-/** A caller may take this long to close its side after a last answer. */
+/** A caller that has received its last answer may take this long to close its side. */
 constexpr auto lingerTimeout = 1s;
+/** Period of the checks whether a caller still receives its last answer, and the longest time for it. */
+constexpr auto closeCheckPeriod = 250ms;
+constexpr auto maxClosingTime = 60s;
 /** Connections that the kernel queues before they are accepted. */
 constexpr int listenBacklog = 1024;
 /** Connections that are accepted before other work goes on. */
--- a/src/connection/http/server_session.cpp
+++ b/src/connection/http/server_session.cpp
@@ -12,6 +12,7 @@
 #include <charconv>
 #include <sstream>
 
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 namespace eelgrassnotch::connection::http
@@ -66,6 +67,13 @@
     return isQuiet ? SocketState::quiet : SocketState::ended;
 }
 
+/** Bytes that the peer has not acknowledged; zero where the system doesn't tell. */
+std::size_t unsentBytes(int descriptor)
+{
+    int bytes = 0;
+    return ::ioctl(descriptor, TIOCOUTQ, &bytes) == 0 ? static_cast<std::size_t>(bytes) : 0;
+}
+
 std::string toChunk(std::string_view part)
 {
     std::array<char, 20> size {};
@@ -376,10 +384,59 @@
 void ServerSession::closeGently()
 {
     this->enter(State::closing);
+    this->outgoing = {};
+    this->waiting = {};
+    const SessionLimits limits = this->hooks->limits();
+    this->closing = {unsentBytes(this->socket.native_handle()), limits.maxHeaderBytes + limits.maxBodyBytes, Duration(0), Duration(0)};
     boost::system::error_code ignored; // The caller may have closed first.
     this->socket.shutdown(Socket::shutdown_send, ignored);
-    this->whenExpired(lingerTimeout, [this] { this->abort(); });
-    this->whenReadable([this] { this->abort(); });
+    this->dropReceived();
+    this->checkClosing();
+}
+
+void ServerSession::dropReceived()
+{
+    this->whenReadable([this] {
+        std::array<char, readChunkBytes> dropped {};
+        boost::system::error_code error;
+        const std::size_t size = this->socket.read_some(boost::asio::buffer(dropped), error);
+        if (error && !isWouldBlock(error)) {
+            this->close();
+        } else if (size > this->closing.droppableBytes) {
+            this->abort();
+        } else {
+            this->closing.droppableBytes -= size;
+            this->closing.quiet = Duration(0);
+            this->dropReceived();
+        }
+    });
+}
+
+void ServerSession::checkClosing()
+{
+    this->whenExpired(closeCheckPeriod, [this] {
+        this->closing.total += closeCheckPeriod;
+        this->closing.quiet += closeCheckPeriod;
+        const std::size_t unsent = unsentBytes(this->socket.native_handle());
+        if (unsent != this->closing.unsentBytes) {
+            this->closing.unsentBytes = unsent;
+            this->closing.quiet = Duration(0);
+        }
+        if (this->closing.quiet >= lingerTimeout && unsent == 0) {
+            this->close();
+        } else if (this->closing.quiet >= unacknowledgedTimeout || this->closing.total >= maxClosingTime) {
+            this->abort();
+        } else {
+            this->checkClosing();
+        }
+    });
+}
+
+void ServerSession::close()
+{
+    this->enter(State::closed);
+    boost::system::error_code ignored; // The socket is given up either way.
+    this->socket.close(ignored);
 }
 
 void ServerSession::closeIfIdle()
@@ -388,9 +445,7 @@
     if (this->state != State::idle || peek(this->socket.native_handle()) == SocketState::hasBytes) {
         return;
     }
-    this->enter(State::closed);
-    boost::system::error_code ignored; // The socket is given up either way.
-    this->socket.close(ignored);
+    this->close();
 }
 
 void ServerSession::abort()
--- a/src/connection/http/server_session.h
+++ b/src/connection/http/server_session.h
@@ -118,7 +118,22 @@
     void queue(const std::string &bytes);
     void writeQueued();
     void onAnswerWritten();
+    /** @brief Closes once the caller has received the last answer, or has stopped receiving it. */
     void closeGently();
+    /** @brief Reads on while the connection closes: bytes that are left unread would reset it, and take the answer from the caller. */
+    void dropReceived();
+    void checkClosing();
+    void close();
+
+    /** How far the close of the connection has come. */
+    struct Closing {
+        std::size_t unsentBytes = 0; ///< At the last check.
+        std::uint64_t droppableBytes = 0; ///< That the caller may still send.
+        Duration total {0};
+        Duration quiet {0}; ///< Without progress in either direction.
+
+        bool operator==(const Closing &) const = default;
+    };
 
     using Parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
 
@@ -131,6 +146,7 @@
     std::function<void()> onCallerLeft;
     std::string outgoing; ///< Bytes being written.
     std::string waiting; ///< Bytes to write after those.
+    Closing closing;
     State state = State::idle;
     std::uint64_t stateNumber = 0; ///< Of the states that the session has been in.
     std::uint64_t requests = 0;
--- a/tests/proxy/test_server_session.cpp
+++ b/tests/proxy/test_server_session.cpp
@@ -1,5 +1,6 @@
 /** @file Connections of callers, on an event loop that a test turns by itself. */
 
+#include "connection/http/limits.h"
 #include "connection/http/listener.h"
 #include "standin/raw_server.h"
 
@@ -39,14 +40,14 @@
     }
 
     /** @param receiveBuffer Bytes that the kernel keeps for the caller; zero leaves the default. */
-    Socket connect(int receiveBuffer = 0)
+    Socket connect(int receiveBuffer = 0, Duration wait = oneTurn)
     {
         Socket caller(this->context, this->address.protocol());
         if (receiveBuffer > 0) {
             caller.set_option(boost::asio::socket_base::receive_buffer_size(receiveBuffer));
         }
         caller.connect(this->address);
-        this->run();
+        this->run(wait);
         return caller;
     }
 
@@ -113,7 +114,7 @@
     boost::asio::io_context context;
     Endpoint address = parseEndpoint("127.0.0.1:" + std::to_string(standin::findFreePort()));
     std::vector<ServerSessionPtr> waiting;
-    Listener listener {this->context, this->address, this->hooks(), 100};
+    Listener listener {this->context, this->address, this->hooks(), 2000};
 };
 
 const std::string withLength = "POST /order/x HTTP/1.1\r\nHost: h.example\r\nContent-Length: 6\r\n\r\nabcdef";
@@ -256,3 +257,106 @@
         CHECK(fixture.handedOn == 0);
     }
 }
+
+namespace
+{
+
+constexpr std::size_t largeAnswerBytes = 600'000;
+constexpr int smallReceiveBuffer = 32'768;
+
+/** Receives until the connection ends or the answer is complete. @returns the received bytes of the answer's body. */
+std::size_t receiveSlowly(SessionFixture &fixture, Socket &caller, std::size_t bytesPerTurn, Duration turn)
+{
+    std::string received;
+    boost::system::error_code error;
+    while ((!error || error == boost::asio::error::would_block) && received.size() < largeAnswerBytes + 1000) {
+        received += SessionFixture::received(caller, &error, bytesPerTurn);
+        fixture.run(turn);
+    }
+    const std::size_t header = received.find("\r\n\r\n");
+    return header == std::string::npos ? 0 : received.size() - header - 4;
+}
+
+}
+
+// Guards against an answer that is cut when it is the connection's last one and takes its caller longer than a second.
+TEST_CASE("a last answer arrives whole, however slowly its caller receives it")
+{
+    for (const auto &[bytesPerTurn, turn] : {std::pair<std::size_t, Duration> {30'000, 100ms}, {4'000, 20ms}, {200'000, 10ms}}) {
+        SessionFixture fixture;
+        fixture.isClosing = true;
+        Socket caller = fixture.connect(smallReceiveBuffer);
+        fixture.send(caller, withLength);
+        fixture.run();
+        fixture.answerAll(std::string(largeAnswerBytes, 'a'));
+        CAPTURE(bytesPerTurn);
+        CHECK(receiveSlowly(fixture, caller, bytesPerTurn, turn) == largeAnswerBytes);
+        caller.close();
+        fixture.run(50ms);
+        CHECK(fixture.connectionCount() == 0);
+    }
+}
+
+TEST_CASE("callers that stop receiving their last answer, and those that never close, are let go")
+{
+    constexpr std::size_t callerCount = 300;
+    SessionFixture fixture;
+    fixture.isClosing = true;
+    std::vector<Socket> callers;
+    for (std::size_t index = 0; index < callerCount; ++index) {
+        callers.push_back(fixture.connect(smallReceiveBuffer, 0ms));
+        fixture.send(callers.back(), withLength);
+    }
+    fixture.run(100ms);
+    REQUIRE(fixture.handedOn == callerCount);
+    fixture.answerAll(std::string(100'000, 'a'));
+    for (std::size_t index = 0; index < callerCount; index += 2) {
+        // Has read the whole answer, and doesn't close.
+        for (int read = 0; read < 10; ++read) {
+            SessionFixture::received(callers[index], nullptr, 100'000);
+            fixture.run(1ms);
+        }
+    }
+    fixture.run(unacknowledgedTimeout + 1500ms);
+    CHECK(fixture.connectionCount() == 0);
+}
+
+// Guards against a reset that takes a refusal from a caller who is still sending.
+TEST_CASE("a caller that is still sending its body receives the refusal")
+{
+    const std::string head = "POST /order/x HTTP/1.1\r\nHost: h.example\r\nContent-Length: 70000\r\n\r\n";
+    SessionFixture fixture;
+    Socket caller = fixture.connect();
+    fixture.send(caller, head);
+    fixture.run();
+    boost::system::error_code error;
+    for (int part = 0; part < 70; ++part) {
+        boost::asio::write(caller, boost::asio::buffer(std::string(1000, 'x')), error);
+        fixture.run(30ms);
+    }
+    CHECK_FALSE(error);
+    CHECK(SessionFixture::received(caller, &error).starts_with("HTTP/1.1 413"));
+    CHECK_FALSE(error);
+    CHECK(SessionFixture::received(caller, &error).empty());
+    CHECK(error == boost::asio::error::eof);
+    fixture.run(lingerTimeout + 500ms);
+    CHECK(fixture.connectionCount() == 0);
+}
+
+TEST_CASE("a caller that sends without end after its refusal is cut off")
+{
+    SessionFixture fixture;
+    Socket caller = fixture.connect();
+    fixture.send(caller, "no request\r\n\r\n");
+    fixture.run();
+    caller.non_blocking(true);
+    const std::string more(16384, 'x');
+    boost::system::error_code error;
+    std::size_t sent = 0;
+    while ((!error || error == boost::asio::error::would_block) && sent < (8u << 20)) {
+        sent += caller.write_some(boost::asio::buffer(more), error);
+        fixture.run(1ms);
+    }
+    CHECK(sent < (8u << 20));
+    CHECK(fixture.connectionCount() == 0);
+}
