Linter: lambdas of the new tests capture no structured bindings

clang-tidy on the new tests: "reference to local binding declared in enclosing function" in four places, since CAPTURE makes a lambda and C++20 in clang doesn't take bindings there. Named members in their place; nothing else changes.

--- a/tests/proxy/test_endless_answers.cpp
+++ b/tests/proxy/test_endless_answers.cpp
@@ -226,9 +226,11 @@
         {"", "HTTP/1.1 102 Processing\r\n\r\n"},
         {"", "x"},
     };
-    for (const auto &[start, repeated] : endless) {
+    for (const auto &form : endless) {
+        const std::string &start = form.first;
+        const std::string &repeated = form.second;
         // The server stops by itself after maxBytesRead; the largest answer of a call takes as much.
-        EndlessServer server([text = start](const Request &) { return text; }, repeated);
+        EndlessServer server([&start](const Request &) { return start; }, repeated);
         boost::asio::io_context context;
         connection::http::CallClient client(context, connection::http::parseEndpoint(server.server.address()));
         std::vector<connection::http::CallResult> results;
--- a/tests/proxy/test_server_session.cpp
+++ b/tests/proxy/test_server_session.cpp
@@ -211,7 +211,9 @@
         {413, head + "Transfer-Encoding: chunked\r\n\r\n11170\r\nabc"},
         {431, head + "X-Long: " + std::string(20000, 'x')},
     };
-    for (const auto &[status, bytes] : refused) {
+    for (const auto &form : refused) {
+        const unsigned status = form.first;
+        const std::string &bytes = form.second;
         for (const bool isKept : {false, true}) {
             for (const bool isTogether : {false, true}) {
                 SessionFixture fixture;
@@ -282,15 +284,19 @@
 // Guards against an answer that is cut when it is the connection's last one and takes its caller longer than a second.
 TEST_CASE("a last answer arrives whole, however slowly its caller receives it")
 {
-    for (const auto &[bytesPerTurn, turn] : {std::pair<std::size_t, Duration> {30'000, 100ms}, {4'000, 20ms}, {200'000, 10ms}}) {
+    struct Receiver {
+        std::size_t bytesPerTurn = 0;
+        Duration turn {0};
+    };
+    for (const Receiver &receiver : {Receiver {30'000, 100ms}, Receiver {4'000, 20ms}, Receiver {200'000, 10ms}}) {
         SessionFixture fixture;
         fixture.isClosing = true;
         Socket caller = fixture.connect(smallReceiveBuffer);
         fixture.send(caller, withLength);
         fixture.run();
         fixture.answerAll(std::string(largeAnswerBytes, 'a'));
-        CAPTURE(bytesPerTurn);
-        CHECK(receiveSlowly(fixture, caller, bytesPerTurn, turn) == largeAnswerBytes);
+        CAPTURE(receiver.bytesPerTurn);
+        CHECK(receiveSlowly(fixture, caller, receiver.bytesPerTurn, receiver.turn) == largeAnswerBytes);
         caller.close();
         fixture.run(50ms);
         CHECK(fixture.connectionCount() == 0);
