--- a/tests/proxy/test_endless_answers.cpp
+++ b/tests/proxy/test_endless_answers.cpp
@@ -274,6 +274,7 @@
         const std::size_t before = residentBytes();
         std::atomic<std::size_t> peak {before};
         std::vector<std::thread> callers;
+        callers.reserve(callerCount);
         std::atomic<int> running {callerCount};
         for (int caller = 0; caller < callerCount; ++caller) {
             callers.emplace_back([&, caller] {
--- a/tests/proxy/test_server_session.cpp
+++ b/tests/proxy/test_server_session.cpp
@@ -309,6 +309,7 @@
     SessionFixture fixture;
     fixture.isClosing = true;
     std::vector<Socket> callers;
+    callers.reserve(callerCount);
     for (std::size_t index = 0; index < callerCount; ++index) {
         callers.push_back(fixture.connect(smallReceiveBuffer, 0ms));
         fixture.send(callers.back(), withLength);
