--- a/src/process/directory/backend_record.h
+++ b/src/process/directory/backend_record.h
@@ -20,6 +20,7 @@
     bool isDraining = false; ///< It will stop soon and must not get new requests.
     Duration coldLeft {0}; ///< Remaining cold period at the time of publication.
     std::int64_t startedAt = 0; ///< Wall-clock start time in ms since the Unix epoch; distinguishes incarnations.
+    std::string version {}; ///< Of its software; empty where the entry names none.
 
     bool operator==(const BackendRecord &) const = default;
 };
--- a/src/request/attributes.h
+++ b/src/request/attributes.h
@@ -25,6 +25,7 @@
 struct Prompt {
     std::uint32_t tokens = 0; ///< Tokens of the whole prompt.
     std::uint32_t maxOutputTokens = 0; ///< Maximum number of tokens to generate.
+    std::optional<std::uint32_t> outputHint {}; ///< Caller's estimate of the tokens to generate; often far off.
     std::vector<PromptPart> parts; ///< In order; the last one is specific to the request.
 
     /** @returns all parts except the last, which other requests may share. */
@@ -62,6 +63,7 @@
     bool hasInvalidRateLimit = false; ///< Whether it announced a rate that can't be one, which says nothing about a limit.
     std::optional<std::uint32_t> running; ///< Requests running at the backend server when it answered.
     std::optional<std::uint32_t> waiting; ///< Requests queued at the backend server when it answered.
+    std::optional<double> slowness; ///< How long work took there, as a multiple of the usual, when it answered.
 
     bool operator==(const AnswerAttributes &) const = default;
 };
