--- a/src/request/attributes.h
+++ b/src/request/attributes.h
@@ -25,8 +25,8 @@
 struct Prompt {
     std::uint32_t tokens = 0; ///< Tokens of the whole prompt.
     std::uint32_t maxOutputTokens = 0; ///< Maximum number of tokens to generate.
-    std::optional<std::uint32_t> outputHint {}; ///< Caller's estimate of the tokens to generate; often far off.
     std::vector<PromptPart> parts; ///< In order; the last one is specific to the request.
+    std::optional<std::uint32_t> outputHint {}; ///< Caller's estimate of the tokens to generate; often far off.
 
     /** @returns all parts except the last, which other requests may share. */
     std::span<const PromptPart> sharedParts() const;
