Log lines of a burst are handed to the writer together

Each line woke the writer's thread: on loopback, 3,000 streamed requests over new connections cost 2.6 futex calls and one write a request, and a refusal as many. Lines that follow within 50 ms are now formatted by the caller and handed over every 100 ms, at 32 KB, or with a warning; a line after a pause is handed over at once.

Weighed: no line for a refusal (operators count them from the log), and a longer queue of the writer (the wake-ups stay). A process that is killed loses the lines of its last 100 ms at most. What the writer can't keep up with is dropped by the batch, and counted by the line as before.

--- a/src/process/edge_daemon.cpp
+++ b/src/process/edge_daemon.cpp
@@ -193,6 +193,7 @@
     {
         this->subscriptions.push_back(
             this->timers.subscribe([] { return tickPeriod; }, [this](Time now) { this->proxy.backends().expireUnconfirmed(now); }));
+        this->subscriptions.push_back(this->timers.subscribe([] { return tickPeriod; }, [](Time) { flushLog(); }));
         this->subscriptions.push_back(this->timers.subscribe([] { return tickPeriod; }, [this](Time now) { this->continueStop(now); }));
         this->subscriptions.push_back(this->timers.subscribe(
             [] { return tickPeriod; }, [this](Time now) { this->proxy.updateLoadFromOthers(this->exchange.loadOfOthers(now), now); }));
--- a/src/process/event_log.cpp
+++ b/src/process/event_log.cpp
@@ -1,11 +1,14 @@
 #include "process/event_log.h"
 
 #include <spdlog/async.h>
+#include <spdlog/pattern_formatter.h>
 #include <spdlog/sinks/basic_file_sink.h>
 #include <spdlog/sinks/stdout_sinks.h>
 #include <spdlog/spdlog.h>
 
 #include <algorithm>
+#include <chrono>
+#include <mutex>
 
 namespace eelgrassnotch::process
 {
@@ -17,6 +20,29 @@
 constexpr std::size_t queuedLines = 2048;
 constexpr std::size_t writerThreads = 1;
 constexpr const char *loggerName = "events";
+/** Batches of collected lines that wait for the writer; the newest is dropped, and its lines are counted, when there are more. */
+constexpr std::size_t queuedBatches = 64;
+constexpr std::size_t maxBatchBytes = 32u << 10;
+/** A line after a pause of this length is not collected. */
+constexpr auto quietPeriod = std::chrono::milliseconds(50);
+constexpr const char *linePattern = "time=%Y-%m-%dT%H:%M:%S.%e level=%L %v";
+
+/** Lines that were formatted and wait to be handed to the writer together. */
+struct Batch {
+    std::mutex mutex;
+    spdlog::pattern_formatter formatter {linePattern};
+    std::string text;
+    std::size_t lines = 0;
+    std::size_t droppedLines = 0;
+    std::chrono::steady_clock::time_point handedOverAt;
+    bool isCollecting = false;
+};
+
+Batch &batch()
+{
+    static Batch instance;
+    return instance;
+}
 
 std::string quote(const std::string &value)
 {
@@ -40,10 +66,39 @@
     return name;
 }
 
+/** Hands the collected lines over; the batch is locked by the caller. */
+void handOver(Batch &collected)
+{
+    collected.handedOverAt = std::chrono::steady_clock::now();
+    if (collected.text.empty()) {
+        return;
+    }
+    if (spdlog::thread_pool()->queue_size() >= queuedBatches) {
+        collected.droppedLines += collected.lines;
+    } else if (const auto logger = spdlog::get(loggerName)) {
+        logger->log(spdlog::level::info, collected.text);
+    }
+    collected.text.clear();
+    collected.lines = 0;
+}
+
 void write(spdlog::level::level_enum level, const std::string &line)
 {
-    const auto logger = spdlog::get(loggerName);
-    (logger ? logger : spdlog::default_logger())->log(level, line);
+    Batch &collected = batch();
+    const std::lock_guard lock(collected.mutex);
+    if (!collected.isCollecting) {
+        const auto logger = spdlog::get(loggerName);
+        (logger ? logger : spdlog::default_logger())->log(level, line);
+        return;
+    }
+    spdlog::memory_buf_t formatted;
+    collected.formatter.format(spdlog::details::log_msg(loggerName, level, line), formatted);
+    collected.text.append(formatted.data(), formatted.size());
+    ++collected.lines;
+    const bool isAfterPause = std::chrono::steady_clock::now() - collected.handedOverAt >= quietPeriod;
+    if (isAfterPause || level >= spdlog::level::warn || collected.text.size() >= maxBatchBytes) {
+        handOver(collected);
+    }
 }
 
 }
@@ -51,26 +106,59 @@
 void startLog(const std::string &daemon, const std::string &file)
 {
     daemonName() = daemon;
+    {
+        const std::lock_guard lock(batch().mutex);
+        batch().isCollecting = false;
+    }
     spdlog::drop(loggerName);
     spdlog::init_thread_pool(queuedLines, writerThreads);
     const spdlog::sink_ptr sink = file.empty() ? spdlog::sink_ptr(std::make_shared<spdlog::sinks::stdout_sink_mt>())
                                                : spdlog::sink_ptr(std::make_shared<spdlog::sinks::basic_file_sink_mt>(file));
     const auto logger
         = std::make_shared<spdlog::async_logger>(loggerName, sink, spdlog::thread_pool(), spdlog::async_overflow_policy::overrun_oldest);
-    logger->set_pattern("time=%Y-%m-%dT%H:%M:%S.%e level=%L %v");
+    logger->set_pattern(linePattern);
     logger->flush_on(spdlog::level::warn);
     spdlog::register_logger(logger);
 }
 
+void collectLogLines()
+{
+    Batch &collected = batch();
+    const std::lock_guard lock(collected.mutex);
+    if (const auto logger = spdlog::get(loggerName)) {
+        // Lines are formatted as they are collected.
+        logger->set_formatter(std::make_unique<spdlog::pattern_formatter>("%v", spdlog::pattern_time_type::local, ""));
+        logger->flush_on(spdlog::level::info);
+        collected.isCollecting = true;
+    }
+}
+
+void flushLog()
+{
+    Batch &collected = batch();
+    const std::lock_guard lock(collected.mutex);
+    if (collected.isCollecting) {
+        handOver(collected);
+    }
+}
+
 void stopLog()
 {
+    flushLog();
+    {
+        Batch &collected = batch();
+        const std::lock_guard lock(collected.mutex);
+        collected.isCollecting = false;
+    }
     spdlog::shutdown();
 }
 
 std::size_t droppedLogLines()
 {
     const auto pool = spdlog::thread_pool();
-    return pool ? pool->overrun_counter() : 0;
+    Batch &collected = batch();
+    const std::lock_guard lock(collected.mutex);
+    return collected.droppedLines + (pool ? pool->overrun_counter() : 0);
 }
 
 std::string formatEvent(const std::string &event, const LogFields &fields)
--- a/src/process/event_log.h
+++ b/src/process/event_log.h
@@ -16,6 +16,17 @@
 
 /** @brief Sets up the log; lines are written by a thread of its own. @param file Path of the log file; empty for standard output. */
 void startLog(const std::string &daemon, const std::string &file);
+/**
+ * @brief Collects lines that come in quick succession, and hands them to the writer together.
+ *
+ * A line after a pause is handed over at once. Each line by itself would wake
+ * the writer's thread, which costs a busy VM more processor time than the line.
+ *
+ * @remarks flushLog() must be called several times a second from then on. Lines that a killed process had collected are lost.
+ */
+void collectLogLines();
+/** @brief Hands collected lines to the writer. */
+void flushLog();
 /** @brief Writes the lines that wait, and ends the writer. */
 void stopLog();
 /** @returns lines that were dropped because the writer could not keep up. */
--- a/tests/unit/test_core_parts.cpp
+++ b/tests/unit/test_core_parts.cpp
@@ -9,6 +9,12 @@
 
 #include <doctest/doctest.h>
 
+#include <cstdio>
+#include <cstdlib>
+#include <fstream>
+
+#include <unistd.h>
+
 using namespace eelgrassnotch;
 using namespace eelgrassnotch::process;
 using namespace std::chrono_literals;
@@ -211,3 +217,28 @@
     CHECK(formatEvent("stopped", {{"drained", "true"}, {"why", "two words"}, {"text", "a\"b\nc"}})
           == "event=stopped drained=true why=\"two words\" text=\"a\\\"b c\"");
 }
+
+TEST_CASE("collected log lines are neither lost nor reordered")
+{
+    char path[] = "/tmp/eelgrassnotch-log-XXXXXX";
+    const int descriptor = ::mkstemp(path);
+    REQUIRE(descriptor >= 0);
+    ::close(descriptor);
+    constexpr std::size_t lineCount = 2000;
+    startLog("d-1", path);
+    collectLogLines();
+    for (std::size_t index = 0; index < lineCount; ++index) {
+        logEvent("counted", {{"index", std::to_string(index)}});
+    }
+    CHECK(droppedLogLines() == 0);
+    flushLog();
+    startLog("", ""); // Ends the writer of the file, once it has written what it got.
+    std::ifstream file(path);
+    std::string line;
+    std::size_t expected = 0;
+    while (std::getline(file, line)) {
+        CHECK(parseEvent(line)["index"] == std::to_string(expected++));
+    }
+    CHECK(expected == lineCount);
+    std::remove(path);
+}
