Placement takes each engine's speed, overhead and free memory

The prefill throughput and the overhead of a first event were compiled in, so that a slow engine cost as much as a fast one, and the memory of running requests was not considered.

dispatch::Candidate gains prefillTokensPerMs, firstEventOverhead and freeMemoryTokens, with today's constants (and infinite memory) as defaults. PlacementRequest gains expectedOutputTokens (default 0) at its end. A request that does not fit costs another prefill of its prompt plus the missing tokens. A hard exclusion was weighed: it would leave requests without a backend server when every engine is full, where the engine that lacks least is the better choice; refusing belongs to admission.

--- a/src/process/dispatch/placement.cpp
+++ b/src/process/dispatch/placement.cpp
@@ -112,15 +112,25 @@
 
 }
 
-Duration prefillTime(double tokens)
+Duration prefillTime(double tokens, double tokensPerMs)
 {
     constexpr double microsecondsPerMillisecond = 1000.0;
-    return Duration(std::llround(tokens / prefillTokensPerMs * microsecondsPerMillisecond));
+    return Duration(std::llround(tokens / tokensPerMs * microsecondsPerMillisecond));
 }
 
 namespace
 {
 
+/**
+ * @returns cost of a request that exceeds a candidate's free memory, zero when it fits: it is preempted and prefilled again, and the
+ * excess delays other requests by as much. It is finite, so that a request that fits nowhere goes where the least is missing.
+ */
+Duration memoryCost(const PlacementRequest &request, const Candidate &candidate)
+{
+    const double missing = static_cast<double>(request.promptTokens) + request.expectedOutputTokens - candidate.freeMemoryTokens;
+    return missing > 0 ? prefillTime(request.promptTokens + missing, candidate.prefillTokensPerMs) : Duration(0);
+}
+
 std::optional<Placement> selectCandidate(const PlacementRequest &request, std::span<const Candidate> candidates, const Homes &homes,
                                          bool ignoresSample)
 {
@@ -136,15 +146,16 @@
         const std::uint32_t cached = std::min(std::max(candidate.cachedTokens, expectedTokens), request.promptTokens);
         const std::uint32_t uncached = request.promptTokens - cached;
         const Duration queue = std::max(candidate.queueDelay, candidate.queueDelayFromOthers);
-        const Duration timeToPrefill = queue + candidate.roundTrip + prefillTime(uncached);
+        const Duration firstEventDelay
+            = queue + candidate.roundTrip + prefillTime(uncached, candidate.prefillTokensPerMs) + candidate.firstEventOverhead;
         const auto failureCost = Duration(static_cast<std::int64_t>(static_cast<double>(failurePenalty.count()) * candidate.failureRate));
         const std::uint32_t uncachedShared = request.sharedTokens - std::min(cached, request.sharedTokens);
-        const Duration sharedPrefillPenalty = prefillTime(uncachedShared * (sharedPrefillFactor - 1.0));
-        const Duration cost = timeToPrefill + sharedPrefillPenalty + crossingCost(candidate, request.bodyBytes) + failureCost;
+        const Duration sharedPrefillPenalty = prefillTime(uncachedShared * (sharedPrefillFactor - 1.0), candidate.prefillTokensPerMs);
+        const Duration cost = firstEventDelay + sharedPrefillPenalty + crossingCost(candidate, request.bodyBytes) + failureCost
+            + memoryCost(request, candidate);
         if (cost < lowestCost) {
             lowestCost = cost;
-            best = Placement {index,     candidate.queueDelay, candidate.ownPrefillDelay, timeToPrefill + firstEventOverhead, uncached,
-                              rank == 0, std::nullopt};
+            best = Placement {index, candidate.queueDelay, candidate.ownPrefillDelay, firstEventDelay, uncached, rank == 0, std::nullopt};
         }
     }
     return best;
@@ -159,7 +170,7 @@
 std::optional<std::size_t> selectFetchSource(const PlacementRequest &request, std::span<const Candidate> candidates, const Homes &homes,
                                              std::size_t chosen)
 {
-    if (prefillTime(request.sharedTokens) < fetchOverhead) {
+    if (prefillTime(request.sharedTokens, candidates[chosen].prefillTokensPerMs) < fetchOverhead) {
         return std::nullopt;
     }
     for (std::size_t rank = 0; rank < homes.size(); ++rank) {
--- a/src/process/dispatch/placement.h
+++ b/src/process/dispatch/placement.h
@@ -5,6 +5,7 @@
 #include "eelgrassnotch/types.h"
 
 #include <cstdint>
+#include <limits>
 #include <optional>
 #include <span>
 #include <vector>
@@ -12,6 +13,11 @@
 namespace eelgrassnotch::process::dispatch
 {
 
+/** @brief Prefill throughput of a model engine whose speed is unknown, in tokens per millisecond. */
+constexpr double prefillTokensPerMs = 91.8;
+/** @brief Time until the first event in an idle engine whose speed is unknown, beyond queueing and prefill. */
+constexpr Duration firstEventOverhead = std::chrono::milliseconds(55);
+
 /** @brief State of one backend server at the time of the selection. */
 struct Candidate {
     std::uint32_t backend = 0; ///< Hash of its id.
@@ -26,6 +32,10 @@
     Duration roundTrip {0}; ///< Network round-trip time.
     std::uint32_t cachedTokens = 0; ///< Leading prompt tokens that its prefix cache probably holds.
     double failureRate = 0; ///< Fraction of its recent answers that failed, 0 to 1.
+    double prefillTokensPerMs = dispatch::prefillTokensPerMs; ///< Its prefill throughput; positive.
+    Duration firstEventOverhead = dispatch::firstEventOverhead; ///< Its time until the first event, beyond queueing and prefill.
+    double freeMemoryTokens
+        = std::numeric_limits<double>::infinity(); ///< Tokens that fit beside the requests in progress there; infinite where unknown.
 
     bool operator==(const Candidate &) const = default;
 };
@@ -37,6 +47,7 @@
     std::uint64_t sharedPrefixId = 0; ///< Id of the last shared prompt part; zero without one.
     std::size_t bodyBytes = 0;
     std::uint64_t sampleSeed = 0; ///< Uniform random number; selects the sample of candidates for this request.
+    std::uint32_t expectedOutputTokens = 0; ///< Output that it probably generates; zero where unknown.
 
     bool operator==(const PlacementRequest &) const = default;
 };
@@ -54,13 +65,8 @@
     bool operator==(const Placement &) const = default;
 };
 
-/** @brief Prefill throughput of a model engine, in tokens per millisecond. */
-constexpr double prefillTokensPerMs = 91.8;
-/** @brief Time until the first event in an idle engine, beyond queueing and prefill. */
-constexpr Duration firstEventOverhead = std::chrono::milliseconds(55);
-
-/** @returns the time that an engine takes to prefill this many tokens. */
-Duration prefillTime(double tokens);
+/** @returns the time that an engine takes to prefill this many tokens. @param tokensPerMs Its prefill throughput; positive. */
+Duration prefillTime(double tokens, double tokensPerMs = prefillTokensPerMs);
 
 /**
  * @brief Selects the backend server with the lowest predicted cost.
@@ -72,7 +78,8 @@
  * Overflow of the first home mostly goes to the next one, which limits the
  * number of cached copies and keeps the hit rate of each high. Cached tokens
  * are weighed against queueing, network latency and bytes moved between
- * regions. Apart from the homes, only a sample that differs for each request
+ * regions. A request that doesn't fit in an engine's free memory is probably
+ * preempted there, which costs another prefill. Apart from the homes, only a sample that differs for each request
  * is considered: otherwise, daemons with the same outdated load reports would
  * all choose the same backend server.
  *
