Homes of a prefix follow its demand, and beliefs about caches end

Each prefix had four homes, and a daemon believed in what it had sent to an engine until its own model was full, which takes minutes at 0.2 requests a second, while the engine reads its memory full in about 8 s. Requests left the homes for prefixes that were evicted long ago.

PrefixCacheModel keeps the time of use of each part, and PlacementRequest has the number of homes.

Weighed and left out as they measured worse: held fractions learnt from first events, per rank and per engine; a factor after restarts; more than four homes; the first part taken as held everywhere.

--- a/src/process/dispatch/placement.cpp
+++ b/src/process/dispatch/placement.cpp
@@ -39,13 +39,14 @@
 }
 
 /** Fraction of a shared prefix that a home is expected to have cached, by rank. */
-constexpr std::array<double, 4> expectedCachedFraction {1.0, 0.6, 0.4, 0.2};
+constexpr std::array<double, defaultHomeCount> expectedCachedFraction {1.0, 0.6, 0.4, 0.2};
 
 /** Indexes of a prefix's homes among the candidates, in the order of their ranks. */
 class Homes
 {
 public:
     Homes(const PlacementRequest &request, std::span<const Candidate> candidates)
+        : limit(std::min<std::size_t>(request.homeCount, expectedCachedFraction.size()))
     {
         if (request.sharedPrefixId == 0) {
             return;
@@ -90,15 +91,16 @@
         while (rank > 0 && home.weight > this->ranked[rank - 1].weight) {
             --rank;
         }
-        if (rank == this->ranked.size()) {
+        if (rank == this->limit) {
             return;
         }
-        this->count = std::min(this->count + 1, this->ranked.size());
+        this->count = std::min(this->count + 1, this->limit);
         std::move_backward(this->ranked.begin() + rank, this->ranked.begin() + this->count - 1, this->ranked.begin() + this->count);
         this->ranked[rank] = home;
     }
 
     std::array<Home, expectedCachedFraction.size()> ranked {};
+    std::size_t limit;
     std::size_t count = 0;
 };
 
--- a/src/process/dispatch/placement.h
+++ b/src/process/dispatch/placement.h
@@ -40,6 +40,9 @@
     bool operator==(const Candidate &) const = default;
 };
 
+/** @brief Homes of a shared prefix, at most; also where its demand is unknown. */
+constexpr std::uint32_t defaultHomeCount = 4;
+
 /** @brief Properties of a request that decide on its placement. */
 struct PlacementRequest {
     std::uint32_t promptTokens = 0; ///< Zero for a service without model engines.
@@ -48,6 +51,7 @@
     std::size_t bodyBytes = 0;
     std::uint64_t sampleSeed = 0; ///< Uniform random number; selects the sample of candidates for this request.
     std::uint32_t expectedOutputTokens = 0; ///< Output that it probably generates; zero where unknown.
+    std::uint32_t homeCount = defaultHomeCount; ///< Homes of the shared prefix, at most defaultHomeCount.
 
     bool operator==(const PlacementRequest &) const = default;
 };
--- a/src/process/dispatch/prefix_cache_model.cpp
+++ b/src/process/dispatch/prefix_cache_model.cpp
@@ -8,30 +8,32 @@
 {
 }
 
-void PrefixCacheModel::recordPrompt(const request::Prompt &prompt)
+void PrefixCacheModel::recordPrompt(const request::Prompt &prompt, Time now)
 {
     // The leading part becomes the most recently used one: a part is useful only while all parts before it are cached.
     for (auto part = prompt.parts.rbegin(); part != prompt.parts.rend(); ++part) {
         if (const auto known = this->parts.find(part->id); known != this->parts.end()) {
             this->order.splice(this->order.begin(), this->order, known->second);
+            known->second->usedAt = now;
             continue;
         }
-        this->order.push_front(*part);
+        this->order.push_front({*part, now});
         this->parts.emplace(part->id, this->order.begin());
         this->tokens += part->tokens;
     }
     while (this->tokens > this->maxTokens && !this->order.empty()) {
-        this->tokens -= this->order.back().tokens;
-        this->parts.erase(this->order.back().id);
+        this->tokens -= this->order.back().part.tokens;
+        this->parts.erase(this->order.back().part.id);
         this->order.pop_back();
     }
 }
 
-std::uint32_t PrefixCacheModel::cachedTokens(const request::Prompt &prompt) const
+std::uint32_t PrefixCacheModel::cachedTokens(const request::Prompt &prompt, Time usedSince) const
 {
     std::uint32_t cached = 0;
     for (const request::PromptPart &part : prompt.parts) {
-        if (!this->parts.contains(part.id)) {
+        const auto known = this->parts.find(part.id);
+        if (known == this->parts.end() || known->second->usedAt < usedSince) {
             break;
         }
         cached += part.tokens;
--- a/src/process/dispatch/prefix_cache_model.h
+++ b/src/process/dispatch/prefix_cache_model.h
@@ -21,14 +21,21 @@
     explicit PrefixCacheModel(std::uint64_t maxTokens);
 
     /** @brief Records that the prompt's parts are now cached. */
-    void recordPrompt(const request::Prompt &prompt);
-    /** @returns tokens of the longest run of leading parts that are cached. */
-    std::uint32_t cachedTokens(const request::Prompt &prompt) const;
+    void recordPrompt(const request::Prompt &prompt, Time now = Time(0));
+    /**
+     * @param usedSince Parts that were last sent before are taken for evicted: other daemons' prompts use the cache too.
+     * @returns tokens of the longest run of leading parts that are cached.
+     */
+    std::uint32_t cachedTokens(const request::Prompt &prompt, Time usedSince = Time::min()) const;
     /** @brief Removes all parts, for a restarted backend server. */
     void clear();
 
 private:
-    using Order = std::list<request::PromptPart>;
+    struct Entry {
+        request::PromptPart part;
+        Time usedAt {0};
+    };
+    using Order = std::list<Entry>;
 
     std::uint64_t maxTokens;
     std::uint64_t tokens = 0;
