Speeds of engines are learnt, and their committed memory is counted

The throughput and overhead of engines were compiled in, so that the time until a first event was predicted wrongly for engines of another type, on slower machines, or while their machine is disturbed. The memory of running requests was not counted at all.

EngineSpeedModel fits overhead and throughput over the engines of a service, keeps a bounded factor for each engine, and follows the slowness that load reports state for 100 ms. Far observations count least, since a wrong cache belief makes a first event look slow or fast. CommittedMemory holds prompt plus expected output of the requests in progress; load messages carry the sums in an optional list at the end of Message.

Weighed: least squares, clipped distances, gradient steps, dropping observations that another cache belief explains, factors and reports sent between daemons.

--- a/src/process/directory/backend_server.cpp
+++ b/src/process/directory/backend_server.cpp
@@ -143,6 +143,17 @@
     this->serviceTime.add(static_cast<double>(hold.count()), now);
 }
 
+void BackendServer::recordServiceTime(Duration taken, Time sentAt, Time now)
+{
+    const engine::ReportedSlowness &slowness = this->engineState.slowness;
+    this->serviceTime.add(static_cast<double>(taken.count()) / slowness.reportSince(sentAt).value_or(slowness.typical()), now);
+}
+
+Duration BackendServer::expectedServiceTime(Time now) const
+{
+    return Duration(static_cast<std::int64_t>(this->serviceTime.value(now) * this->engineState.slowness.current(now)));
+}
+
 Duration BackendServer::slotDelay(Time now) const
 {
     const double slots = std::max<std::uint32_t>(this->record.slots, 1);
--- a/src/process/directory/backend_server.h
+++ b/src/process/directory/backend_server.h
@@ -8,6 +8,8 @@
 #include "process/dispatch/decaying_average.h"
 #include "process/dispatch/prefix_cache_model.h"
 #include "process/dispatch/sliding_window.h"
+#include "process/engine/committed_memory.h"
+#include "process/engine/engine_speed.h"
 #include "process/exchange/load_summary.h"
 
 #include <deque>
@@ -115,6 +117,10 @@
     void recordExcessDelay(Duration excess, Time now);
     /** @brief Records how long a request occupied a slot of a model engine. */
     void recordSlotTime(Duration hold, Time now);
+    /** @brief Records how long an application request took. @param sentAt When it was sent. */
+    void recordServiceTime(Duration taken, Time sentAt, Time now);
+    /** @returns the expected time of an application request that begins now; zero without recent ones. */
+    Duration expectedServiceTime(Time now) const;
     /** @returns predicted wait for a slot of a model engine, from the in-flight requests of all daemons. */
     Duration slotDelay(Time now) const;
     /** @returns predicted queueing delay of a new request, from the delays of recent first events. */
@@ -135,9 +141,11 @@
     dispatch::AnnouncedLimit announcedLimit;
     std::optional<LimitHolding> limitHolding;
     std::uint64_t heldBack = 0; ///< Requests that were placed elsewhere, or refused, since this daemon's part of its limit was used up.
+    engine::EngineState engineState; ///< Its speed and reported slowness; the latter also of application backend servers.
+    engine::CommittedMemory memory; ///< Tokens of requests in progress; only for model engines.
     dispatch::DecayingAverage excessDelay; ///< Delay of first events beyond the prediction, in microseconds.
     dispatch::DecayingSum firstEventCount; ///< Recent first events at this daemon, with decay.
-    dispatch::DecayingAverage serviceTime; ///< Duration of an answer or a slot's occupation, in microseconds.
+    dispatch::DecayingAverage serviceTime; ///< Duration of an answer at a slowness of 1, or of a slot's occupation, in microseconds.
     dispatch::DecayingAverage failureRate; ///< Fraction of failed answers, 0 to 1.
     dispatch::SlidingWindow recentAttempts; ///< This daemon's requests in the window of the cold limit.
     dispatch::PrefixCacheModel prefixCache;
--- a/src/process/exchange/load_codec.cpp
+++ b/src/process/exchange/load_codec.cpp
@@ -19,8 +19,15 @@
 /** Longer ones are not sent by any daemon. */
 constexpr flatbuffers::uoffset_t maxEvidenceEntries = 256;
 constexpr flatbuffers::uoffset_t maxLimitEntries = 1024;
+constexpr flatbuffers::uoffset_t maxCommittedEntries = 4096;
 constexpr std::uint64_t bitsOfHalf = 32;
 
+/** Entry of the list of committed tokens, which is kept apart from the other loads since older daemons don't send it. */
+struct CommittedEntry {
+    std::uint32_t backend = 0;
+    double tokens = 0;
+};
+
 bool isValid(float value)
 {
     return value >= 0 && value <= maxValue;
@@ -62,6 +69,11 @@
     return {entry.incarnation(), entry.demand()};
 }
 
+CommittedEntry fromWire(const wire::CommittedTokens &entry)
+{
+    return {entry.backend(), entry.tokens()};
+}
+
 template <class Entry>
 auto fromWire(const flatbuffers::Vector<const Entry *> *entries, flatbuffers::uoffset_t most = maxEvidenceEntries)
 {
@@ -87,6 +99,11 @@
     return {load.incarnation, static_cast<float>(load.demand)};
 }
 
+wire::CommittedTokens toWire(const CommittedEntry &entry)
+{
+    return {entry.backend, static_cast<float>(entry.tokens)};
+}
+
 wire::PartAge toWire(const PartAge &part)
 {
     return {highHalf(part.part), static_cast<std::uint32_t>(part.part), toMilliseconds(part.age)};
@@ -101,6 +118,22 @@
     return written.empty() ? 0 : builder.CreateVectorOfStructs(written);
 }
 
+/** @brief Adds the committed tokens to the loads, which are sorted. @returns false for an invalid value. */
+bool addCommitted(const std::vector<CommittedEntry> &entries, std::vector<BackendLoad> &loads)
+{
+    const auto isBefore = [](const BackendLoad &load, std::uint32_t backend) { return load.backend < backend; };
+    for (const CommittedEntry &entry : entries) {
+        if (!isValid(static_cast<float>(entry.tokens))) {
+            return false;
+        }
+        const auto load = std::lower_bound(loads.begin(), loads.end(), entry.backend, isBefore);
+        if (load != loads.end() && load->backend == entry.backend) {
+            load->committedTokens = entry.tokens;
+        }
+    }
+    return true;
+}
+
 }
 
 std::vector<std::uint8_t> encode(const Message &message)
@@ -113,8 +146,12 @@
         offered.push_back(static_cast<float>(load.offered));
     }
     std::vector<wire::BackendLoad> backends;
+    std::vector<CommittedEntry> committed;
     for (const BackendLoad &load : message.load.backends) {
         backends.emplace_back(load.backend, static_cast<float>(load.pendingPrefillTokens), load.inFlight);
+        if (load.committedTokens > 0) {
+            committed.push_back({load.backend, load.committedTokens});
+        }
     }
     const auto workspacesOffset = builder.CreateVectorOfStructs(workspaces);
     const auto offeredOffset = builder.CreateVector(offered);
@@ -124,9 +161,11 @@
     const auto quarantinedOffset = writeList(builder, message.evidence.quarantined);
     const auto limitsOffset = writeList(builder, message.limits);
     const auto limitDemandsOffset = writeList(builder, message.load.limitDemands);
+    const auto committedOffset = writeList(builder, committed);
     builder.Finish(wire::CreateMessage(builder, static_cast<wire::Kind>(message.kind), message.sender.id, message.dataCentre.id,
                                        workspacesOffset, backendsOffset, message.load.daemons, toMilliseconds(message.load.age),
-                                       offeredOffset, suspicionsOffset, soundOffset, quarantinedOffset, limitsOffset, limitDemandsOffset));
+                                       offeredOffset, suspicionsOffset, soundOffset, quarantinedOffset, limitsOffset, limitDemandsOffset,
+                                       committedOffset));
     return {builder.GetBufferPointer(), builder.GetBufferPointer() + builder.GetSize()};
 }
 
@@ -165,7 +204,7 @@
             if (!isValid(load->unread_tokens())) {
                 return std::nullopt;
             }
-            message.load.backends.push_back({load->backend(), load->unread_tokens(), load->in_flight()});
+            message.load.backends.push_back({load->backend(), load->unread_tokens(), load->in_flight(), 0});
         }
     }
     message.evidence = {fromWire(root->suspicions()), fromWire(root->sound()), fromWire(root->quarantined())};
@@ -183,6 +222,9 @@
     std::sort(message.load.backends.begin(), message.load.backends.end(), byBackend);
     std::sort(message.load.limitDemands.begin(), message.load.limitDemands.end(),
               [](const LimitDemand &left, const LimitDemand &right) { return left.incarnation < right.incarnation; });
+    if (!addCommitted(fromWire(root->committed(), maxCommittedEntries), message.load.backends)) {
+        return std::nullopt;
+    }
     return message;
 }
 
--- a/src/process/exchange/load_exchange.cpp
+++ b/src/process/exchange/load_exchange.cpp
@@ -60,7 +60,7 @@
         left.backends, right.backends, [](auto &load) -> auto & { return load.backend; },
         [factor, addCounts](const BackendLoad &l, const BackendLoad &r) {
             return BackendLoad {l.backend, std::max(0.0, l.pendingPrefillTokens + factor * r.pendingPrefillTokens),
-                                addCounts(l.inFlight, r.inFlight)};
+                                addCounts(l.inFlight, r.inFlight), std::max(0.0, l.committedTokens + factor * r.committedTokens)};
         });
     sum.limitDemands = merge(
         left.limitDemands, right.limitDemands, [](auto &load) -> auto & { return load.incarnation; },
--- a/src/process/exchange/load_summary.h
+++ b/src/process/exchange/load_summary.h
@@ -25,6 +25,7 @@
     std::uint32_t backend = 0; ///< Hash of its id.
     double pendingPrefillTokens = 0; ///< Prompt tokens of requests whose first event has not arrived.
     std::uint32_t inFlight = 0;
+    double committedTokens = 0; ///< Prompt and expected output of these requests; zero from daemons that don't report it.
 
     bool operator==(const BackendLoad &) const = default;
 };
--- a/tests/proxy/test_exchange.cpp
+++ b/tests/proxy/test_exchange.cpp
@@ -3,6 +3,7 @@
 #include "process/exchange/load_codec.h"
 #include "process/exchange/load_exchange.h"
 #include "process/exchange/load_socket.h"
+#include "process/exchange/wire/generated/load_generated.h"
 #include "standin/raw_server.h"
 
 #include <doctest/doctest.h>
@@ -195,6 +196,59 @@
     }
 }
 
+// Guards against memory of engines that looks free although other daemons have committed it, or own tokens that count twice.
+TEST_CASE("committed tokens reach the other daemons as sums without their own")
+{
+    const Peer first {DaemonHandle {1}, DataCentreHandle {9}, "a"};
+    const Peer second {DaemonHandle {2}, DataCentreHandle {9}, "b"};
+    LoadExchange one(first, [](const Peer &, const Message &) {});
+    LoadExchange other(second, [&one](const Peer &, const Message &message) {
+        const auto decoded = decode(encode(message));
+        REQUIRE(decoded);
+        CHECK(decoded->load == message.load);
+        one.receive(*decoded, "b", start);
+    });
+    one.setPeers({second});
+    other.setPeers({first});
+    other.tick({{}, {{3, 100, 2, 18000}, {4, 0, 1, 0}, {5, 0, 1, 9000}}, 1}, start);
+    one.tick({{}, {{3, 50, 1, 7000}}, 1}, start);
+    const auto others = one.loadOfOthers(start);
+    REQUIRE(others);
+    REQUIRE(others->backends.size() == 3);
+    CHECK(others->backends[0].committedTokens == 18000);
+    CHECK(others->backends[1].committedTokens == 0);
+    CHECK(others->backends[2].committedTokens == 9000);
+}
+
+// Guards against daemons that lose the load of daemons from before committed tokens, while the fleet is being replaced.
+TEST_CASE("a message without committed tokens is understood, and an invalid number rejects the message")
+{
+    const auto makeMessage = [](const std::optional<float> &tokens) {
+        flatbuffers::FlatBufferBuilder builder;
+        const std::vector<wire::BackendLoad> loads {{3, 100, 2}};
+        const std::vector<wire::CommittedTokens> list {{3, tokens.value_or(0)}, {8, 5000}};
+        const auto backends = builder.CreateVectorOfStructs(loads);
+        const auto committed = tokens ? builder.CreateVectorOfStructs(list) : 0;
+        wire::MessageBuilder message(builder);
+        message.add_kind(wire::Kind::Member);
+        message.add_backends(backends);
+        message.add_daemons(1);
+        if (tokens) {
+            message.add_committed(committed);
+        }
+        builder.Finish(message.Finish());
+        return std::vector<std::uint8_t>(builder.GetBufferPointer(), builder.GetBufferPointer() + builder.GetSize());
+    };
+    const auto older = decode(makeMessage(std::nullopt));
+    REQUIRE(older);
+    CHECK(older->load.backends == std::vector<BackendLoad> {{3, 100, 2, 0}});
+    // The entry of a backend server without requests is ignored.
+    const auto newer = decode(makeMessage(7000.0F));
+    REQUIRE(newer);
+    CHECK(newer->load.backends == std::vector<BackendLoad> {{3, 100, 2, 7000}});
+    CHECK_FALSE(decode(makeMessage(-1.0F)));
+}
+
 // Guards against a busy daemon, whose event loop turns slowly, that reads ever older loads.
 TEST_CASE("load messages that have arrived are read in one turn of the event loop")
 {
