--- a/src/process/edge_settings.h
+++ b/src/process/edge_settings.h
@@ -38,6 +38,7 @@
     std::uint64_t memoryBytes = 0; ///< Memory limit of the process; zero where the settings name none.
     bool isFirstStart = false; ///< All daemons of the fleet start now, for the first time.
     double cores = 1; ///< Of the VM; parts of one where the daemon has no whole core.
+    bool isEngineMemoryBounded = false; ///< Engines end when their requests exceed their memory, so placement counts it.
     OperatorBounds bounds;
 
     bool operator==(const EdgeSettings &) const = default;
--- a/src/process/proxy/backend_attempt.h
+++ b/src/process/proxy/backend_attempt.h
@@ -4,6 +4,7 @@
 
 #include "connection/http/client_connection.h"
 #include "process/dispatch/placement.h"
+#include "process/engine/engine_speed.h"
 #include "process/proxy/answer_buffer_budget.h"
 #include "process/proxy/backend_connection_pool.h"
 #include "request/attributes.h"
@@ -21,14 +22,18 @@
 class BackendAttempt
 {
 public:
-    /** @param maxIdleTime A pooled connection that was idle for longer is not used. */
+    /**
+     * @param expectedTokens Prompt and expected output; zero for a service without model engines.
+     * @param maxIdleTime A pooled connection that was idle for longer is not used.
+     */
     BackendAttempt(BackendConnectionPool &backendPool, AnswerBufferBudget &answerBufferBudget, directory::BackendServerPtr target,
-                   const dispatch::Placement &placement, const request::Prompt &prompt, Duration maxIdleTime, Time now);
+                   const dispatch::Placement &placement, const request::Prompt &prompt, double expectedTokens, Duration maxIdleTime,
+                   Time now);
 
     /** @brief Stores the answer header, and updates the backend server's state from what it reports. */
     void onHeader(const connection::http::AnswerHeader &answerHeader, const request::AnswerAttributes &attributes, Time now);
-    /** @brief Records the arrival of the first complete event. */
-    void onFirstEvent(Time now);
+    /** @brief Records the arrival of the first complete event. @param speedModel Learns from it; null for none. */
+    void onFirstEvent(engine::EngineSpeedModel *speedModel, Time now);
     /**
      * @brief Removes the attempt from the backend server's load and releases the connection.
      * @param isCancelled Closes the connection, so that the backend server stops its work.
@@ -52,6 +57,8 @@
     void removePendingPrefill();
 
     BackendConnectionPool &pool;
+    double committedTokens;
+    std::uint32_t ownPromptTokens; ///< Of the part of the prompt that no other request shares.
 };
 
 }
--- a/src/process/proxy/proxied_request.cpp
+++ b/src/process/proxy/proxied_request.cpp
@@ -143,6 +143,7 @@
     if (this->isEngineService()) {
         this->proxy.shares().recordDemand(this->workspaceHandle(), this->cost(), now);
         this->proxy.costs().recordRequest(this->route->name, this->cost(), now);
+        this->proxy.prefixValueOf(this->service->name).recordRequest(this->attributes.prompt.sharedPrefixId(), now);
         this->proxy.metrics().countDemand(this->workspaceName(), this->cost());
     }
 }
@@ -338,6 +339,12 @@
     return this->attributes.prompt.tokens + outputTokenWeight * this->attributes.prompt.maxOutputTokens;
 }
 
+double ProxiedRequest::expectedOutput() const
+{
+    const request::Prompt &prompt = this->attributes.prompt;
+    return this->isEngineService() ? this->proxy.outputLengths().expected(this->route->name, prompt.outputHint, prompt.maxOutputTokens) : 0;
+}
+
 bool ProxiedRequest::isForwardedStream() const
 {
     const request::AnswerAttributes &answer = this->currentAttempt->answer;
@@ -347,7 +354,7 @@
 BackendChoice ProxiedRequest::chooseBackend(Time now)
 {
     return this->proxy.chooseBackend({this->route, this->service, this->workspace, &this->attributes.prompt, this->request.body().size(),
-                                      hashName(this->attributes.id), &this->triedBackends},
+                                      hashName(this->attributes.id), &this->triedBackends, this->expectedOutput()},
                                      now);
 }
 
@@ -437,12 +444,14 @@
     ++this->attempts;
     if (this->isEngineService()) {
         this->proxy.addUnanswered(this->shared_from_this());
+        this->proxy.prefixValueOf(this->service->name).recordSent(choice.prediction.uncachedTokens, now);
     }
     this->triedBackends.push_back(choice.backend);
     this->lastPrediction = choice.prediction;
     const Duration maxIdleTime = this->isRetryable() ? maxIdleRetryable : maxIdleNonRetryable;
-    this->currentAttempt = std::make_unique<BackendAttempt>(this->proxy.pool(), this->proxy.answerBufferBudget(), choice.backend,
-                                                            choice.prediction, this->attributes.prompt, maxIdleTime, now);
+    this->currentAttempt = std::make_unique<BackendAttempt>(
+        this->proxy.pool(), this->proxy.answerBufferBudget(), choice.backend, choice.prediction, this->attributes.prompt,
+        this->isEngineService() ? this->attributes.prompt.tokens + this->expectedOutput() : 0, maxIdleTime, now);
 
     BackendRequestFields fields;
     fields.expectedInstance = choice.backend->record.id;
@@ -545,7 +554,9 @@
 {
     BackendAttempt &attempt = *this->currentAttempt;
     if (!attempt.hasFirstEvent) {
-        attempt.onFirstEvent(now);
+        // Only engines that tell how slow they are at the moment differ enough for their speeds to be learnt.
+        const bool tellsSlowness = this->isEngineService() && attempt.answer.slowness.has_value();
+        attempt.onFirstEvent(tellsSlowness ? &this->proxy.speedModelOf(this->service->name) : nullptr, now);
         this->proxy.metrics().observePredictionError(this->route->name, now - attempt.startedAt - attempt.prediction.firstEventDelay);
     }
     if (!this->hasAnswerStarted) {
@@ -595,6 +606,9 @@
     this->verdict = Verdict::Ran;
     this->proxy.quarantine().recordWritten(this->attributes.prompt, now);
     this->currentAttempt->backend->recordSuccess(now, this->service->coldPeriod);
+    if (const auto lastId = this->splitter.lastEventId(); this->isEngineService() && this->attributes.prompt.outputHint && lastId) {
+        this->proxy.outputLengths().record(this->route->name, *this->attributes.prompt.outputHint, *lastId, now);
+    }
     this->currentAttempt->backend->recordSlotTime(now - this->currentAttempt->startedAt, now);
     this->endAttempt(now, false);
     this->session->finishStream();
@@ -621,7 +635,7 @@
         }
     } else {
         attempt.backend->recordSuccess(now, this->service->coldPeriod);
-        attempt.backend->serviceTime.add(static_cast<double>((now - attempt.startedAt).count()), now);
+        attempt.backend->recordServiceTime(now - attempt.startedAt, attempt.startedAt, now);
     }
     this->forwardAnswer();
 }
--- a/src/process/proxy/proxied_request.h
+++ b/src/process/proxy/proxied_request.h
@@ -105,6 +105,8 @@
     std::string workspaceName() const;
     WorkspaceHandle workspaceHandle() const;
     double cost() const;
+    /** @returns tokens that a model engine is expected to generate. */
+    double expectedOutput() const;
 
     Proxy &proxy;
     connection::http::ServerSessionPtr session;
--- a/src/process/proxy/proxy.cpp
+++ b/src/process/proxy/proxy.cpp
@@ -280,7 +280,26 @@
     return true;
 }
 
-dispatch::Candidate Proxy::makeCandidate(BackendServer &backend, const PlacementQuery &query, Time now) const
+engine::EngineSpeedModel &Proxy::speedModelOf(const std::string &service)
+{
+    return this->speedModels.try_emplace(service, engine::EngineSpeed {dispatch::prefillTokensPerMs, dispatch::firstEventOverhead})
+        .first->second;
+}
+
+dispatch::PrefixBelief Proxy::prefixBelief(const PlacementQuery &query, std::size_t backendCount, Time now)
+{
+    const std::uint32_t shared = query.prompt->sharedTokens();
+    if (!query.service->engine || shared == 0) {
+        return {};
+    }
+    const dispatch::PrefixFleet fleet {static_cast<double>(this->activeDaemons.count()), static_cast<double>(backendCount),
+                                       static_cast<double>(query.service->engine->cacheTokens)};
+    return this->prefixValueOf(query.service->name)
+        .belief(query.prompt->sharedPrefixId(), shared, query.prompt->tokens - std::min(shared, query.prompt->tokens), fleet, now);
+}
+
+dispatch::Candidate Proxy::makeCandidate(BackendServer &backend, const PlacementQuery &query, const EngineKnowledge &engines,
+                                         Time now) const
 {
     dispatch::Candidate candidate;
     candidate.backend = backend.handle;
@@ -290,7 +309,13 @@
     candidate.roundTrip = locality.roundTrip;
     candidate.failureRate = backend.failureRate.value(now);
     if (query.service->engine) {
-        const Duration ownPrefillDelay = dispatch::prefillTime(backend.pendingPrefillTokens);
+        const engine::EngineSpeed speed = engines.speedModel->speed(backend.engineState, now);
+        candidate.prefillTokensPerMs = speed.prefillTokensPerMs;
+        candidate.firstEventOverhead = speed.firstEventOverhead;
+        if (this->currentSettings.isEngineMemoryBounded && query.service->engine->cacheTokens > 0) {
+            candidate.freeMemoryTokens = backend.memory.free(static_cast<double>(query.service->engine->cacheTokens));
+        }
+        const Duration ownPrefillDelay = speed.prefillTime(backend.pendingPrefillTokens);
         const Duration prefillQueueDelay = backend.queueDelay(now) + ownPrefillDelay;
         const Duration slotWait = backend.slotDelay(now);
         candidate.queueDelay = std::max(prefillQueueDelay, slotWait);
@@ -298,8 +323,8 @@
         // Other daemons' load is known with a delay, so it counts only where this daemon has few observations of the engine.
         const double othersLoadWeight = 1.0 / (1.0 + ownObservationWeight * backend.firstEventCount.value(now));
         candidate.queueDelayFromOthers
-            = dispatch::prefillTime(backend.loadFromOthers.pendingPrefillTokens * othersLoadWeight) + ownPrefillDelay;
-        candidate.cachedTokens = backend.prefixCache.cachedTokens(*query.prompt);
+            = speed.prefillTime(backend.loadFromOthers.pendingPrefillTokens * othersLoadWeight) + ownPrefillDelay;
+        candidate.cachedTokens = backend.prefixCache.cachedTokens(*query.prompt, engines.cacheUsedSince);
         return candidate;
     }
     const bool hasReport = backend.loadReport && now - backend.loadReport->receivedAt < maxReportAge;
@@ -307,7 +332,8 @@
     const double load = std::max(backend.inFlight + backend.loadFromOthers.inFlight, reported);
     const double slots = std::max<std::uint32_t>(backend.record.slots, 1);
     const double serviceRounds = 1.0 + std::max(0.0, load + 1.0 - slots) / slots + load / slots;
-    candidate.queueDelay = Duration(static_cast<std::int64_t>(backend.serviceTime.value(now) * serviceRounds));
+    candidate.queueDelay
+        = Duration(static_cast<std::int64_t>(static_cast<double>(backend.expectedServiceTime(now).count()) * serviceRounds));
     return candidate;
 }
 
@@ -331,8 +357,10 @@
     const auto &backends = this->directory.ofService(query.service->name);
     std::vector<dispatch::Candidate> candidates;
     candidates.reserve(backends.size());
+    const dispatch::PrefixBelief belief = this->prefixBelief(query, backends.size(), now);
+    const EngineKnowledge engines {query.service->engine ? &this->speedModelOf(query.service->name) : nullptr, belief.usedSince};
     for (const BackendServerPtr &backend : backends) {
-        dispatch::Candidate candidate = this->makeCandidate(*backend, query, now);
+        dispatch::Candidate candidate = this->makeCandidate(*backend, query, engines, now);
         const bool isTried = std::find(query.triedBackends->begin(), query.triedBackends->end(), backend) != query.triedBackends->end();
         candidate.isEligible = !isTried && this->isEligible(*backend, query, now);
         candidate.isUsable = candidate.isEligible && this->hasCapacity(*backend, query, now);
@@ -345,8 +373,13 @@
     }
     choice.candidateCount = candidates.size();
     choice.meanQueueDelay /= static_cast<std::int64_t>(std::max<std::size_t>(choice.usableCount, 1));
-    const dispatch::PlacementRequest request {query.prompt->tokens, query.prompt->sharedTokens(), query.prompt->sharedPrefixId(),
-                                              query.bodyBytes, query.requestHash};
+    const dispatch::PlacementRequest request {query.prompt->tokens,
+                                              query.prompt->sharedTokens(),
+                                              query.prompt->sharedPrefixId(),
+                                              query.bodyBytes,
+                                              query.requestHash,
+                                              static_cast<std::uint32_t>(query.expectedOutputTokens),
+                                              belief.homeCount};
     if (const auto placement = dispatch::place(request, candidates)) {
         choice.backend = backends[placement->index];
         choice.prediction = *placement;
@@ -513,7 +546,7 @@
     load.workspaces = this->fairShare.localLoad(now);
     this->directory.forEach([this, &load, now](const BackendServerPtr &backend) {
         if (backend->inFlight > 0 || backend->pendingPrefillTokens > 0) {
-            load.backends.push_back({backend->handle, backend->pendingPrefillTokens, backend->inFlight});
+            load.backends.push_back({backend->handle, backend->pendingPrefillTokens, backend->inFlight, backend->memory.ownCommitted()});
         }
         if (backend->announcedLimit.fleetRate(now) && backend->limitHolding && backend->limitHolding->isHolder) {
             load.limitDemands.push_back({backend->incarnation, this->serviceDemand(backend->record.service, now)});
@@ -547,15 +580,18 @@
 double Proxy::engineThroughput(Time now) const
 {
     constexpr double millisecondsPerSecond = 1000;
-    const double perEngine = dispatch::prefillTokensPerMs * millisecondsPerSecond;
     const auto routes = this->routeTable();
     const double meanCost = this->requestCosts.meanCost(now);
     double throughput = 0;
-    this->directory.forEach([this, &routes, &throughput, perEngine, meanCost, now](const BackendServerPtr &backend) {
+    this->directory.forEach([this, &routes, &throughput, meanCost, now](const BackendServerPtr &backend) {
         const version::Service *service = routes ? routes->service(backend->record.service) : nullptr;
         const bool isUsable = backend->availability == Availability::Ready || backend->availability == Availability::Unconfirmed;
         if (isUsable && service != nullptr && service->engine && !this->directory.isTakenOut(backend->record.dataCentre)) {
             const auto limit = backend->announcedLimit.fleetRate(now);
+            const auto model = this->speedModels.find(backend->record.service);
+            const double tokensPerMs = model == this->speedModels.end() ? dispatch::prefillTokensPerMs
+                                                                        : model->second.speed(backend->engineState, now).prefillTokensPerMs;
+            const double perEngine = tokensPerMs * millisecondsPerSecond;
             throughput += limit && meanCost > 0 ? std::min(perEngine, *limit * meanCost) : perEngine;
         }
     });
@@ -589,6 +625,7 @@
     }
     this->updateShares(others, now);
     this->requestCosts.removeUnusedRoutes(now);
+    this->lengthsOfOutput.removeUnusedRoutes(now);
     this->updateLimits(others, now);
     this->updateRetryBudgets(now);
     this->updateShedding(others, now);
@@ -599,6 +636,7 @@
     this->directory.forEach([&loadsFromOthers](const BackendServerPtr &backend) {
         const auto found = loadsFromOthers.find(backend->handle);
         backend->loadFromOthers = found == loadsFromOthers.end() ? exchange::BackendLoad() : found->second;
+        backend->memory.setFromOthers(backend->loadFromOthers.committedTokens);
     });
 }
 
--- a/src/process/proxy/proxy.h
+++ b/src/process/proxy/proxy.h
@@ -9,9 +9,12 @@
 #include "process/dispatch/load_shedder.h"
 #include "process/dispatch/part_quarantine.h"
 #include "process/dispatch/placement.h"
+#include "process/dispatch/prefix_value.h"
 #include "process/dispatch/request_costs.h"
 #include "process/dispatch/workspace_pacer.h"
 #include "process/edge_settings.h"
+#include "process/engine/engine_speed.h"
+#include "process/engine/output_lengths.h"
 #include "process/proxy/answer_buffer_budget.h"
 #include "process/proxy/backend_connection_pool.h"
 #include "process/proxy/proxy_metrics.h"
@@ -41,6 +44,7 @@
     std::size_t bodyBytes = 0;
     std::uint64_t requestHash = 0; ///< Hash of the request's id, for decisions that are spread over requests.
     const std::vector<directory::BackendServerPtr> *triedBackends = nullptr; ///< Excluded, as the request was attempted there.
+    double expectedOutputTokens = 0; ///< For a model engine.
 };
 
 /** @brief Result of choosing a backend server for a request. */
@@ -185,6 +189,17 @@
     {
         return this->requestCosts;
     }
+    /** @returns what the prefixes of a service's prompts are worth. */
+    dispatch::PrefixValue &prefixValueOf(const std::string &service)
+    {
+        return this->prefixValues[service];
+    }
+    /** @returns how fast a service's engines are. */
+    engine::EngineSpeedModel &speedModelOf(const std::string &service);
+    engine::OutputLengths &outputLengths()
+    {
+        return this->lengthsOfOutput;
+    }
     BackendConnectionPool &pool()
     {
         return this->backendPool;
@@ -211,7 +226,16 @@
     }
 
 private:
-    dispatch::Candidate makeCandidate(directory::BackendServer &backend, const PlacementQuery &query, Time now) const;
+    /** @brief What placement knows of all engines of a service. */
+    struct EngineKnowledge {
+        const engine::EngineSpeedModel *speedModel = nullptr; ///< Null for a service without model engines.
+        Time cacheUsedSince {0}; ///< Prompt parts that were last used before are taken as evicted.
+    };
+
+    dispatch::Candidate makeCandidate(directory::BackendServer &backend, const PlacementQuery &query, const EngineKnowledge &engines,
+                                      Time now) const;
+    /** @returns what the prompt's shared prefix is worth; the defaults for a service without model engines. */
+    dispatch::PrefixBelief prefixBelief(const PlacementQuery &query, std::size_t backendCount, Time now);
     /** @returns whether the backend server is available and in a region that is allowed to receive the request. */
     bool isEligible(directory::BackendServer &backend, const PlacementQuery &query, Time now) const;
     /** @returns whether the homes of the request's route and workspace allow the backend server's region. */
@@ -264,6 +288,9 @@
     AnswerBufferBudget bufferBudget;
     std::map<std::string, request::RetryBudget> retryBudgets;
     std::map<std::string, dispatch::DecayingSum> serviceDemands; ///< Requests by service.
+    std::map<std::string, dispatch::PrefixValue> prefixValues; ///< By service.
+    std::map<std::string, engine::EngineSpeedModel> speedModels; ///< By service.
+    engine::OutputLengths lengthsOfOutput;
     dispatch::ActiveDaemons activeDaemons;
     Time configurationConfirmedAt = Time::min();
     std::optional<Time> othersMeasuredAt; ///< When the oldest part of the other daemons' load was measured.
