--- a/scripts/check-generated.sh
+++ b/scripts/check-generated.sh
@@ -10,3 +10,4 @@
 }
 compare connection/wire frame
 compare process/exchange/wire load
+compare process/handover/wire handover
--- a/scripts/generate.sh
+++ b/scripts/generate.sh
@@ -7,4 +7,5 @@
 }
 generate connection/wire frame.fbs
 generate process/exchange/wire load.fbs
+generate process/handover/wire handover.fbs
 generate process/mirror/wire mirror.fbs
--- a/src/connection/http/server_session.cpp
+++ b/src/connection/http/server_session.cpp
@@ -1,16 +1,12 @@
 #include "connection/http/server_session.h"
 
+#include "connection/http/answer_text.h"
 #include "connection/http/limits.h"
 
 #include <boost/asio/write.hpp>
-#include <boost/beast/http/empty_body.hpp>
-#include <boost/beast/http/serializer.hpp>
-#include <boost/beast/http/write.hpp>
 
 #include <algorithm>
 #include <array>
-#include <charconv>
-#include <sstream>
 
 #include <sys/ioctl.h>
 #include <sys/socket.h>
@@ -74,25 +70,6 @@
     return ::ioctl(descriptor, TIOCOUTQ, &bytes) == 0 ? static_cast<std::size_t>(bytes) : 0;
 }
 
-std::string toChunk(std::string_view part)
-{
-    std::array<char, 20> size {};
-    const auto end = std::to_chars(size.data(), size.data() + size.size(), part.size(), 16).ptr;
-    std::string chunk(size.data(), end);
-    chunk += "\r\n";
-    chunk += part;
-    chunk += "\r\n";
-    return chunk;
-}
-
-template <class Message>
-std::string headerText(const Message &message)
-{
-    std::ostringstream text;
-    text << message.base();
-    return text.str();
-}
-
 }
 
 ServerSession::ServerSession(Socket callerSocket, std::shared_ptr<const SessionHooks> sessionHooks)
@@ -303,12 +280,8 @@
         return;
     }
     this->onCallerLeft = nullptr;
-    this->closeAfter = this->closeAfter || this->hooks->isClosing();
-    answer.version(11);
-    answer.keep_alive(!this->closeAfter);
-    answer.prepare_payload();
     this->answerEnds = true;
-    this->queue(headerText(answer) + answer.body());
+    this->queue(answerText(std::move(answer), this->closesAfterAnswer()));
 }
 
 void ServerSession::startStream(AnswerHeader header)
@@ -316,13 +289,37 @@
     if (!this->isAnswering()) {
         return;
     }
-    beast::http::response<beast::http::empty_body> answer(std::move(header));
-    answer.version(11);
+    this->queue(streamHeaderText(std::move(header), this->closesAfterAnswer()));
+}
+
+bool ServerSession::closesAfterAnswer()
+{
     this->closeAfter = this->closeAfter || this->hooks->isClosing();
-    answer.keep_alive(!this->closeAfter);
-    answer.erase(field::content_length);
-    answer.set(field::transfer_encoding, "chunked");
-    this->queue(headerText(answer));
+    return this->closeAfter;
+}
+
+void ServerSession::relay(std::string_view bytes)
+{
+    if (!this->isAnswering() || bytes.empty()) {
+        return;
+    }
+    if (this->waiting.size() + bytes.size() > maxQueuedAnswerBytes) {
+        this->leaveCaller();
+        return;
+    }
+    this->queue(bytes);
+}
+
+void ServerSession::finishRelay()
+{
+    if (!this->isAnswering()) {
+        return;
+    }
+    this->onCallerLeft = nullptr;
+    this->answerEnds = true;
+    if (!this->writing) {
+        this->onAnswerWritten();
+    }
 }
 
 void ServerSession::sendPart(std::string_view part)
@@ -334,7 +331,7 @@
         this->leaveCaller();
         return;
     }
-    this->queue(toChunk(part));
+    this->queue(chunkText(part));
 }
 
 void ServerSession::finishStream()
@@ -344,10 +341,10 @@
     }
     this->onCallerLeft = nullptr;
     this->answerEnds = true;
-    this->queue("0\r\n\r\n");
+    this->queue(lastChunkText);
 }
 
-void ServerSession::queue(const std::string &bytes)
+void ServerSession::queue(std::string_view bytes)
 {
     this->waiting += bytes;
     if (!this->writing) {
--- a/src/connection/http/server_session.h
+++ b/src/connection/http/server_session.h
@@ -2,6 +2,7 @@
 
 /** @file One connection of a caller: reads requests, writes answers, notices when the caller leaves. */
 
+#include "connection/http/answer_writer.h"
 #include "connection/http/types.h"
 #include "connection/one_shot_timer.h"
 #include "eelgrassnotch/types.h"
@@ -43,7 +44,7 @@
 };
 
 /** @brief Serves one request at a time on one connection. */
-class ServerSession : public std::enable_shared_from_this<ServerSession>
+class ServerSession : public AnswerWriter, public std::enable_shared_from_this<ServerSession>
 {
 public:
     ServerSession(Socket callerSocket, std::shared_ptr<const SessionHooks> sessionHooks);
@@ -59,25 +60,31 @@
     }
 
     /** @returns how many requests have been read from the connection, the present one included. */
-    std::uint64_t requestCount() const
+    std::uint64_t requestCount() const override
     {
         return this->requests;
     }
 
     /** @brief Sets what is called when the caller leaves before its answer is complete. */
-    void watchCaller(std::function<void()> onLeft);
+    void watchCaller(std::function<void()> onLeft) override;
     /** @brief Answers the present request. */
-    void sendAnswer(Answer answer);
+    void sendAnswer(Answer answer) override;
     /** @brief Begins an answer whose length is not known. */
-    void startStream(AnswerHeader header);
+    void startStream(AnswerHeader header) override;
     /** @brief Sends a part of the answer; a caller that reads too slowly is cut off. */
-    void sendPart(std::string_view part);
+    void sendPart(std::string_view part) override;
     /** @brief Ends the answer that startStream() began. */
-    void finishStream();
+    void finishStream() override;
     /** @brief Resets the connection, so that no answer, or none that looks complete, reaches the caller. */
-    void abort();
+    void abort() override;
     /** @returns whether the caller has closed, as far as the socket tells at once. */
-    bool hasCallerLeft();
+    bool hasCallerLeft() override;
+    /** @returns whether the connection closes after the present answer. */
+    bool closesAfterAnswer();
+    /** @brief Writes bytes of an answer that another daemon made, with its framing; a caller that reads too slowly is cut off. */
+    void relay(std::string_view bytes);
+    /** @brief Ends the answer whose bytes relay() wrote. */
+    void finishRelay();
 
 private:
     /** What the session does; what was started in one state doesn't go on in another. */
@@ -115,7 +122,7 @@
     bool isAnswering() const;
     /** @brief Ends the connection with a reset, and tells whom watchCaller() named. */
     void leaveCaller();
-    void queue(const std::string &bytes);
+    void queue(std::string_view bytes);
     void writeQueued();
     void onAnswerWritten();
     /** @brief Closes once the caller has received the last answer, or has stopped receiving it. */
--- a/src/process/edge_daemon.cpp
+++ b/src/process/edge_daemon.cpp
@@ -7,6 +7,8 @@
 #include "process/event_log.h"
 #include "process/exchange/load_exchange.h"
 #include "process/exchange/load_socket.h"
+#include "process/handover/receiver.h"
+#include "process/handover/sender.h"
 #include "process/proxy/proxy.h"
 #include "process/timer_service.h"
 
@@ -88,6 +90,9 @@
         , knowledge(this->context, this->settings, this->dialect, this->metrics, this->proxy, this->exchange)
         , callers(this->context, http::parseEndpoint(this->settings.callersAddress), this->callerHooks(),
                   this->settings.maxDescriptors - std::min(this->settings.maxDescriptors / 2, reservedDescriptors))
+        , handoverSender(this->context, {[this](http::AnswerWriter &session, const std::string &id, handover::HandoverFailure failure) {
+                             this->proxy.answerHandoverFailure(session, id, failure);
+                         }})
         , probes(this->context, http::parseEndpoint(this->settings.readyAddress), this->probeHooks(), probeConnections)
         , metricsListener(this->context, http::parseEndpoint(this->settings.metricsAddress), this->metricsHooks(), probeConnections)
     {
@@ -95,6 +100,7 @@
 
     void run()
     {
+        this->startHandover();
         if (::mallopt(M_MMAP_THRESHOLD, mappedBlockBytes) == 0) {
             logWarning("allocator_not_set", {{"mapped_block_bytes", std::to_string(mappedBlockBytes)}});
         }
@@ -132,8 +138,9 @@
             const auto table = this->proxy.routeTable();
             return limitsOf(table ? table->limits() : version::CallerLimits());
         };
-        hooks.onRequest
-            = [this](const http::ServerSessionPtr &session, http::Request request) { this->proxy.handle(session, std::move(request)); };
+        hooks.onRequest = [this](const http::ServerSessionPtr &session, http::Request request) {
+            this->proxy.handle(session, std::move(request), readClock());
+        };
         hooks.onRejected = [this](unsigned status, const std::string &reason) {
             this->metrics.countAnswer("", status);
             logEvent("request_rejected", {{"status", std::to_string(status)}, {"reason", reason}});
@@ -142,6 +149,32 @@
         return hooks;
     }
 
+    void startHandover()
+    {
+        if (this->settings.handoverPort == 0) {
+            return;
+        }
+        handover::ReceiverHooks hooks;
+        hooks.onRequest = [this](const http::AnswerWriterPtr &answer, http::Request request, Time readAt) {
+            this->proxy.handle(answer, std::move(request), readAt);
+        };
+        hooks.mayServe = [this] { return this->isReady(readClock()); };
+        hooks.configurationVersion = [this] {
+            const auto table = this->proxy.routeTable();
+            return table ? table->version() : 0;
+        };
+        const http::Endpoint address(boost::asio::ip::make_address(this->settings.ip), this->settings.handoverPort);
+        this->handoverReceiver = std::make_unique<handover::Receiver>(this->context, address, std::move(hooks));
+        this->proxy.setHandover(&this->handoverSender);
+        this->knowledge.setNeighboursHook([this](const std::vector<std::string> &addresses) {
+            std::vector<http::Endpoint> endpoints;
+            for (const std::string &neighbour : addresses) {
+                endpoints.emplace_back(boost::asio::ip::make_address(neighbour), this->settings.handoverPort);
+            }
+            this->handoverSender.setNeighbours(std::move(endpoints));
+        });
+    }
+
     http::SessionHooks plainHooks()
     {
         http::SessionHooks hooks;
@@ -197,6 +230,14 @@
         this->subscriptions.push_back(this->timers.subscribe(
             [] { return tickPeriod; }, [this](Time now) { this->proxy.updateLoadFromOthers(this->exchange.loadOfOthers(now), now); }));
         this->subscriptions.push_back(this->timers.subscribe([] { return tickPeriod; }, [this](Time now) { this->knowledge.tick(now); }));
+        this->subscriptions.push_back(this->timers.subscribe([] { return tickPeriod; },
+                                                             [this](Time now) {
+                                                                 this->handoverSender.tick(this->proxy.timerLag(),
+                                                                                           this->proxy.acceptedFraction(), now);
+                                                                 if (this->handoverReceiver) {
+                                                                     this->handoverReceiver->tick(this->proxy.timerLag(), now);
+                                                                 }
+                                                             }));
         this->subscriptions.push_back(this->timers.subscribe([] { return exchangePeriod; },
                                                              [this](Time now) {
                                                                  this->exchange.setEvidence(this->proxy.quarantine().evidence(now));
@@ -249,9 +290,13 @@
                       {"accepted_fraction", std::to_string(this->proxy.acceptedFraction())},
                       {"accepted_connections", std::to_string(accepted - this->reported.acceptedConnections)},
                       {"connections", std::to_string(this->callers.connectionCount())},
-                      {"serving", std::to_string(this->callers.servingCount())}});
+                      {"serving", std::to_string(this->callers.servingCount())},
+                      {"handed_over", std::to_string(this->handoverSender.stats().handedOver - this->reported.handover.handedOver)},
+                      {"handover_declined", std::to_string(this->handoverSender.stats().declined - this->reported.handover.declined)},
+                      {"handover_lost", std::to_string(this->handoverSender.stats().lost - this->reported.handover.lost)},
+                      {"no_neighbour", std::to_string(this->handoverSender.stats().noRoom - this->reported.handover.noRoom)}});
         }
-        this->reported = {totals, accepted};
+        this->reported = {totals, accepted, this->handoverSender.stats()};
     }
 
     void waitForSignal()
@@ -303,11 +348,13 @@
         const bool isGraceOver = since >= this->settings.bounds.stopGrace - stopMargin;
         if (since >= this->settings.bounds.stopGrace - stopMargin - lastAnswersTime) {
             this->proxy.endRequests();
+            this->handoverSender.endRequests();
         }
         if (since >= idleCloseAfterStop) {
             this->callers.closeIdle();
         }
-        if (isGraceOver || (since >= idleCloseAfterStop && this->callers.connectionCount() == 0)) {
+        const bool isServing = this->callers.connectionCount() > 0 || (this->handoverReceiver && this->handoverReceiver->inProgress() > 0);
+        if (isGraceOver || (since >= idleCloseAfterStop && !isServing)) {
             this->context.stop();
         }
     }
@@ -316,6 +363,7 @@
     struct Reported {
         proxy::RequestTotals totals;
         std::uint64_t acceptedConnections = 0;
+        handover::SenderStats handover;
 
         bool operator==(const Reported &) const = default;
     };
@@ -335,6 +383,8 @@
     exchange::LoadExchange exchange;
     EdgeKnowledge knowledge;
     http::Listener callers;
+    handover::Sender handoverSender;
+    std::unique_ptr<handover::Receiver> handoverReceiver; ///< Null where the settings name no port for it.
     http::Listener probes;
     http::Listener metricsListener;
     Reported reported;
--- a/src/process/edge_knowledge.cpp
+++ b/src/process/edge_knowledge.cpp
@@ -293,9 +293,24 @@
     }
     logEvent("daemons_changed", {{"listed", std::to_string(handles.size())}, {"counted", std::to_string(activeDaemons.count())}});
     this->peers = listed;
+    this->tellNeighbours(daemons);
     this->exchange.setPeers(std::move(listed));
 }
 
+void EdgeKnowledge::tellNeighbours(const std::vector<DaemonRecord> &daemons) const
+{
+    if (!this->onNeighbours) {
+        return;
+    }
+    std::vector<std::string> addresses;
+    for (const DaemonRecord &daemon : daemons) {
+        if (daemon.dataCentre == this->settings.dataCentre && daemon.name != this->settings.name) {
+            addresses.push_back(daemon.address);
+        }
+    }
+    this->onNeighbours(addresses);
+}
+
 void EdgeKnowledge::setRelays()
 {
     const std::string &ownRegion = this->proxy.regionOf(this->settings.dataCentre);
--- a/src/process/edge_knowledge.h
+++ b/src/process/edge_knowledge.h
@@ -27,6 +27,11 @@
     void tick(Time now);
     /** @brief Removes this daemon's entry, before it stops. */
     void withdraw();
+    /** @brief Sets what is called with the addresses of the other daemons of this data centre, whenever the list of daemons changes. */
+    void setNeighboursHook(std::function<void(const std::vector<std::string> &)> onChange)
+    {
+        this->onNeighbours = std::move(onChange);
+    }
     /** @returns whether each collection has been read once. */
     bool isComplete() const;
 
@@ -45,6 +50,7 @@
     void writeOwnEntry();
     void applyDaemons(const std::vector<DaemonRecord> &daemons);
     void startSource();
+    void tellNeighbours(const std::vector<DaemonRecord> &daemons) const;
     /** @brief Tells the source which daemons of the region may be followed. */
     void setRelays();
 
@@ -61,6 +67,7 @@
     bool wasStoredConfigurationCurrent = true;
     std::map<DaemonHandle, DaemonRecord> records; ///< Of all daemons that were ever listed.
     std::vector<exchange::Peer> peers; ///< As last listed.
+    std::function<void(const std::vector<std::string> &)> onNeighbours;
     bool hasBackends = false;
     bool hasTakenOut = false;
     bool hasDaemons = false;
--- a/src/process/proxy/proxied_request.cpp
+++ b/src/process/proxy/proxied_request.cpp
@@ -6,8 +6,6 @@
 
 #include <algorithm>
 #include <cmath>
-#include <iomanip>
-#include <sstream>
 
 namespace eelgrassnotch::process::proxy
 {
@@ -70,13 +68,6 @@
     return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
 }
 
-std::string retryAfterText(Duration duration)
-{
-    std::ostringstream text;
-    text << std::fixed << std::setprecision(3) << std::chrono::duration<double>(duration).count();
-    return text.str();
-}
-
 std::string_view hostWithoutPort(std::string_view host)
 {
     return host.substr(0, std::min(host.find(':'), host.size()));
@@ -89,14 +80,14 @@
 
 }
 
-ProxiedRequest::ProxiedRequest(Proxy &owner, http::ServerSessionPtr callerSession, http::Request callerRequest)
+ProxiedRequest::ProxiedRequest(Proxy &owner, http::AnswerWriterPtr callerSession, http::Request callerRequest, Time readAt)
     : proxy(owner)
     , session(std::move(callerSession))
     , request(std::move(callerRequest))
     , deadlineTimer(owner.context().get_executor())
     , attemptTimer(owner.context().get_executor())
     , pollTimer(owner.context().get_executor())
-    , receivedAt(readClock())
+    , receivedAt(readAt)
 {
 }
 
@@ -105,8 +96,14 @@
     this->attributes = this->proxy.dialect().readRequest(this->request);
     this->table = this->proxy.routeTable();
     const version::RoutedWorkspace *sender = this->table ? this->table->workspaceOf(this->attributes.apiKey) : nullptr;
-    if (!this->proxy.acceptsNextRequest(sender == nullptr ? WorkspaceHandle() : handleOf<WorkspaceHandle>(sender->name))) {
+    // A neighbour hands over only what this daemon has told it to have room for.
+    const bool isLocal = this->session->handedOverBy().empty();
+    if (isLocal && !this->proxy.acceptsNextRequest(sender == nullptr ? WorkspaceHandle() : handleOf<WorkspaceHandle>(sender->name))) {
         this->workspace = sender;
+        if (this->handOver(readClock())) {
+            return;
+        }
+        this->proxy.recordShed();
         this->identify(readClock());
         this->refuse(RefusalReason::DaemonOverloaded, localRefusalRetryAfter,
                      "this daemon can't keep up with its callers: lag_ms " + milliseconds(this->proxy.timerLag()) + " accepted_fraction "
@@ -116,6 +113,24 @@
     this->prepare();
 }
 
+bool ProxiedRequest::handOver(Time now)
+{
+    const version::Route *matched
+        = this->table ? this->table->match(hostWithoutPort(viewOf(this->request[field::host])), this->path()) : nullptr;
+    if (matched == nullptr || (this->workspace == nullptr && !matched->isPublic && this->table->hasWorkspaces())) {
+        return false;
+    }
+    const Duration callerLimit = this->attributes.callerTimeout.value_or(defaultTimeLimit);
+    const Duration timeLimit = matched->timeout > Duration(0) ? std::min(callerLimit, matched->timeout) : callerLimit;
+    const Duration waited = now - this->receivedAt + this->proxy.timerLag();
+    if (!this->proxy.handOver(this->session, this->request, {this->attributes.id, waited, timeLimit - waited, this->table->version()})) {
+        return false;
+    }
+    this->isFinished = true;
+    this->proxy.removeActive(*this);
+    return true;
+}
+
 void ProxiedRequest::identify(Time now)
 {
     if (!this->table) {
@@ -820,17 +835,8 @@
 
 void ProxiedRequest::refuse(RefusalReason reason, Duration retryAfter, const std::string &detail)
 {
-    const unsigned status = static_cast<unsigned>(statusOf(reason));
-    http::Answer answer(static_cast<boost::beast::http::status>(status), 11);
-    this->proxy.dialect().markLocalAnswer(answer, this->attributes.id);
-    answer.set(field::content_type, "text/plain");
-    if (retryAfter > Duration(0)) {
-        answer.set(field::retry_after, retryAfterText(retryAfter));
-    }
-    answer.body() = std::string(nameOf(reason)) + ": " + detail + "\n";
-    this->proxy.metrics().countRefusal(reason);
-    this->session->sendAnswer(std::move(answer));
-    this->finish("refused: " + std::string(nameOf(reason)) + ": " + detail, status);
+    this->session->sendAnswer(this->proxy.makeRefusal(reason, retryAfter, detail, this->attributes.id));
+    this->finish("refused: " + std::string(nameOf(reason)) + ": " + detail, static_cast<unsigned>(statusOf(reason)));
 }
 
 void ProxiedRequest::finish(const std::string &outcome, unsigned status)
@@ -867,6 +873,7 @@
               {"waiting", std::to_string(this->lastWaiting)},
               {"first_ms", milliseconds(this->timeToFirstEvent)},
               {"total_ms", milliseconds(now - this->receivedAt)},
+              {"handed_over_by", this->session->handedOverBy()},
               {"connection_requests", std::to_string(this->session->requestCount())},
               {"version", this->table ? std::to_string(this->table->version()) : "none"},
               {"version_age_ms", milliseconds(this->proxy.configurationAge(now))}});
--- a/src/process/proxy/proxied_request.h
+++ b/src/process/proxy/proxied_request.h
@@ -2,7 +2,7 @@
 
 /** @file One request of a caller, from admission to the end of its answer. */
 
-#include "connection/http/server_session.h"
+#include "connection/http/answer_writer.h"
 #include "connection/one_shot_timer.h"
 #include "eelgrassnotch/verdict.h"
 #include "process/proxy/admission.h"
@@ -25,7 +25,7 @@
 class ProxiedRequest : public std::enable_shared_from_this<ProxiedRequest>
 {
 public:
-    ProxiedRequest(Proxy &owner, connection::http::ServerSessionPtr callerSession, connection::http::Request callerRequest);
+    ProxiedRequest(Proxy &owner, connection::http::AnswerWriterPtr callerSession, connection::http::Request callerRequest, Time readAt);
 
     void start();
     /** @brief Ends an attempt that has not begun to be answered if a part of the prompt is quarantined. */
@@ -34,6 +34,8 @@
     void endForStop();
 
 private:
+    /** @brief Hands the request over to a neighbour. @returns whether one takes it; this object is done then. */
+    bool handOver(Time now);
     /** @brief Finds the route of a request that is refused at once, for its log line, and records its demand. */
     void identify(Time now);
     void findService();
@@ -107,7 +109,7 @@
     double cost() const;
 
     Proxy &proxy;
-    connection::http::ServerSessionPtr session;
+    connection::http::AnswerWriterPtr session;
     connection::http::Request request;
     request::RequestAttributes attributes;
     version::RouteTablePtr table;
--- a/src/process/proxy/proxy.cpp
+++ b/src/process/proxy/proxy.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <iomanip>
 #include <numeric>
 #include <sstream>
 
@@ -53,6 +54,8 @@
 constexpr Duration daemonListPropagationDelay = 8s;
 /** Half-life of the demand by which announced limits are divided: long enough that single requests don't move the parts. */
 constexpr Duration demandHalfLife = 1400ms;
+/** Retry-after time when only this daemon and its neighbour refuse: another one can accept the request at once. */
+constexpr Duration localRefusalRetryAfter = 50ms;
 /** Window of the limit on requests to cold backend servers, in seconds; the requests are counted over a slightly longer one. */
 constexpr double coldWindowSeconds = 1.0;
 
@@ -87,13 +90,55 @@
 {
 }
 
-void Proxy::handle(const connection::http::ServerSessionPtr &session, connection::http::Request request)
+void Proxy::handle(const connection::http::AnswerWriterPtr &session, connection::http::Request request, Time readAt)
 {
-    const auto proxied = std::make_shared<ProxiedRequest>(*this, session, std::move(request));
+    const auto proxied = std::make_shared<ProxiedRequest>(*this, session, std::move(request), readAt);
     this->active[proxied.get()] = proxied;
     proxied->start();
 }
 
+bool Proxy::handOver(const connection::http::AnswerWriterPtr &session, const connection::http::Request &request,
+                     const handover::HandoverRequest &handoverRequest)
+{
+    // A request that was handed to this daemon has no connection here, and isn't handed on.
+    const auto caller = std::dynamic_pointer_cast<connection::http::ServerSession>(session);
+    return caller && this->handoverSender != nullptr && !this->stopping && this->handoverSender->handOver(caller, request, handoverRequest);
+}
+
+void Proxy::answerHandoverFailure(connection::http::AnswerWriter &session, const std::string &id, handover::HandoverFailure failure)
+{
+    RefusalReason reason = RefusalReason::BackendFailed;
+    std::string detail = "the daemon that served it was lost";
+    if (failure == handover::HandoverFailure::Declined) {
+        reason = RefusalReason::DaemonOverloaded;
+        detail = "neither this daemon nor its neighbour can serve it now";
+        this->recordShed();
+    } else if (failure == handover::HandoverFailure::Expired) {
+        reason = RefusalReason::DeadlineExpired;
+        detail = "time limit reached at the daemon that served it";
+    }
+    const bool isDeclined = failure == handover::HandoverFailure::Declined;
+    session.sendAnswer(this->makeRefusal(reason, isDeclined ? localRefusalRetryAfter : Duration(0), detail, id));
+    logEvent("handover_failed",
+             {{"request", id}, {"outcome", detail}, {"verdict", std::string(nameOf(isDeclined ? Verdict::NotRun : Verdict::MayHaveRun))}});
+}
+
+connection::http::Answer Proxy::makeRefusal(RefusalReason reason, Duration retryAfter, const std::string &detail, const std::string &id)
+{
+    namespace beast = boost::beast::http;
+    connection::http::Answer answer(static_cast<beast::status>(static_cast<unsigned>(statusOf(reason))), 11);
+    this->requestDialect->markLocalAnswer(answer, id);
+    answer.set(beast::field::content_type, "text/plain");
+    if (retryAfter > Duration(0)) {
+        std::ostringstream seconds;
+        seconds << std::fixed << std::setprecision(3) << std::chrono::duration<double>(retryAfter).count();
+        answer.set(beast::field::retry_after, seconds.str());
+    }
+    answer.body() = std::string(nameOf(reason)) + ": " + detail + "\n";
+    this->requestMetrics.countRefusal(reason);
+    return answer;
+}
+
 void Proxy::addUnanswered(const std::shared_ptr<ProxiedRequest> &request)
 {
     this->unanswered[request.get()] = request;
@@ -192,7 +237,8 @@
 {
     this->currentTimerLag = lag;
     const double acceptedFraction = this->shedding.acceptedFraction();
-    if (lag < overloadLagThreshold && acceptedFraction >= overloadAcceptedFraction) {
+    const bool handsOver = this->handoverSender != nullptr && this->handoverSender->hasRoom();
+    if (lag < overloadLagThreshold && (acceptedFraction >= overloadAcceptedFraction || handsOver)) {
         return;
     }
     if (!this->isOverloaded(now)) {
@@ -205,9 +251,7 @@
 bool Proxy::acceptsNextRequest(WorkspaceHandle workspace)
 {
     ++this->requestTotals.received;
-    const bool isAccepted = this->shedding.acceptNext(workspace);
-    this->requestTotals.shed += isAccepted ? 0 : 1;
-    return isAccepted;
+    return this->shedding.acceptNext(workspace);
 }
 
 void Proxy::setStopping(Time since)
--- a/src/process/proxy/proxy.h
+++ b/src/process/proxy/proxy.h
@@ -2,7 +2,8 @@
 
 /** @file Proxy that routes callers' requests to backend servers. */
 
-#include "connection/http/server_session.h"
+#include "connection/http/answer_writer.h"
+#include "eelgrassnotch/verdict.h"
 #include "process/directory/backend_directory.h"
 #include "process/dispatch/active_daemons.h"
 #include "process/dispatch/fair_share_tracker.h"
@@ -12,6 +13,7 @@
 #include "process/dispatch/request_costs.h"
 #include "process/dispatch/workspace_pacer.h"
 #include "process/edge_settings.h"
+#include "process/handover/sender.h"
 #include "process/proxy/answer_buffer_budget.h"
 #include "process/proxy/backend_connection_pool.h"
 #include "process/proxy/proxy_metrics.h"
@@ -71,8 +73,20 @@
     Proxy(boost::asio::io_context &ioContext, EdgeSettings edgeSettings, std::shared_ptr<const ProxyDialect> proxyDialect,
           ProxyMetrics &proxyMetrics);
 
-    /** @brief Serves one request of a caller, and answers it on its session. */
-    void handle(const connection::http::ServerSessionPtr &session, connection::http::Request request);
+    /** @brief Serves one request, and answers it on its session. @param readAt When the request had been received. */
+    void handle(const connection::http::AnswerWriterPtr &session, connection::http::Request request, Time readAt);
+    /** @brief Sets where requests go that load shedding refuses; null for nowhere. */
+    void setHandover(handover::Sender *sender)
+    {
+        this->handoverSender = sender;
+    }
+    /** @brief Hands a request over to a neighbour. @returns false when none has room, and the request is unchanged. */
+    bool handOver(const connection::http::AnswerWriterPtr &session, const connection::http::Request &request,
+                  const handover::HandoverRequest &handoverRequest);
+    /** @brief Answers a caller whose request was handed over without success. */
+    void answerHandoverFailure(connection::http::AnswerWriter &session, const std::string &id, handover::HandoverFailure failure);
+    /** @returns the answer to a request that this daemon refuses, which is counted. */
+    connection::http::Answer makeRefusal(RefusalReason reason, Duration retryAfter, const std::string &detail, const std::string &id);
 
     /** @brief Applies a configuration if its version is newer than the current one. */
     void setRouteTable(version::RouteTablePtr table);
@@ -106,9 +120,13 @@
     {
         return now < this->overloadedUntil;
     }
-    /** @brief Decides on load shedding. @returns false when the workspace's next request must be refused; its caller tries another daemon.
-     */
+    /** @brief Decides on load shedding. @returns false when the workspace's next request must not be served here. */
     bool acceptsNextRequest(WorkspaceHandle workspace);
+    /** @brief Counts a request that load shedding refused; its caller tries another daemon. */
+    void recordShed()
+    {
+        ++this->requestTotals.shed;
+    }
     const RequestTotals &totals() const
     {
         return this->requestTotals;
@@ -260,6 +278,7 @@
     Requests unanswered;
     dispatch::LoadShedder shedding;
     RequestTotals requestTotals;
+    handover::Sender *handoverSender = nullptr;
     BackendConnectionPool backendPool;
     AnswerBufferBudget bufferBudget;
     std::map<std::string, request::RetryBudget> retryBudgets;
