--- a/tests/proxy/test_prefix_value.cpp
+++ b/tests/proxy/test_prefix_value.cpp
@@ -99,9 +99,9 @@
 {
     // Guards against beliefs that outlive the engine's cache.
     dispatch::PrefixCacheModel cache(20000);
-    const request::Prompt prompt {9000, 50, {}, {{1, 2500}, {2, 3800}, {3, 2700}}};
+    const request::Prompt prompt {9000, 50, {{1, 2500}, {2, 3800}, {3, 2700}}};
     cache.recordPrompt(prompt, 10s);
-    cache.recordPrompt({5200, 50, {}, {{1, 2500}, {4, 2700}}}, 12s);
+    cache.recordPrompt({5200, 50, {{1, 2500}, {4, 2700}}}, 12s);
     CHECK(cache.cachedTokens(prompt) == 9000);
     CHECK(cache.cachedTokens(prompt, 10s) == 9000);
     CHECK(cache.cachedTokens(prompt, 11s) == 2500);
--- a/tests/proxy/test_shed_demand.cpp
+++ b/tests/proxy/test_shed_demand.cpp
@@ -73,7 +73,7 @@
         connection::http::SessionHooks sessionHooks;
         sessionHooks.limits = [] { return connection::http::SessionLimits {16384, 65536, 3s, 15s}; };
         sessionHooks.onRequest = [this](const connection::http::ServerSessionPtr &session, connection::http::Request request) {
-            this->proxy.handle(session, std::move(request));
+            this->proxy.handle(session, std::move(request), process::readClock());
         };
         sessionHooks.onRejected = [](unsigned, const std::string &) {};
         sessionHooks.isClosing = [] { return false; };
