One budget for what clients hold, and places that idle and stalled connections give up

Nothing bounded the bytes of requests read at the same time: 40 bodies of max_body_bytes passed 110 MB. Places on a full listener were kept by whoever came first, the 32 of the readiness address too.

Not run: all of proxy-tests, as test_dispatch.cpp doesn't compile against request::Prompt before this change either.

--- a/src/connection/http/limits.h
+++ b/src/connection/http/limits.h
@@ -28,6 +28,27 @@
 constexpr std::size_t maxCallAnswerBytes = 16u << 20;
 /** Bytes queued for a caller that does not read, before its answer is broken off. */
 constexpr std::size_t maxQueuedAnswerBytes = 1u << 20;
+/** Receive and send buffer of a caller's connection in the kernel, in bytes: a common prompt arrives in one read. Automatic sizes grow to
+ * megabytes for each connection, and received bytes count toward the memory of the VM. */
+constexpr int receiveBufferBytes = 32 << 10;
+constexpr int sendBufferBytes = 64 << 10;
+/** Bytes that an open connection takes by itself. */
+constexpr std::size_t connectionBytes = 2048;
+/** Fields of a request, trailers included: some hundred bytes of memory each, whatever their length. */
+constexpr std::size_t maxRequestFields = 200;
+constexpr std::size_t bytesPerField = 128;
+/** Bytes of a request's chunk sizes, extensions and trailers: this many, and some for each byte of the body, as a chunk may have one byte.
+ */
+constexpr std::uint64_t maxFramingBytes = 64u << 10;
+constexpr std::uint64_t maxFramingPerBodyByte = 8;
+/** Copies of a body while its request is served: the request's own, and the one that an attempt sends. */
+constexpr std::size_t bodyCopies = 2;
+/** A request that waits for memory asks again after this time. */
+constexpr auto memoryRetryPeriod = 25ms;
+/** Retry-After of a request that was not read for want of memory, in seconds: a body of a few megabytes is served in a tenth of that. */
+constexpr const char *memoryRetryAfter = "0.5";
+/** Period of the looks for connections that stall, or whose caller takes nothing. */
+constexpr auto sweepPeriod = 250ms;
 /** Least space for one read of a request, and bytes of a request that are read before other work goes on. */
 constexpr std::size_t minReadBytes = 4096;
 constexpr std::size_t maxReceivedPerTurn = 64u << 10;
@@ -46,8 +67,10 @@
 constexpr auto maxClosingTime = 60s;
 /** Connections that the kernel queues before they are accepted. */
 constexpr int listenBacklog = 1024;
-/** Connections that are accepted before other work goes on. */
+/** Connections that are accepted before other work goes on; at most a part of those that may be open, so that each is read before it gives
+ * way. */
 constexpr std::size_t maxAcceptsPerTurn = 64;
+constexpr std::size_t acceptDivisor = 4;
 /** Pause before accepting again when the process has run out of descriptors. */
 constexpr auto acceptPause = 100ms;
 
--- a/src/connection/http/listener.h
+++ b/src/connection/http/listener.h
@@ -4,11 +4,13 @@
 
 #include "connection/http/server_session.h"
 #include "connection/one_shot_timer.h"
+#include "process/budget/progress.h"
 
 #include <boost/asio/io_context.hpp>
 
 #include <list>
 #include <memory>
+#include <vector>
 
 namespace eelgrassnotch::connection::http
 {
@@ -22,6 +24,11 @@
 
     /** @returns open connections. */
     std::size_t connectionCount();
+    /** @returns whether more than half of the connections that may be open are taken. */
+    bool isCrowded() const
+    {
+        return this->sessions.size() > this->maxConnections / 2;
+    }
     /** @returns connections accepted since the start. */
     std::uint64_t acceptedCount() const
     {
@@ -33,16 +40,35 @@
     void closeIdle();
 
 private:
+    /** A connection, and when it last moved bytes. */
+    struct Entry {
+        std::weak_ptr<ServerSession> session;
+        process::budget::Progress progress;
+    };
+    /** Open connections with what the choice of whom to close needs, in the same order. */
+    struct Candidates {
+        std::vector<ServerSessionPtr> sessions;
+        std::vector<process::budget::ClosingCandidate> described;
+    };
+
     void accept();
     boost::system::error_code acceptWaiting();
     void forgetEnded();
+    Candidates describe(Time now);
+    /** @brief Closes idle connections, and then stalled ones, to free their descriptors. @returns whether there is room now. */
+    bool makeRoom(Time now);
+    /** @brief Closes connections whose caller takes nothing, and those that hold memory without progress while others wait for it. */
+    void sweep();
+    void giveWay(const Candidates &candidates, const std::vector<std::size_t> &chosen, const char *cause);
+    void report(const Candidates &candidates, const std::vector<std::size_t> &chosen, const char *cause) const;
 
     boost::asio::io_context &context;
     boost::asio::ip::tcp::acceptor acceptor;
     OneShotTimer pause;
     std::shared_ptr<const SessionHooks> hooks;
     std::size_t maxConnections;
-    std::list<std::weak_ptr<ServerSession>> sessions;
+    OneShotTimer sweepTimer;
+    std::list<Entry> sessions;
     std::uint64_t accepted = 0;
 };
 
--- a/src/connection/http/server_session.cpp
+++ b/src/connection/http/server_session.cpp
@@ -1,8 +1,9 @@
 #include "connection/http/server_session.h"
 
 #include "connection/http/limits.h"
+#include "process/budget/progress.h"
 
-#include <boost/asio/write.hpp>
+#include <boost/asio/buffer.hpp>
 #include <boost/beast/http/empty_body.hpp>
 #include <boost/beast/http/serializer.hpp>
 #include <boost/beast/http/write.hpp>
@@ -28,6 +29,7 @@
 constexpr unsigned statusTimeout = 408;
 constexpr unsigned statusBodyTooLarge = 413;
 constexpr unsigned statusHeaderTooLarge = 431;
+constexpr unsigned statusUnavailable = 503;
 
 unsigned statusOf(boost::system::error_code error)
 {
@@ -99,7 +101,10 @@
     : socket(std::move(callerSocket))
     , hooks(std::move(sessionHooks))
     , timer(this->socket.get_executor())
+    , holding(this->hooks->memory)
+    , queueHolding(this->hooks->memory, process::budget::Ownership::OfNone)
 {
+    this->holding.set(connectionBytes);
 }
 
 void ServerSession::start()
@@ -149,12 +154,12 @@
 {
     this->enter(State::idle);
     this->answerEnds = false;
+    this->requestHolding.set(0);
     if (this->buffer.size() > 0) {
         this->beginRequest();
         return;
     }
-    // Thousands of idle connections would hold most of a small VM's memory.
-    this->buffer.shrink_to_fit();
+    this->holding.set(connectionBytes);
     this->whenExpired(this->hooks->limits().idleTimeout, [this] { this->closeIfIdle(); });
     this->whenReadable([this] { this->beginRequest(); });
 }
@@ -163,11 +168,14 @@
 {
     this->enter(State::receiving);
     const SessionLimits limits = this->hooks->limits();
-    this->buffer.reserve(requestBufferBytes);
     this->parser.emplace();
     this->parser->header_limit(limits.maxHeaderBytes);
     this->parser->body_limit(limits.maxBodyBytes);
     this->maxUnparsedBytes = limits.maxHeaderBytes + requestBufferBytes;
+    this->maxBodyBytes = limits.maxBodyBytes;
+    this->parsedBytes = 0;
+    this->headBytes = 0;
+    this->wanted = 0;
     this->whenExpired(limits.headerTimeout, [this] { this->onRequestTimeout(); });
     this->receive();
 }
@@ -175,24 +183,76 @@
 void ServerSession::receive()
 {
     std::size_t received = 0;
+    bool mayRead = true;
     while (this->parseReceived() && received < maxReceivedPerTurn) {
-        const std::size_t size = this->readArrived();
+        mayRead = this->reserveForReading();
+        const std::size_t size = mayRead ? this->readArrived() : 0;
         if (size == 0) {
             break;
         }
         received += size;
     }
-    if (this->state == State::receiving) {
+    if (this->state != State::receiving) {
+        return;
+    }
+    // What waits for the rest of a head or a chunk is kept in a block of its size: crowds of slow callers would hold large buffers.
+    this->buffer.shrink_to_fit();
+    if (mayRead) {
         this->whenReadable([this] { this->receive(); });
     }
 }
 
+std::size_t ServerSession::requestBytes(std::size_t bodyBytes) const
+{
+    return connectionBytes + this->headBytes + this->buffer.size() + bodyCopies * bodyBytes;
+}
+
+bool ServerSession::reserveForReading()
+{
+    std::size_t bodyBytes = 0;
+    if (this->parser->is_header_done()) {
+        const std::size_t read = this->parser->get().body().size();
+        const auto length = this->parser->content_length();
+        // Without a stated length, memory is reserved for one turn of the event loop at a time.
+        bodyBytes = length ? *length : std::min<std::uint64_t>(read + maxReceivedPerTurn, this->maxBodyBytes);
+    }
+    // A request that waits already is counted by the sweep, and not again each time that it asks.
+    const std::size_t bytes = this->requestBytes(bodyBytes);
+    if (this->wanted > 0 ? this->holding.tryReserve(bytes) : this->holding.reserve(bytes)) {
+        this->wanted = 0;
+        return true;
+    }
+    this->waitForMemory(bytes);
+    return false;
+}
+
+void ServerSession::waitForMemory(std::size_t bytes)
+{
+    const std::size_t read = this->parser->is_header_done() ? this->parser->get().body().size() : 0;
+    if (this->wanted == 0 && !this->holding.reserveWaiting(this->requestBytes(read) + receiveBufferBytes)) {
+        this->reject(statusUnavailable, "no memory for the request", true);
+        return;
+    }
+    this->wanted = bytes;
+    if (!this->memoryTimer) {
+        this->memoryTimer = std::make_unique<OneShotTimer>(this->socket.get_executor());
+    }
+    // Nothing else keeps a session that doesn't read.
+    this->memoryTimer->start(memoryRetryPeriod, [self = this->shared_from_this(), number = this->stateNumber] {
+        if (number == self->stateNumber) {
+            self->receive();
+        }
+    });
+}
+
 std::size_t ServerSession::readArrived()
 {
+    this->buffer.reserve(requestBufferBytes);
     const std::size_t space = std::max(this->buffer.capacity() - this->buffer.size(), minReadBytes);
     boost::system::error_code error;
     const std::size_t size = this->socket.read_some(this->buffer.prepare(space), error);
     this->buffer.commit(size);
+    this->moved += size;
     if (error && !isWouldBlock(error)) {
         this->abort();
     }
@@ -204,7 +264,9 @@
     while (this->buffer.size() > 0) {
         const bool hadHeader = this->parser->is_header_done();
         boost::system::error_code error;
-        this->buffer.consume(this->parser->put(this->buffer.data(), error));
+        const std::size_t parsed = this->parser->put(this->buffer.data(), error);
+        this->buffer.consume(parsed);
+        this->parsedBytes += parsed;
         if (error == beast::http::error::need_more) {
             if (this->buffer.size() < this->maxUnparsedBytes) {
                 return true;
@@ -215,8 +277,10 @@
             this->reject(statusOf(error), error.message());
             return false;
         }
-        if (!hadHeader && this->parser->is_header_done() && hasUnknownTransferCoding(this->parser->get())) {
-            this->reject(statusBadRequest, "unknown transfer coding");
+        if (!hadHeader && this->parser->is_header_done() && !this->checkHead()) {
+            return false;
+        }
+        if (this->parser->chunked() && this->parser->is_header_done() && !this->checkFraming()) {
             return false;
         }
         if (this->parser->is_done()) {
@@ -227,6 +291,44 @@
     return true;
 }
 
+bool ServerSession::checkHead()
+{
+    const Request &request = this->parser->get();
+    if (hasUnknownTransferCoding(request)) {
+        this->reject(statusBadRequest, "unknown transfer coding");
+        return false;
+    }
+    const auto fields = static_cast<std::size_t>(std::distance(request.begin(), request.end()));
+    if (fields > maxRequestFields) {
+        this->reject(statusHeaderTooLarge, "too many header fields");
+        return false;
+    }
+    this->headLength = this->parsedBytes;
+    this->headBytes = this->parsedBytes + fields * bytesPerField;
+    const bool isLarge
+        = this->parser->chunked() || this->parser->content_length().value_or(0) > process::budget::smallHoldingBytes / bodyCopies;
+    if (isLarge && this->hooks->workspaceOf) {
+        this->holding.assign(this->hooks->workspaceOf(request));
+    }
+    return true;
+}
+
+bool ServerSession::checkFraming()
+{
+    const Request &request = this->parser->get();
+    const std::uint64_t bodyBytes = request.body().size();
+    const std::uint64_t framing = this->parsedBytes - this->headLength - bodyBytes;
+    if (framing > maxFramingBytes + maxFramingPerBodyByte * bodyBytes) {
+        this->reject(statusHeaderTooLarge, "too many bytes around the body's chunks");
+        return false;
+    }
+    if (this->parser->is_done() && static_cast<std::size_t>(std::distance(request.begin(), request.end())) > maxRequestFields) {
+        this->reject(statusHeaderTooLarge, "too many trailer fields");
+        return false;
+    }
+    return true;
+}
+
 void ServerSession::onRequestTimeout()
 {
     // After a standstill of the process, the rest may wait in the socket.
@@ -234,7 +336,9 @@
     if (this->state != State::receiving) {
         return;
     }
-    if (this->parser->got_some()) {
+    if (this->wanted > 0) {
+        this->reject(statusUnavailable, "no memory for the request", true);
+    } else if (this->parser->got_some()) {
         this->reject(statusTimeout, "request not received in time");
     } else {
         this->abort();
@@ -243,28 +347,87 @@
 
 void ServerSession::handOn()
 {
+    const std::size_t bytes = this->requestBytes(this->parser->get().body().size());
+    if (!this->holding.reserve(bytes)) {
+        this->reject(statusUnavailable, "no memory for the request", true);
+        return;
+    }
     this->enter(State::serving);
     ++this->requests;
     Request request = this->parser->release();
     this->parser.reset();
+    this->memoryTimer.reset();
+    this->buffer.shrink_to_fit();
+    this->requestHolding = std::exchange(this->holding, process::budget::MemoryBudget::Holding(this->hooks->memory));
+    this->requestHolding.set(bytes - connectionBytes);
+    this->holding.set(connectionBytes + this->buffer.size());
     this->closeAfter = !request.keep_alive();
     this->waitForLeaving();
     this->hooks->onRequest(this->shared_from_this(), std::move(request));
 }
 
-void ServerSession::reject(unsigned status, const std::string &reason)
+void ServerSession::reject(unsigned status, const std::string &reason, bool isBusy)
 {
     this->enter(State::refusing);
+    this->wanted = 0;
     this->parser.reset();
     this->buffer = {};
+    this->holding.set(connectionBytes);
     this->closeAfter = true;
     this->hooks->onRejected(status, reason);
     Answer answer(static_cast<beast::http::status>(status), 11);
     answer.set(field::content_type, "text/plain");
+    if (isBusy) {
+        answer.set(field::retry_after, memoryRetryAfter);
+    }
     answer.body() = reason + "\n";
     this->sendAnswer(std::move(answer));
 }
 
+process::budget::MemoryBudget::Holding ServerSession::takeRequestHolding()
+{
+    return std::move(this->requestHolding);
+}
+
+process::budget::Activity ServerSession::activity() const
+{
+    using process::budget::Activity;
+    switch (this->state) {
+    case State::idle:
+        return Activity::Idle;
+    case State::receiving:
+        return this->wanted > 0 ? Activity::Waiting : Activity::Receiving;
+    case State::serving:
+    case State::refusing:
+        return this->writing ? Activity::Writing : Activity::Waiting;
+    case State::closing:
+    case State::closed:
+        break;
+    }
+    return Activity::Closing;
+}
+
+std::size_t ServerSession::heldBytes() const
+{
+    return this->holding.bytes() + this->requestHolding.bytes() + this->queueHolding.bytes();
+}
+
+std::uint64_t ServerSession::movedBytes() const
+{
+    return this->moved + this->requests * process::budget::progressBytes;
+}
+
+void ServerSession::giveWay()
+{
+    if (this->state == State::receiving) {
+        this->reject(statusTimeout, "request not received at a sufficient rate", true);
+    } else if (this->writing) {
+        this->leaveCaller();
+    } else {
+        this->closeIfIdle();
+    }
+}
+
 void ServerSession::watchCaller(std::function<void()> onLeft)
 {
     this->onCallerLeft = std::move(onLeft);
@@ -278,6 +441,9 @@
             this->waitForLeaving();
         } else if (found == SocketState::ended) {
             this->leaveCaller();
+        } else if (const std::size_t held = this->holding.bytes() + receiveBufferBytes; !this->holding.reserve(held)) {
+            // The shortage that this counts closes connections that stall.
+            this->holding.set(held);
         }
         // Bytes of the next request stay in the socket, where the end of the connection can't be seen past them.
     });
@@ -347,10 +513,34 @@
     this->queue("0\r\n\r\n");
 }
 
+bool ServerSession::reserveQueue(std::size_t addedBytes)
+{
+    const std::size_t bytes = this->queueHolding.bytes() + addedBytes;
+    if (this->queueHolding.reserve(bytes)) {
+        return true;
+    }
+    // An answer that is ready is delivered while any room is left, beyond the part for requests.
+    this->queueHolding.set(bytes);
+    if (bytes > process::budget::smallHoldingBytes && this->hooks->memory->isOverCapacity()) {
+        if (this->hooks->onClosedEarly) {
+            this->hooks->onClosedEarly("memory", 1, this->heldBytes());
+        }
+        this->leaveCaller();
+        return false;
+    }
+    return true;
+}
+
 void ServerSession::queue(const std::string &bytes)
 {
+    if (!this->reserveQueue(bytes.size())) {
+        return;
+    }
     this->waiting += bytes;
     if (!this->writing) {
+        this->outgoing.swap(this->waiting);
+        this->waiting.clear();
+        this->written = 0;
         this->writeQueued();
     }
 }
@@ -358,18 +548,42 @@
 void ServerSession::writeQueued()
 {
     this->writing = true;
-    this->outgoing.swap(this->waiting);
-    this->waiting.clear();
-    boost::asio::async_write(this->socket, boost::asio::buffer(this->outgoing), this->inThisState([this](boost::system::error_code error) {
-        this->writing = false;
-        if (error) {
-            this->leaveCaller();
-        } else if (!this->waiting.empty()) {
-            this->writeQueued();
-        } else if (this->answerEnds) {
-            this->onAnswerWritten();
-        }
-    }));
+    const auto rest = boost::asio::buffer(this->outgoing) + this->written;
+    this->socket.async_write_some(
+        rest, [self = this->shared_from_this(), number = this->stateNumber](boost::system::error_code error, std::size_t size) {
+            if (number == self->stateNumber) {
+                self->onWritten(error, size);
+            }
+        });
+}
+
+void ServerSession::onWritten(boost::system::error_code error, std::size_t size)
+{
+    this->writing = false;
+    this->written += size;
+    this->moved += size;
+    if (error) {
+        this->leaveCaller();
+        return;
+    }
+    if (this->written < this->outgoing.size()) {
+        this->writeQueued();
+        return;
+    }
+    this->outgoing.clear();
+    this->written = 0;
+    if (!this->waiting.empty()) {
+        this->outgoing.swap(this->waiting);
+        this->writeQueued();
+        return;
+    }
+    // Thousands of kept connections would each keep the block of their largest answer.
+    this->outgoing.shrink_to_fit();
+    this->waiting.shrink_to_fit();
+    this->queueHolding.set(0);
+    if (this->answerEnds) {
+        this->onAnswerWritten();
+    }
 }
 
 void ServerSession::onAnswerWritten()
@@ -384,8 +598,7 @@
 void ServerSession::closeGently()
 {
     this->enter(State::closing);
-    this->outgoing = {};
-    this->waiting = {};
+    this->releaseMemory();
     const SessionLimits limits = this->hooks->limits();
     this->closing = {unsentBytes(this->socket.native_handle()), limits.maxHeaderBytes + limits.maxBodyBytes, Duration(0), Duration(0)};
     boost::system::error_code ignored; // The caller may have closed first.
@@ -432,6 +645,17 @@
     });
 }
 
+void ServerSession::releaseMemory()
+{
+    this->parser.reset();
+    this->buffer = {};
+    this->outgoing = {};
+    this->waiting = {};
+    this->holding.set(connectionBytes);
+    this->requestHolding.set(0);
+    this->queueHolding.set(0);
+}
+
 void ServerSession::close()
 {
     this->enter(State::closed);
@@ -454,7 +678,10 @@
         return;
     }
     this->enter(State::closed);
+    this->wanted = 0;
     this->onCallerLeft = nullptr;
+    // A request that is still being served keeps the count of its bytes, until its holder lets the session go.
+    this->queueHolding.set(0);
     resetSocket(this->socket);
 }
 
--- a/src/connection/http/server_session.h
+++ b/src/connection/http/server_session.h
@@ -5,6 +5,8 @@
 #include "connection/http/types.h"
 #include "connection/one_shot_timer.h"
 #include "eelgrassnotch/types.h"
+#include "process/budget/closing_order.h"
+#include "process/budget/memory_budget.h"
 
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/parser.hpp>
@@ -40,6 +42,12 @@
     std::function<void(unsigned status, const std::string &reason)> onRejected;
     /** Whether answers ask the caller to close its connection. */
     std::function<bool()> isClosing;
+    /** Budget for what connections hold; none means no limit. */
+    process::budget::MemoryBudgetPtr memory;
+    /** Workspace of a request whose head has been read; asked for large bodies only. */
+    std::function<WorkspaceHandle(const Request &)> workspaceOf;
+    /** Connections that were closed for want of memory or descriptors, or since their caller took nothing; the cause is one word. */
+    std::function<void(const char *cause, std::size_t connections, std::size_t heldBytes)> onClosedEarly;
 };
 
 /** @brief Serves one request at a time on one connection. */
@@ -58,6 +66,12 @@
         return this->state == State::serving;
     }
 
+    /** @returns whether the connection has ended here; handlers may still hold the session. */
+    bool isClosed() const
+    {
+        return this->state == State::closed;
+    }
+
     /** @returns how many requests have been read from the connection, the present one included. */
     std::uint64_t requestCount() const
     {
@@ -76,6 +90,24 @@
     void finishStream();
     /** @brief Resets the connection, so that no answer, or none that looks complete, reaches the caller. */
     void abort();
+    /**
+     * @brief Hands over the count of the bytes that the present request holds: its head, its body and the copy that an attempt sends.
+     * @remarks Who takes it sets it to what is still held. Otherwise it lasts until the answer has been written.
+     */
+    process::budget::MemoryBudget::Holding takeRequestHolding();
+    /** @returns what the session does, for the choice of connections to close. */
+    process::budget::Activity activity() const;
+    /** @returns bytes that the connection holds. */
+    std::size_t heldBytes() const;
+    /** @returns bytes that a request waits for; zero when none does. */
+    std::size_t wantedBytes() const
+    {
+        return this->wanted;
+    }
+    /** @returns bytes that the caller has sent and taken so far; each whole request counts as progress, too. */
+    std::uint64_t movedBytes() const;
+    /** @brief Refuses the request that is being read, or breaks its answer off, to free its memory. */
+    void giveWay();
     /** @returns whether the caller has closed, as far as the socket tells at once. */
     bool hasCallerLeft();
 
@@ -107,9 +139,22 @@
     std::size_t readArrived();
     /** @brief Parses what has been read. @returns whether more bytes are needed; otherwise the request was handed on or refused. */
     bool parseReceived();
+    /** @brief Checks a head that has just been parsed. @returns false when the request was refused. */
+    bool checkHead();
+    /** @returns false when a request has too many fields or too much framing, and was refused. */
+    bool checkFraming();
+    /** @returns bytes that the request holds once this much of its body has been read. */
+    std::size_t requestBytes(std::size_t bodyBytes) const;
+    /** @brief Reserves memory for what is read next. @returns false while there is none; the request waits or was refused. */
+    bool reserveForReading();
+    /** @brief Stops reading until there are this many bytes, or refuses the request when too many wait. */
+    void waitForMemory(std::size_t bytes);
     void onRequestTimeout();
     void handOn();
-    void reject(unsigned status, const std::string &reason);
+    /** @param isBusy Tells the caller when to come back. */
+    void reject(unsigned status, const std::string &reason, bool isBusy = false);
+    /** @brief Counts the bytes to be written. @returns false when there is no memory for them, and the caller was left. */
+    bool reserveQueue(std::size_t addedBytes);
     void waitForLeaving();
     /** @returns whether an answer may be sent. */
     bool isAnswering() const;
@@ -117,6 +162,9 @@
     void leaveCaller();
     void queue(const std::string &bytes);
     void writeQueued();
+    void onWritten(boost::system::error_code error, std::size_t size);
+    /** @brief Frees what the connection holds, the last answer's queue included. */
+    void releaseMemory();
     void onAnswerWritten();
     /** @brief Closes once the caller has received the last answer, or has stopped receiving it. */
     void closeGently();
@@ -143,6 +191,16 @@
     boost::beast::flat_buffer buffer;
     std::optional<Parser> parser;
     std::size_t maxUnparsedBytes = 0; ///< Of the request being read.
+    std::uint64_t maxBodyBytes = 0; ///< Of the same.
+    std::uint64_t parsedBytes = 0; ///< Of the same.
+    std::size_t headBytes = 0; ///< Memory of its head.
+    std::uint64_t headLength = 0; ///< Bytes of its head, as they were sent.
+    std::unique_ptr<OneShotTimer> memoryTimer; ///< Only of a request that waits for memory.
+    process::budget::MemoryBudget::Holding holding; ///< Connection and the request that is being read.
+    process::budget::MemoryBudget::Holding requestHolding; ///< The request that is being served.
+    process::budget::MemoryBudget::Holding queueHolding; ///< Bytes to be written.
+    std::uint64_t moved = 0;
+    std::size_t written = 0; ///< Of outgoing.
     std::function<void()> onCallerLeft;
     std::string outgoing; ///< Bytes being written.
     std::string waiting; ///< Bytes to write after those.
@@ -151,6 +209,7 @@
     std::uint64_t stateNumber = 0; ///< Of the states that the session has been in.
     std::uint64_t requests = 0;
     bool writing = false;
+    std::size_t wanted = 0; ///< Bytes that the request waits for.
     bool answerEnds = false; ///< The answer is complete once all queued bytes are written.
     bool closeAfter = false;
 };
--- a/src/process/edge_daemon.cpp
+++ b/src/process/edge_daemon.cpp
@@ -2,6 +2,8 @@
 
 #include "connection/http/listener.h"
 #include "connection/one_shot_timer.h"
+#include "process/budget/descriptor_budget.h"
+#include "process/budget/memory_budget.h"
 #include "process/clock.h"
 #include "process/edge_knowledge.h"
 #include "process/event_log.h"
@@ -44,8 +46,6 @@
 constexpr Duration stopMargin = 300ms;
 /** Before that, requests still in progress are answered, which leaves this time for the answers. */
 constexpr Duration lastAnswersTime = 200ms;
-/** Descriptors that are kept for listeners, the store and backend servers. */
-constexpr std::uint32_t reservedDescriptors = 1200;
 constexpr unsigned statusOk = 200;
 constexpr unsigned statusUnavailable = 503;
 constexpr unsigned statusNotFound = 404;
@@ -86,11 +86,13 @@
         , exchange({handleOf<DaemonHandle>(this->settings.name), handleOf<DataCentreHandle>(this->settings.dataCentre), this->settings.ip},
                    [this](const exchange::Peer &to, const exchange::Message &message) { this->loadSocket.send(to, message); })
         , knowledge(this->context, this->settings, this->dialect, this->metrics, this->proxy, this->exchange)
-        , callers(this->context, http::parseEndpoint(this->settings.callersAddress), this->callerHooks(),
-                  this->settings.maxDescriptors - std::min(this->settings.maxDescriptors / 2, reservedDescriptors))
-        , probes(this->context, http::parseEndpoint(this->settings.readyAddress), this->probeHooks(), probeConnections)
-        , metricsListener(this->context, http::parseEndpoint(this->settings.metricsAddress), this->metricsHooks(), probeConnections)
+        , memory(std::make_shared<budget::MemoryBudget>(budget::MemoryLimits::of(this->settings.memoryBytes)))
+        , descriptors(budget::DescriptorBudget::of(this->settings.maxDescriptors))
+        , callers(this->context, http::parseEndpoint(this->settings.callersAddress), this->callerHooks(), this->descriptors.callers)
+        , probes(this->context, http::parseEndpoint(this->settings.readyAddress), this->probeHooks(), this->descriptors.probes)
+        , metricsListener(this->context, http::parseEndpoint(this->settings.metricsAddress), this->metricsHooks(), this->descriptors.probes)
     {
+        this->proxy.answerBufferBudget().setMemoryBudget(this->memory);
     }
 
     void run()
@@ -116,8 +118,6 @@
     }
 
 private:
-    static constexpr std::size_t probeConnections = 32;
-
     bool isReady(Time now)
     {
         return !this->proxy.isStopping() && this->knowledge.isComplete()
@@ -139,12 +139,39 @@
             logEvent("request_rejected", {{"status", std::to_string(status)}, {"reason", reason}});
         };
         hooks.isClosing = [this] { return this->proxy.isStopping() || this->proxy.isOverloaded(readClock()); };
+        hooks.workspaceOf = [this](const http::Request &request) { return this->workspaceOf(request); };
+        this->addBudget(hooks, "callers");
         return hooks;
     }
 
-    http::SessionHooks plainHooks()
+    /** Lets connections count in the budget of the process, and logs those that it closes: one line for all of one look. */
+    void addBudget(http::SessionHooks &hooks, const char *listener)
+    {
+        hooks.memory = this->memory;
+        hooks.onClosedEarly = [this, listener](const char *cause, std::size_t connections, std::size_t heldBytes) {
+            this->metrics.countClosedConnections(cause, connections);
+            logEvent("connections_closed",
+                     {{"listener", listener},
+                      {"cause", cause},
+                      {"connections", std::to_string(connections)},
+                      {"their_bytes", std::to_string(heldBytes)},
+                      {"held_bytes", std::to_string(this->memory->stats().heldBytes)},
+                      {"capacity_bytes", std::to_string(this->memory->limits().capacity)}});
+        };
+    }
+
+    /** The workspace whose key a request carries; invalid where no workspace holds it. */
+    WorkspaceHandle workspaceOf(const http::Request &request) const
+    {
+        const auto table = this->proxy.routeTable();
+        const version::RoutedWorkspace *workspace = table ? table->workspaceOf(this->dialect->readRequest(request).apiKey) : nullptr;
+        return workspace == nullptr ? WorkspaceHandle() : handleOf<WorkspaceHandle>(workspace->name);
+    }
+
+    http::SessionHooks plainHooks(const char *listener)
     {
         http::SessionHooks hooks;
+        this->addBudget(hooks, listener);
         hooks.limits = [] {
             const version::CallerLimits limits;
             return http::SessionLimits {probeHeaderBytes, probeBodyBytes, limits.headerTimeout, limits.idleTimeout};
@@ -158,7 +185,9 @@
 
     http::SessionHooks probeHooks()
     {
-        http::SessionHooks hooks = this->plainHooks();
+        http::SessionHooks hooks = this->plainHooks("probes");
+        // Clients that pipeline probes without reading would keep the places of a full listener, since they make progress.
+        hooks.isClosing = [this] { return this->probes.isCrowded(); };
         hooks.onRequest = [this](const http::ServerSessionPtr &session, const http::Request &request) {
             if (!this->dialect->isReadinessProbe(request)) {
                 answerText(session, statusNotFound, "not found\n");
@@ -176,7 +205,7 @@
 
     http::SessionHooks metricsHooks()
     {
-        http::SessionHooks hooks = this->plainHooks();
+        http::SessionHooks hooks = this->plainHooks("metrics");
         hooks.onRequest = [this](const http::ServerSessionPtr &session, const http::Request &) {
             const auto table = this->proxy.routeTable();
             this->metrics.setConnections(this->callers.connectionCount());
@@ -184,6 +213,11 @@
             this->metrics.setBackendLimits(this->proxy.limitStats(readClock()));
             this->metrics.setRetryBudgets(this->proxy.retryBudgetStats());
             this->metrics.setDroppedLogLines(droppedLogLines());
+            this->metrics.setState("held_bytes", static_cast<double>(this->memory->stats().heldBytes));
+            this->metrics.setState("held_bytes_peak", static_cast<double>(this->memory->stats().peakBytes));
+            this->metrics.setState("held_bytes_capacity", static_cast<double>(this->memory->limits().capacity));
+            this->metrics.setState("memory_refusals", static_cast<double>(this->memory->stats().refusals));
+            this->metrics.setState("caller_connections_limit", static_cast<double>(this->descriptors.callers));
             answerText(session, statusOk, this->metrics.serialize());
         };
         return hooks;
@@ -334,6 +368,8 @@
     exchange::LoadSocket loadSocket;
     exchange::LoadExchange exchange;
     EdgeKnowledge knowledge;
+    budget::MemoryBudgetPtr memory;
+    budget::DescriptorBudget descriptors;
     http::Listener callers;
     http::Listener probes;
     http::Listener metricsListener;
--- a/src/process/proxy/answer_buffer_budget.h
+++ b/src/process/proxy/answer_buffer_budget.h
@@ -2,7 +2,10 @@
 
 /** @file Limits on the memory for answers that are buffered until they are complete. */
 
+#include "process/budget/memory_budget.h"
+
 #include <cstddef>
+#include <utility>
 
 namespace eelgrassnotch::process::proxy
 {
@@ -24,6 +27,7 @@
     public:
         explicit Usage(AnswerBufferBudget &answerBufferBudget)
             : budget(answerBufferBudget)
+            , holding(answerBufferBudget.memory, process::budget::Ownership::OfNone)
         {
         }
         ~Usage()
@@ -38,6 +42,12 @@
         {
             this->answerBytes += addedBytes;
             this->budget.totalBytes += addedBytes;
+            if (!this->holding.reserve(this->answerBytes)) {
+                this->holding.set(this->answerBytes);
+                if (this->answerBytes > smallAnswerBytes) {
+                    return false;
+                }
+            }
             return this->answerBytes <= maxBufferedAnswerBytes
                 && (this->budget.totalBytes <= maxBufferedTotalBytes || this->answerBytes <= smallAnswerBytes);
         }
@@ -45,8 +55,15 @@
     private:
         AnswerBufferBudget &budget;
         std::size_t answerBytes = 0;
+        process::budget::MemoryBudget::Holding holding;
     };
 
+    /** @brief Counts answers that begin from now on in the budget of the process, too. */
+    void setMemoryBudget(process::budget::MemoryBudgetPtr memoryBudget)
+    {
+        this->memory = std::move(memoryBudget);
+    }
+
     std::size_t bufferedBytes() const
     {
         return this->totalBytes;
@@ -54,6 +71,7 @@
 
 private:
     std::size_t totalBytes = 0;
+    process::budget::MemoryBudgetPtr memory;
 };
 
 }
--- a/src/process/proxy/proxy_metrics.cpp
+++ b/src/process/proxy/proxy_metrics.cpp
@@ -82,6 +82,10 @@
                                                         .Help("Rate limits that backend servers announce")
                                                         .Register(this->registry);
     std::vector<prometheus::Gauge *> currentLimits;
+    prometheus::Family<prometheus::Counter> &closedConnections = prometheus::BuildCounter()
+                                                                     .Name("eelgrassnotch_connections_closed_total")
+                                                                     .Help("Connections closed by the daemon's limits, by cause")
+                                                                     .Register(this->registry);
     prometheus::Family<prometheus::Gauge> &gauges
         = prometheus::BuildGauge().Name("eelgrassnotch_state").Help("State of the daemon").Register(this->registry);
 };
@@ -225,6 +229,16 @@
     this->families->gauges.Add({{"what", "dropped_log_lines"}}).Set(static_cast<double>(count));
 }
 
+void ProxyMetrics::setState(const std::string &what, double value)
+{
+    this->families->gauges.Add({{"what", what}}).Set(value);
+}
+
+void ProxyMetrics::countClosedConnections(const std::string &cause, std::size_t count)
+{
+    this->families->closedConnections.Add({{"cause", cause}}).Increment(static_cast<double>(count));
+}
+
 std::string ProxyMetrics::serialize() const
 {
     return prometheus::TextSerializer().Serialize(this->families->registry.Collect());
--- a/src/process/proxy/proxy_metrics.h
+++ b/src/process/proxy/proxy_metrics.h
@@ -67,6 +67,10 @@
     /** @brief Sets the state of the services' retry budgets. */
     void setRetryBudgets(const std::vector<RetryBudgetStats> &budgets);
     void setDroppedLogLines(std::size_t count);
+    /** @brief Sets one value of eelgrassnotch_state. */
+    void setState(const std::string &what, double value);
+    /** @brief Counts connections that were closed before their caller did. */
+    void countClosedConnections(const std::string &cause, std::size_t count);
     std::string serialize() const;
 
 private:
