--- a/src/connection/http/answer_writer.h
+++ b/src/connection/http/answer_writer.h
@@ -3,6 +3,7 @@
 /** @file Where the answer to one request is written. */
 
 #include "connection/http/types.h"
+#include "process/budget/memory_budget.h"
 
 #include <cstdint>
 #include <functional>
@@ -35,6 +36,14 @@
     virtual bool hasCallerLeft() = 0;
     /** @returns how many requests have been read from the connection, this one included. */
     virtual std::uint64_t requestCount() const = 0;
+    /**
+     * @brief Hands over the count of the bytes that the request holds: its head, its body and the copy that an attempt sends.
+     * @remarks Who takes it sets it to what is still held. Otherwise it lasts until the answer has been written.
+     */
+    virtual process::budget::MemoryBudget::Holding takeRequestHolding()
+    {
+        return {};
+    }
     /** @returns the address of the neighbour that read the request; empty where this daemon did. */
     virtual std::string handedOverBy() const
     {
--- a/src/process/handover/frame_link.cpp
+++ b/src/process/handover/frame_link.cpp
@@ -17,11 +17,11 @@
 {
 
 constexpr std::size_t lengthBytes = 4;
-/** A request is handed over with at most 128 KB of body, and answers are sent in parts. */
+/** A request is handed over with at most 64 KB of body; the largest answer that is buffered comes in one frame. */
 constexpr std::size_t maxFrameBytes = 10u << 20;
 constexpr std::size_t readBytes = 32u << 10;
 /** Bytes that wait for a neighbour that doesn't read; its requests are worth less than this daemon's memory. */
-constexpr std::size_t maxQueuedBytes = 4u << 20;
+constexpr std::size_t maxQueuedBytes = 1u << 20;
 
 }
 
@@ -99,13 +99,15 @@
     if (!this->open) {
         return;
     }
+    // One frame may be larger, as a whole answer is.
+    const bool isBlocked = this->queuedBytes() > maxQueuedBytes;
     flatbuffers::FlatBufferBuilder builder(256 + frame.bytes.size());
     builder.Finish(wire::Frame::Pack(builder, &frame));
     const std::uint32_t length = builder.GetSize();
     const auto *lengthStart = reinterpret_cast<const std::uint8_t *>(&length);
     this->queued.insert(this->queued.end(), lengthStart, lengthStart + lengthBytes);
     this->queued.insert(this->queued.end(), builder.GetBufferPointer(), builder.GetBufferPointer() + length);
-    if (this->queuedBytes() > maxQueuedBytes) {
+    if (isBlocked) {
         // The owner is told in a later turn, as it may be in the middle of a change.
         boost::asio::post(this->socket.get_executor(), [self = this->shared_from_this()] { self->end("neighbour does not read"); });
         return;
--- a/src/process/handover/sender.cpp
+++ b/src/process/handover/sender.cpp
@@ -20,7 +20,7 @@
 using namespace std::chrono_literals;
 
 /** Larger bodies would be copied for longer than they take to be served here. */
-constexpr std::size_t maxBodyBytes = 128u << 10;
+constexpr std::size_t maxBodyBytes = 64u << 10;
 /** A neighbour tells its room every 100 ms; a link that is silent for this long is given up. */
 constexpr Duration maxSilence = 1s;
 /** Links that were not used for this long are closed. */
--- a/src/process/proxy/proxied_request.cpp
+++ b/src/process/proxy/proxied_request.cpp
@@ -93,6 +93,7 @@
 
 void ProxiedRequest::start()
 {
+    this->memory = this->session->takeRequestHolding();
     this->attributes = this->proxy.dialect().readRequest(this->request);
     this->table = this->proxy.routeTable();
     const version::RoutedWorkspace *sender = this->table ? this->table->workspaceOf(this->attributes.apiKey) : nullptr;
@@ -865,6 +866,7 @@
         return;
     }
     this->isFinished = true;
+    this->memory.set(0);
     this->proxy.removeActive(*this);
     this->deadlineTimer.cancel();
     this->attemptTimer.cancel();
--- a/src/process/proxy/proxied_request.h
+++ b/src/process/proxy/proxied_request.h
@@ -127,6 +127,7 @@
     Time backendWaitDeadline {0}; ///< Until then the request waits for a backend server to become usable.
     std::vector<directory::BackendServerPtr> triedBackends;
     std::unique_ptr<BackendAttempt> currentAttempt;
+    process::budget::MemoryBudget::Holding memory; ///< Of the head, the body and the copy that an attempt sends.
     request::EventSplitter splitter;
     Verdict verdict = Verdict::NotRun; ///< Whether any attempt so far has run or may have run.
     std::uint32_t attempts = 0;
