Rollouts by version: exposure, judging and ends, as decision modules

A service's traffic could not be moved to backend servers of another version: entries name a version, and nothing read it.

Each daemon sends the target version a share of the requests that it receives itself, and its part of the slack, so the parts add up to the operators' bound without any message. Requests are drawn at random, and bad answers are scored by the probability with which they would have come from the target version if both were alike. Scores decay and add up over daemons in the sums of the load messages. The threshold is the logarithm of the checks of one order over the error rate (1 in 1,000), a union bound. Grow-only counters per daemon were weighed: 350 of them don't fit a datagram, and sums per data centre need a base line for each aggregator that restarts.

All traffic moves as late as the deadline allows, since a version that turns bad late must not have had more than its share of all requests by then.

Older daemons ignore the two lists at the end of the load message.

--- a/src/process/exchange/load_codec.cpp
+++ b/src/process/exchange/load_codec.cpp
@@ -3,6 +3,7 @@
 #include "process/exchange/wire/generated/load_generated.h"
 
 #include <algorithm>
+#include <cmath>
 #include <iterator>
 
 namespace eelgrassnotch::process::exchange
@@ -19,6 +20,9 @@
 /** Longer ones are not sent by any daemon. */
 constexpr flatbuffers::uoffset_t maxEvidenceEntries = 256;
 constexpr flatbuffers::uoffset_t maxLimitEntries = 1024;
+constexpr flatbuffers::uoffset_t maxRolloutEntries = 256;
+/** Duration of the longest order. */
+constexpr std::chrono::milliseconds maxRolloutAge = std::chrono::hours(24);
 constexpr std::uint64_t bitsOfHalf = 32;
 
 bool isValid(float value)
@@ -62,6 +66,34 @@
     return {entry.incarnation(), entry.demand()};
 }
 
+RolloutProgress fromWire(const wire::RolloutProgress &entry)
+{
+    return {entry.order(),
+            std::min(std::chrono::milliseconds(entry.age_ms()), maxRolloutAge),
+            std::min(std::chrono::milliseconds(entry.longest_ms()), maxAge),
+            entry.old_in_progress(),
+            entry.emptying(),
+            entry.bad_verdicts()};
+}
+
+RolloutCounts fromWire(const wire::RolloutCounts &entry)
+{
+    return {{entry.order(), entry.route()},
+            entry.failure_score(),
+            entry.slowness_score(),
+            entry.target_answers(),
+            entry.target_bad(),
+            entry.old_answers(),
+            entry.old_bad()};
+}
+
+bool isValid(const RolloutCounts &counts)
+{
+    const bool hasScores = std::abs(counts.failureScore) <= maxValue && std::abs(counts.slownessScore) <= maxValue;
+    return hasScores && isValid(static_cast<float>(counts.targetAnswers)) && isValid(static_cast<float>(counts.targetBad))
+        && isValid(static_cast<float>(counts.oldAnswers)) && isValid(static_cast<float>(counts.oldBad));
+}
+
 template <class Entry>
 auto fromWire(const flatbuffers::Vector<const Entry *> *entries, flatbuffers::uoffset_t most = maxEvidenceEntries)
 {
@@ -87,6 +119,24 @@
     return {load.incarnation, static_cast<float>(load.demand)};
 }
 
+wire::RolloutProgress toWire(const RolloutProgress &progress)
+{
+    return {progress.order,    toMilliseconds(progress.age), toMilliseconds(progress.longest), progress.oldInProgress,
+            progress.emptying, progress.badVerdicts};
+}
+
+wire::RolloutCounts toWire(const RolloutCounts &counts)
+{
+    return {counts.key.order,
+            counts.key.route,
+            static_cast<float>(counts.failureScore),
+            static_cast<float>(counts.slownessScore),
+            static_cast<float>(counts.targetAnswers),
+            static_cast<float>(counts.targetBad),
+            static_cast<float>(counts.oldAnswers),
+            static_cast<float>(counts.oldBad)};
+}
+
 wire::PartAge toWire(const PartAge &part)
 {
     return {highHalf(part.part), static_cast<std::uint32_t>(part.part), toMilliseconds(part.age)};
@@ -124,9 +174,12 @@
     const auto quarantinedOffset = writeList(builder, message.evidence.quarantined);
     const auto limitsOffset = writeList(builder, message.limits);
     const auto limitDemandsOffset = writeList(builder, message.load.limitDemands);
+    const auto rolloutsOffset = writeList(builder, message.load.rollouts);
+    const auto rolloutCountsOffset = writeList(builder, message.load.rolloutCounts);
     builder.Finish(wire::CreateMessage(builder, static_cast<wire::Kind>(message.kind), message.sender.id, message.dataCentre.id,
                                        workspacesOffset, backendsOffset, message.load.daemons, toMilliseconds(message.load.age),
-                                       offeredOffset, suspicionsOffset, soundOffset, quarantinedOffset, limitsOffset, limitDemandsOffset));
+                                       offeredOffset, suspicionsOffset, soundOffset, quarantinedOffset, limitsOffset, limitDemandsOffset,
+                                       rolloutsOffset, rolloutCountsOffset));
     return {builder.GetBufferPointer(), builder.GetBufferPointer() + builder.GetSize()};
 }
 
@@ -171,6 +224,12 @@
     message.evidence = {fromWire(root->suspicions()), fromWire(root->sound()), fromWire(root->quarantined())};
     message.limits = fromWire(root->limits(), maxLimitEntries);
     message.load.limitDemands = fromWire(root->limit_demands(), maxLimitEntries);
+    message.load.rollouts = fromWire(root->rollouts(), maxRolloutEntries);
+    message.load.rolloutCounts = fromWire(root->rollout_counts(), maxRolloutEntries);
+    if (!std::all_of(message.load.rolloutCounts.begin(), message.load.rolloutCounts.end(),
+                     [](const RolloutCounts &counts) { return isValid(counts); })) {
+        return std::nullopt;
+    }
     const auto isValidLimit = [](const LimitStatement &limit) { return isValid(static_cast<float>(limit.rate)) && limit.rate > 0; };
     const auto isValidDemand = [](const LimitDemand &load) { return isValid(static_cast<float>(load.demand)); };
     if (!std::all_of(message.limits.begin(), message.limits.end(), isValidLimit)
@@ -183,6 +242,10 @@
     std::sort(message.load.backends.begin(), message.load.backends.end(), byBackend);
     std::sort(message.load.limitDemands.begin(), message.load.limitDemands.end(),
               [](const LimitDemand &left, const LimitDemand &right) { return left.incarnation < right.incarnation; });
+    std::sort(message.load.rollouts.begin(), message.load.rollouts.end(),
+              [](const RolloutProgress &left, const RolloutProgress &right) { return left.order < right.order; });
+    std::sort(message.load.rolloutCounts.begin(), message.load.rolloutCounts.end(),
+              [](const RolloutCounts &left, const RolloutCounts &right) { return left.key < right.key; });
     return message;
 }
 
--- a/src/process/exchange/load_exchange.cpp
+++ b/src/process/exchange/load_exchange.cpp
@@ -67,6 +67,27 @@
         [factor](const LimitDemand &l, const LimitDemand &r) {
             return LimitDemand {l.incarnation, std::max(0.0, l.demand + factor * r.demand)};
         });
+    sum.rollouts = merge(
+        left.rollouts, right.rollouts, [](auto &progress) -> auto & { return progress.order; },
+        [addCounts](const RolloutProgress &l, const RolloutProgress &r) {
+            return RolloutProgress {l.order,
+                                    std::max(l.age, r.age),
+                                    std::max(l.longest, r.longest),
+                                    addCounts(l.oldInProgress, r.oldInProgress),
+                                    addCounts(l.emptying, r.emptying),
+                                    addCounts(l.badVerdicts, r.badVerdicts)};
+        });
+    sum.rolloutCounts = merge(
+        left.rolloutCounts, right.rolloutCounts, [](auto &counts) -> auto & { return counts.key; },
+        [factor](const RolloutCounts &l, const RolloutCounts &r) {
+            return RolloutCounts {l.key,
+                                  l.failureScore + factor * r.failureScore,
+                                  l.slownessScore + factor * r.slownessScore,
+                                  std::max(0.0, l.targetAnswers + factor * r.targetAnswers),
+                                  std::max(0.0, l.targetBad + factor * r.targetBad),
+                                  std::max(0.0, l.oldAnswers + factor * r.oldAnswers),
+                                  std::max(0.0, l.oldBad + factor * r.oldBad)};
+        });
     return sum;
 }
 
--- a/src/process/exchange/load_summary.h
+++ b/src/process/exchange/load_summary.h
@@ -3,6 +3,7 @@
 /** @file Load that daemons report to each other. */
 
 #include "eelgrassnotch/types.h"
+#include "process/exchange/rollout_evidence.h"
 
 #include <cstdint>
 #include <vector>
@@ -44,6 +45,8 @@
     std::uint32_t daemons = 0; ///< Number of daemons included.
     Duration age {0}; ///< Time since the oldest included load was measured, without time on the network.
     std::vector<LimitDemand> limitDemands {};
+    std::vector<RolloutProgress> rollouts {};
+    std::vector<RolloutCounts> rolloutCounts {};
 
     /** @returns the sum of both. */
     LoadSummary plus(const LoadSummary &other) const;
