Rollouts by version: orders are read from the store, and their status is written

Orders to move a service to another version had no reader.

Each daemon watches the collection itself, and only where the settings have the bounds on rollouts. Passing it on through relays was weighed: a relay of the earlier version doesn't know the collection, a follower of the earlier version refuses a reply that holds one that it doesn't know, and no rollout may advance at a daemon that doesn't reach the store, which its own watch tells.

The status is written under the object's revision by daemons in turn; an object that comes with a refusal is taken over.

--- a/src/process/edge_settings.h
+++ b/src/process/edge_settings.h
@@ -3,9 +3,11 @@
 /** @file Settings of a daemon that runs between callers and backend servers of a platform. */
 
 #include "eelgrassnotch/types.h"
+#include "process/rollout/rollout_order.h"
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 
 namespace eelgrassnotch::process
@@ -19,6 +21,7 @@
     double retryBurst = 0; ///< Repeated sends beyond that in any time window.
     double coldOvershoot = 1; ///< Factor on the rate that a cold backend server bears, over all daemons.
     double coldSlack = 0; ///< Requests beyond that in one second.
+    std::optional<rollout::RolloutBounds> rollout {}; ///< Where services are moved to another version by orders.
 
     bool operator==(const OperatorBounds &) const = default;
 };
--- a/src/process/proxy_dialect.h
+++ b/src/process/proxy_dialect.h
@@ -4,6 +4,7 @@
 
 #include "connection/http/types.h"
 #include "process/directory/backend_record.h"
+#include "process/rollout/rollout_order.h"
 #include "process/store/collection_watcher.h"
 #include "request/attributes.h"
 #include "version/route_table.h"
@@ -56,6 +57,9 @@
     virtual version::RouteTableParts readConfiguration(const store::StoredObject &object) const = 0;
     /** @returns nullopt when the object describes no usable backend server. */
     virtual std::optional<directory::BackendRecord> readBackend(const store::StoredObject &object) const = 0;
+    /** @returns nullopt when the object is no order. */
+    virtual std::optional<rollout::RolloutOrder> readRollout(const store::StoredObject &object) const = 0;
+    virtual nlohmann::json writeRolloutStatus(const rollout::RolloutOrder &order, rollout::RolloutState state) const = 0;
     virtual nlohmann::json writeDaemon(const DaemonRecord &daemon) const = 0;
     /** @returns nullopt when the object describes no daemon. */
     virtual std::optional<DaemonRecord> readDaemon(const store::StoredObject &object) const = 0;
--- a/src/process/rollout/rollout_order.h
+++ b/src/process/rollout/rollout_order.h
@@ -32,10 +32,10 @@
     std::uint64_t revision = 0; ///< Of the object; the status is written under it.
     RolloutState state = RolloutState::Active;
 
-    /** @returns a hash that names this order; another revision of an active object is another order. */
+    /** @returns a hash that names this order. Revisions don't count, as they also change when a status is written. */
     std::uint32_t id() const
     {
-        return hashName(this->service + '\n' + this->target + '\n' + std::to_string(this->revision));
+        return hashName(this->service + '\n' + this->target + '\n' + std::to_string(this->duration.count()));
     }
     bool operator==(const RolloutOrder &) const = default;
 };
--- a/src/process/rollout/service_rollout.cpp
+++ b/src/process/rollout/service_rollout.cpp
@@ -36,6 +36,8 @@
 /** The old version must have been empty for this long, since sums of other daemons are late. */
 constexpr Duration emptyHoldTime = 1s;
 constexpr Duration minEmptyingTime = 1500ms;
+/** An order for the version that already runs is completed after this time, in which late entries of other versions are read. */
+constexpr Duration soleVersionTime = 2s;
 /** Daemons write one after the other, so that all but the first find the object changed. */
 constexpr Duration writeSpacing = 150ms;
 constexpr std::uint32_t maxRank = 12;
@@ -272,6 +274,9 @@
     if (!situation.isStoreReachable) {
         return {};
     }
+    if (situation.hasTargetServers && !situation.hasOldServers && this->elapsed(now) >= soleVersionTime) {
+        return {RolloutState::Completed, "no other version has servers"};
+    }
     if (this->mayComplete(situation, now)) {
         return {RolloutState::Completed, this->emptiedSince ? "emptied" : "last call before the deadline"};
     }
@@ -285,12 +290,15 @@
 RolloutDecision ServiceRollout::decide(const RolloutSituation &situation, Time now) const
 {
     const Duration turn = writeSpacing * std::min(situation.rank, maxRank);
-    return this->due.state != RolloutState::Active && situation.isStoreReachable && now - *this->dueSince >= turn ? this->due
-                                                                                                                  : RolloutDecision();
+    const bool isDue = this->due.state != RolloutState::Active && this->currentOrder.state == RolloutState::Active;
+    return isDue && situation.isStoreReachable && now - *this->dueSince >= turn ? this->due : RolloutDecision();
 }
 
 void ServiceRollout::addTo(exchange::LoadSummary &load, std::uint32_t oldInProgress, Time now) const
 {
+    if (this->currentOrder.state != RolloutState::Active) {
+        return; // The store tells it, and a repeated order must not find an old verdict.
+    }
     const std::uint32_t id = this->currentOrder.id();
     load.rollouts.push_back({id, this->elapsed(now), this->evidence.longestOld(now), oldInProgress,
                              this->stage == Stage::Emptying ? 1U : 0U, this->isBad ? 1U : 0U});
--- a/src/process/rollout/service_rollout.h
+++ b/src/process/rollout/service_rollout.h
@@ -19,6 +19,7 @@
                           ///< while others don't count it.
     bool isStoreReachable = false;
     bool hasTargetServers = false; ///< Backend servers of the target version can get requests.
+    bool hasOldServers = true; ///< Backend servers of other versions are known.
     std::uint32_t oldInProgress = 0; ///< This daemon's requests in progress at other versions.
     std::uint32_t rank = 0; ///< Daemons that write the status before this one.
     std::optional<exchange::LoadSummary> others; ///< Sum of the other daemons' loads; nullopt when unknown.
@@ -79,6 +80,11 @@
     {
         this->currentOrder.state = state;
     }
+    /** @brief Takes over a later revision of its object, under which the status is written. */
+    void setRevision(std::uint64_t revision)
+    {
+        this->currentOrder.revision = revision;
+    }
     /** @brief Counts a request of the service that is about to be placed. */
     void recordRequest()
     {
--- a/src/process/store/collection_watcher.cpp
+++ b/src/process/store/collection_watcher.cpp
@@ -41,6 +41,8 @@
         return "taken_out";
     case Collection::Daemons:
         return "daemons";
+    case Collection::Rollouts:
+        return "rollouts";
     case Collection::count:
         break;
     }
--- a/src/process/store/collection_watcher.h
+++ b/src/process/store/collection_watcher.h
@@ -32,6 +32,11 @@
     virtual ChangePage readChanges(const std::string &body) const = 0;
     /** @returns the era that an answer of the store names; nullopt when it names none. */
     virtual std::optional<std::uint64_t> readEra(const connection::http::AnswerHeader &answer) const = 0;
+    virtual std::string statusTarget(Collection collection, const std::string &name) const = 0;
+    /** @returns the body of a write that the store refuses when the object has another revision. */
+    virtual std::string writeStatus(const std::string &name, std::uint64_t revision, const nlohmann::json &status) const = 0;
+    /** @returns the object that the store told in answer to a write; nullopt when the body is none. */
+    virtual std::optional<StoredObject> readStored(const std::string &body) const = 0;
     virtual std::string writeObject(const std::string &name, const nlohmann::json &content) const = 0;
 };
 
--- a/src/process/store/objects.h
+++ b/src/process/store/objects.h
@@ -18,6 +18,7 @@
     Backends, ///< Entries that backend servers keep of themselves.
     TakenOutDataCentres, ///< One object for each data centre that is out of use.
     Daemons, ///< One object for each daemon, written by the daemons.
+    Rollouts, ///< Orders to move services to another version; after the others, as relays name collections by their numbers.
     count,
 };
 
@@ -40,6 +41,7 @@
     std::string name;
     std::uint64_t revision = 0; ///< Store revision of its last change.
     nlohmann::json content; ///< What its writer put there; null when it can't be read.
+    nlohmann::json status {}; ///< What others wrote of it; null when there is none. Relays don't pass it on.
 
     bool operator==(const StoredObject &) const = default;
 };
