Rollouts by version: gauges, and a bounded wait for the first list of orders

Gauges of an order were missing, and a daemon that starts while the store is away must not wait for orders for ever: it would not be ready.

Compiled by themselves; no test of their own yet.

--- a/src/process/proxy/proxy_metrics.cpp
+++ b/src/process/proxy/proxy_metrics.cpp
@@ -77,6 +77,11 @@
     std::map<std::string, prometheus::Histogram *> firstEventsByRoute;
     std::map<std::string, prometheus::Histogram *> completeAnswersByRoute;
     std::map<std::string, prometheus::Histogram *> predictionErrorsByRoute;
+    prometheus::Family<prometheus::Gauge> &rollouts = prometheus::BuildGauge()
+                                                          .Name("eelgrassnotch_rollout")
+                                                          .Help("Orders to move a service to another version")
+                                                          .Register(this->registry);
+    std::vector<prometheus::Gauge *> currentRollouts;
     prometheus::Family<prometheus::Gauge> &limits = prometheus::BuildGauge()
                                                         .Name("eelgrassnotch_backend_limit")
                                                         .Help("Rate limits that backend servers announce")
@@ -211,6 +216,38 @@
     }
 }
 
+void ProxyMetrics::setRollouts(const std::vector<rollout::RolloutReport> &reports)
+{
+    for (prometheus::Gauge *gauge : std::exchange(this->families->currentRollouts, {})) {
+        this->families->rollouts.Remove(gauge);
+    }
+    const auto add = [this](const std::string &service, const char *what, double value) {
+        prometheus::Gauge &gauge = this->families->rollouts.Add({{"service", service}, {"what", what}});
+        gauge.Set(value);
+        this->families->currentRollouts.push_back(&gauge);
+    };
+    for (const rollout::RolloutReport &report : reports) {
+        const std::string &service = report.order.service;
+        const rollout::RolloutStats &stats = report.stats;
+        add(service, "state", static_cast<double>(report.order.state));
+        add(service, "stage", static_cast<double>(stats.stage));
+        add(service, "share", stats.share);
+        add(service, "elapsed_s", toSeconds(stats.elapsed));
+        add(service, "failure_score", stats.failureScore);
+        add(service, "slowness_score", stats.slownessScore);
+        add(service, "threshold", stats.threshold);
+        add(service, "target_answers", stats.targetAnswers);
+        add(service, "target_bad", stats.targetBad);
+        add(service, "old_answers", stats.oldAnswers);
+        add(service, "old_bad", stats.oldBad);
+        add(service, "old_in_progress", stats.oldInProgress);
+        add(service, "emptying_daemons", stats.emptyingDaemons);
+        add(service, "requests", static_cast<double>(stats.requests));
+        add(service, "sent_to_target", static_cast<double>(stats.sentToTarget));
+        add(service, "known_bad", stats.isKnownBad ? 1 : 0);
+    }
+}
+
 void ProxyMetrics::setRetryBudgets(const std::vector<RetryBudgetStats> &budgets)
 {
     for (const RetryBudgetStats &budget : budgets) {
--- a/src/process/proxy/proxy_metrics.h
+++ b/src/process/proxy/proxy_metrics.h
@@ -4,6 +4,7 @@
 
 #include "eelgrassnotch/types.h"
 #include "eelgrassnotch/verdict.h"
+#include "process/rollout/rollouts.h"
 
 #include <memory>
 #include <string>
@@ -66,6 +67,8 @@
     void setBackendLimits(const std::vector<BackendLimitStats> &limits);
     /** @brief Sets the state of the services' retry budgets. */
     void setRetryBudgets(const std::vector<RetryBudgetStats> &budgets);
+    /** @brief Replaces the figures of the orders to move a service to another version. */
+    void setRollouts(const std::vector<rollout::RolloutReport> &reports);
     void setDroppedLogLines(std::size_t count);
     std::string serialize() const;
 
--- a/src/process/rollout_knowledge.cpp
+++ b/src/process/rollout_knowledge.cpp
@@ -20,6 +20,8 @@
 constexpr store::WatchPace activePace {1s, 100ms};
 /** A status that the store has not taken, or whose write got no answer, is written again after this time. */
 constexpr Duration rewritePause = 1s;
+/** A daemon that can't read the orders after it has started serves without them, at the version that most backend servers have. */
+constexpr Duration maxListWait = 3s;
 constexpr unsigned firstNonSuccessStatus = 300;
 constexpr unsigned statusOk = 200;
 
@@ -39,11 +41,17 @@
 
 void RolloutKnowledge::start()
 {
+    this->startedAt = readClock();
     if (this->rollouts.isEnabled()) {
         this->watcher.start();
     }
 }
 
+bool RolloutKnowledge::isComplete(Time now) const
+{
+    return this->hasList || !this->rollouts.isEnabled() || (this->startedAt && now - *this->startedAt > maxListWait);
+}
+
 void RolloutKnowledge::setReachable(bool isStoreReachable, const std::string &cause)
 {
     if (this->isReachable == isStoreReachable) {
--- a/src/process/rollout_knowledge.h
+++ b/src/process/rollout_knowledge.h
@@ -30,11 +30,8 @@
     void start();
     /** @brief Writes what is due; called several times a second. */
     void tick(Time now);
-    /** @returns whether the collection has been read once, or needn't be. */
-    bool isComplete() const
-    {
-        return this->hasList || !this->rollouts.isEnabled();
-    }
+    /** @returns whether the collection has been read once, needn't be, or was waited for: the store may be away while daemons start. */
+    bool isComplete(Time now) const;
 
 private:
     store::WatcherHooks hooks();
@@ -47,6 +44,7 @@
     std::function<void(const std::string &collection, unsigned status)> onCall;
     bool hasList = false;
     bool isReachable = false;
+    std::optional<Time> startedAt;
     Time writeAgainAt {0};
     store::CollectionWatcher watcher;
     store::StatusWriter writer;
