--- a/src/process/rollout/exposure_plan.cpp
+++ b/src/process/rollout/exposure_plan.cpp
@@ -23,7 +23,7 @@
 /** Time to empty the old version beyond its longest request: daemons hear of each other's progress late, and it must hold for a while. */
 constexpr Duration settleTime = 2s;
 /** Part of the duration for the emptying at most. */
-constexpr double maxEmptyingPart = 0.35;
+constexpr double maxEmptyingPart = 0.2;
 /** Shares of the steps between probing and emptying. */
 constexpr std::array<double, 3> stepShares {0.12, 0.25, 0.5};
 /** While nothing is known, the target version gets this part of the operators' share at most, in steps. */
--- a/src/process/rollout/rollouts.cpp
+++ b/src/process/rollout/rollouts.cpp
@@ -206,7 +206,7 @@
     known->second.rollout->recordOutcome(outcome, now);
 }
 
-void Rollouts::noteServers(std::span<const VersionedServer> servers)
+void Rollouts::setServers(std::span<const VersionedServer> servers)
 {
     for (auto &[name, service] : this->services) {
         service.usable.clear();
@@ -226,6 +226,15 @@
             service.situation.hasOldServers = service.situation.hasOldServers || isOld;
         }
     }
+    for (auto &[name, service] : this->services) {
+        chooseRunning(service);
+    }
+}
+
+bool Rollouts::isRunningKnown(const std::string &service) const
+{
+    const auto known = this->services.find(service);
+    return known != this->services.end() && !known->second.running.empty();
 }
 
 void Rollouts::chooseRunning(Service &service)
@@ -280,9 +289,8 @@
     if (!this->bounds) {
         return;
     }
-    this->noteServers(servers);
+    this->setServers(servers);
     for (auto &[name, service] : this->services) {
-        chooseRunning(service);
         if (service.rollout) {
             this->setSituation(service, daemons, others, now);
             service.rollout->update(service.situation, now);
--- a/src/process/rollout/rollouts.h
+++ b/src/process/rollout/rollouts.h
@@ -93,6 +93,10 @@
     /** @brief Records how an attempt ended. Its member wasTarget is set here. */
     void recordOutcome(const std::string &service, const std::string &version, Outcome outcome, Time now);
 
+    /** @brief Takes the backend servers that are known. Called with the first ones of a service, and by update(). */
+    void setServers(std::span<const VersionedServer> servers);
+    /** @returns whether the version that a service runs is known. */
+    bool isRunningKnown(const std::string &service) const;
     /**
      * @brief Judges and moves on; called several times a second.
      * @param others Sum of the other daemons' loads; nullopt when unknown.
@@ -117,7 +121,6 @@
         bool isBadLogged = false;
     };
 
-    void noteServers(std::span<const VersionedServer> servers);
     static void chooseRunning(Service &service);
     void setSituation(Service &service, const dispatch::ActiveDaemons &daemons, const std::optional<exchange::LoadSummary> &others,
                       Time now) const;
--- a/tests/standin/object_store.cpp
+++ b/tests/standin/object_store.cpp
@@ -93,6 +93,31 @@
     this->changed.notify_all();
 }
 
+json ObjectStore::statusOf(const std::string &kind, const std::string &name) const
+{
+    const std::lock_guard lock(this->mutex);
+    return this->objects.at(kind).at(name).at("status");
+}
+
+json ObjectStore::writeStatus(const std::string &kind, const std::string &name, const json &written, unsigned &status)
+{
+    const std::lock_guard lock(this->mutex);
+    if (!this->objects[kind].contains(name)) {
+        status = 404;
+        return json::object();
+    }
+    json &object = this->objects[kind][name];
+    if (object.at("metadata").at("revision") != written.at("metadata").at("revision")) {
+        status = 409;
+        return object;
+    }
+    object["metadata"]["revision"] = ++this->revision;
+    object["status"] = written.at("status");
+    this->history.push_back({this->revision, kind, {{"removed", false}, {"object", object}}});
+    this->changed.notify_all();
+    return object;
+}
+
 bool ObjectStore::has(const std::string &kind, const std::string &name) const
 {
     const std::lock_guard lock(this->mutex);
@@ -167,6 +192,8 @@
             this->note(kind, created, object.at("spec"), false);
         }
         body = this->objects[kind][created].dump();
+    } else if (request.method() == verb::put) {
+        body = this->writeStatus(kind, name.substr(0, name.find('/')), json::parse(request.body()), status).dump();
     } else if (request.method() == verb::delete_) {
         this->remove(kind, name);
     }
--- a/tests/standin/object_store.h
+++ b/tests/standin/object_store.h
@@ -34,6 +34,8 @@
     void restore(const Copy &older);
     /** @brief Drops the history, so that watches from an older revision get 410. */
     void compact();
+    /** @returns the status that was written to an object; null when there is none. */
+    nlohmann::json statusOf(const std::string &kind, const std::string &name) const;
     bool has(const std::string &kind, const std::string &name) const;
     std::string address() const
     {
@@ -55,6 +57,8 @@
 
     bool answer(Socket &socket, const Request &request);
     std::uint64_t currentEra() const;
+    /** @brief Writes a status under the object's revision. @returns the object as it is then; another revision leaves it as it is. */
+    nlohmann::json writeStatus(const std::string &kind, const std::string &name, const nlohmann::json &written, unsigned &status);
     nlohmann::json list(const std::string &kind) const;
     std::string watch(const std::string &kind, std::uint64_t revision, int waitMs, unsigned &status);
     void note(const std::string &kind, const std::string &name, const nlohmann::json &spec, bool isRemoved);
