Rollouts by version: a list without an order removes it safely

Removing an order by the name that it holds read the name after the order was gone. Found by reading; the case of a withdrawn order now goes by a list.

--- a/src/process/rollout/rollouts.cpp
+++ b/src/process/rollout/rollouts.cpp
@@ -61,11 +61,14 @@
 
 void Rollouts::replaceAll(const std::vector<RolloutOrder> &orders, Time now)
 {
-    for (auto &[name, service] : this->services) {
-        const bool isListed
-            = std::any_of(orders.begin(), orders.end(), [&name](const RolloutOrder &order) { return order.service == name; });
-        if (!isListed && service.rollout) {
-            this->remove(service.rollout->order().name);
+    std::set<std::string> listed;
+    for (const RolloutOrder &order : orders) {
+        listed.insert(order.service);
+    }
+    for (const auto &[name, service] : this->services) {
+        if (service.rollout && !listed.contains(name)) {
+            const std::string object = service.rollout->order().name; // A copy, as the order is removed.
+            this->remove(object);
         }
     }
     for (const RolloutOrder &order : orders) {
--- a/tests/proxy/test_rollout_orders.cpp
+++ b/tests/proxy/test_rollout_orders.cpp
@@ -159,7 +159,8 @@
     OneDaemon daemon;
     daemon.rollouts.apply(firstOrder, start);
     daemon.runUntil(5s, bothVersions);
-    daemon.rollouts.remove("svc");
+    daemon.rollouts.replaceAll({}, start + 5s);
+    CHECK(daemon.rollouts.reports().empty());
     CHECK(daemon.runUntil(25s, bothVersions).empty());
     CHECK(daemon.accessTo("v1") == VersionAccess::Preferred);
     CHECK(daemon.accessTo("v2") == VersionAccess::Forbidden);
