--- a/src/process/exchange/load_codec.cpp
+++ b/src/process/exchange/load_codec.cpp
@@ -3,6 +3,7 @@
 #include "process/exchange/wire/generated/load_generated.h"
 
 #include <algorithm>
+#include <cmath>
 #include <iterator>
 
 namespace eelgrassnotch::process::exchange
@@ -20,6 +21,9 @@
 constexpr flatbuffers::uoffset_t maxEvidenceEntries = 256;
 constexpr flatbuffers::uoffset_t maxLimitEntries = 1024;
 constexpr flatbuffers::uoffset_t maxCommittedEntries = 4096;
+constexpr flatbuffers::uoffset_t maxRolloutEntries = 256;
+/** Duration of the longest order. */
+constexpr std::chrono::milliseconds maxRolloutAge = std::chrono::hours(24);
 constexpr std::uint64_t bitsOfHalf = 32;
 
 /** Entry of the list of committed tokens, which is kept apart from the other loads since older daemons don't send it. */
@@ -74,6 +78,34 @@
     return {entry.backend(), entry.tokens()};
 }
 
+RolloutProgress fromWire(const wire::RolloutProgress &entry)
+{
+    return {entry.order(),
+            std::min(std::chrono::milliseconds(entry.age_ms()), maxRolloutAge),
+            std::min(std::chrono::milliseconds(entry.longest_ms()), maxAge),
+            entry.old_in_progress(),
+            entry.emptying(),
+            entry.bad_verdicts()};
+}
+
+RolloutCounts fromWire(const wire::RolloutCounts &entry)
+{
+    return {{entry.order(), entry.route()},
+            entry.failure_score(),
+            entry.slowness_score(),
+            entry.target_answers(),
+            entry.target_bad(),
+            entry.old_answers(),
+            entry.old_bad()};
+}
+
+bool isValid(const RolloutCounts &counts)
+{
+    const bool hasScores = std::abs(counts.failureScore) <= maxValue && std::abs(counts.slownessScore) <= maxValue;
+    return hasScores && isValid(static_cast<float>(counts.targetAnswers)) && isValid(static_cast<float>(counts.targetBad))
+        && isValid(static_cast<float>(counts.oldAnswers)) && isValid(static_cast<float>(counts.oldBad));
+}
+
 template <class Entry>
 auto fromWire(const flatbuffers::Vector<const Entry *> *entries, flatbuffers::uoffset_t most = maxEvidenceEntries)
 {
@@ -104,6 +136,24 @@
     return {entry.backend, static_cast<float>(entry.tokens)};
 }
 
+wire::RolloutProgress toWire(const RolloutProgress &progress)
+{
+    return {progress.order,    toMilliseconds(progress.age), toMilliseconds(progress.longest), progress.oldInProgress,
+            progress.emptying, progress.badVerdicts};
+}
+
+wire::RolloutCounts toWire(const RolloutCounts &counts)
+{
+    return {counts.key.order,
+            counts.key.route,
+            static_cast<float>(counts.failureScore),
+            static_cast<float>(counts.slownessScore),
+            static_cast<float>(counts.targetAnswers),
+            static_cast<float>(counts.targetBad),
+            static_cast<float>(counts.oldAnswers),
+            static_cast<float>(counts.oldBad)};
+}
+
 wire::PartAge toWire(const PartAge &part)
 {
     return {highHalf(part.part), static_cast<std::uint32_t>(part.part), toMilliseconds(part.age)};
@@ -162,10 +212,12 @@
     const auto limitsOffset = writeList(builder, message.limits);
     const auto limitDemandsOffset = writeList(builder, message.load.limitDemands);
     const auto committedOffset = writeList(builder, committed);
+    const auto rolloutsOffset = writeList(builder, message.load.rollouts);
+    const auto rolloutCountsOffset = writeList(builder, message.load.rolloutCounts);
     builder.Finish(wire::CreateMessage(builder, static_cast<wire::Kind>(message.kind), message.sender.id, message.dataCentre.id,
                                        workspacesOffset, backendsOffset, message.load.daemons, toMilliseconds(message.load.age),
                                        offeredOffset, suspicionsOffset, soundOffset, quarantinedOffset, limitsOffset, limitDemandsOffset,
-                                       committedOffset));
+                                       committedOffset, rolloutsOffset, rolloutCountsOffset));
     return {builder.GetBufferPointer(), builder.GetBufferPointer() + builder.GetSize()};
 }
 
@@ -210,6 +262,12 @@
     message.evidence = {fromWire(root->suspicions()), fromWire(root->sound()), fromWire(root->quarantined())};
     message.limits = fromWire(root->limits(), maxLimitEntries);
     message.load.limitDemands = fromWire(root->limit_demands(), maxLimitEntries);
+    message.load.rollouts = fromWire(root->rollouts(), maxRolloutEntries);
+    message.load.rolloutCounts = fromWire(root->rollout_counts(), maxRolloutEntries);
+    if (!std::all_of(message.load.rolloutCounts.begin(), message.load.rolloutCounts.end(),
+                     [](const RolloutCounts &counts) { return isValid(counts); })) {
+        return std::nullopt;
+    }
     const auto isValidLimit = [](const LimitStatement &limit) { return isValid(static_cast<float>(limit.rate)) && limit.rate > 0; };
     const auto isValidDemand = [](const LimitDemand &load) { return isValid(static_cast<float>(load.demand)); };
     if (!std::all_of(message.limits.begin(), message.limits.end(), isValidLimit)
@@ -225,6 +283,10 @@
     if (!addCommitted(fromWire(root->committed(), maxCommittedEntries), message.load.backends)) {
         return std::nullopt;
     }
+    std::sort(message.load.rollouts.begin(), message.load.rollouts.end(),
+              [](const RolloutProgress &left, const RolloutProgress &right) { return left.order < right.order; });
+    std::sort(message.load.rolloutCounts.begin(), message.load.rolloutCounts.end(),
+              [](const RolloutCounts &left, const RolloutCounts &right) { return left.key < right.key; });
     return message;
 }
 
