Rollouts are called by the proxy; speeds of engines are not learnt any more

Rollouts: placement asks which versions a request may use, outcomes are recorded, and the daemon reads orders and writes their status.

A busy engine's late first events look like a slow engine, and admission refuses what it could serve. The model and its replays are removed; committed memory, expected output and the reported slowness stay, with their tests. See docs/design/engine-load.md.

--- a/src/process/directory/backend_server.cpp
+++ b/src/process/directory/backend_server.cpp
@@ -145,13 +145,12 @@
 
 void BackendServer::recordServiceTime(Duration taken, Time sentAt, Time now)
 {
-    const engine::ReportedSlowness &slowness = this->engineState.slowness;
-    this->serviceTime.add(static_cast<double>(taken.count()) / slowness.reportSince(sentAt).value_or(slowness.typical()), now);
+    this->serviceTime.add(static_cast<double>(taken.count()) / this->slowness.reportSince(sentAt).value_or(this->slowness.typical()), now);
 }
 
 Duration BackendServer::expectedServiceTime(Time now) const
 {
-    return Duration(static_cast<std::int64_t>(this->serviceTime.value(now) * this->engineState.slowness.current(now)));
+    return Duration(static_cast<std::int64_t>(this->serviceTime.value(now) * this->slowness.current(now)));
 }
 
 Duration BackendServer::slotDelay(Time now) const
--- a/src/process/directory/backend_server.h
+++ b/src/process/directory/backend_server.h
@@ -9,7 +9,7 @@
 #include "process/dispatch/prefix_cache_model.h"
 #include "process/dispatch/sliding_window.h"
 #include "process/engine/committed_memory.h"
-#include "process/engine/engine_speed.h"
+#include "process/engine/reported_slowness.h"
 #include "process/exchange/load_summary.h"
 
 #include <deque>
@@ -141,7 +141,7 @@
     dispatch::AnnouncedLimit announcedLimit;
     std::optional<LimitHolding> limitHolding;
     std::uint64_t heldBack = 0; ///< Requests that were placed elsewhere, or refused, since this daemon's part of its limit was used up.
-    engine::EngineState engineState; ///< Its speed and reported slowness; the latter also of application backend servers.
+    engine::ReportedSlowness slowness; ///< How long work takes there, as its answers tell.
     engine::CommittedMemory memory; ///< Tokens of requests in progress; only for model engines.
     dispatch::DecayingAverage excessDelay; ///< Delay of first events beyond the prediction, in microseconds.
     dispatch::DecayingSum firstEventCount; ///< Recent first events at this daemon, with decay.
--- a/src/process/edge_daemon.cpp
+++ b/src/process/edge_daemon.cpp
@@ -126,7 +126,7 @@
 private:
     bool isReady(Time now)
     {
-        return !this->proxy.isStopping() && this->knowledge.isComplete()
+        return !this->proxy.isStopping() && this->knowledge.isComplete(now)
             && this->proxy.configurationAge(now) < std::chrono::duration_cast<Duration>(this->proxy.keyLifetime() * readyLifetimePart)
             && !this->proxy.isOverloaded(now);
     }
@@ -244,6 +244,7 @@
             this->metrics.setConnections(this->callers.connectionCount());
             this->metrics.setConfiguration(table ? table->version() : 0, this->proxy.configurationAge(readClock()));
             this->metrics.setBackendLimits(this->proxy.limitStats(readClock()));
+            this->metrics.setRollouts(this->proxy.rollouts().reports());
             this->metrics.setRetryBudgets(this->proxy.retryBudgetStats());
             this->metrics.setDroppedLogLines(droppedLogLines());
             this->metrics.setState("held_bytes", static_cast<double>(this->memory->stats().heldBytes));
--- a/src/process/edge_knowledge.cpp
+++ b/src/process/edge_knowledge.cpp
@@ -74,12 +74,15 @@
               {Collection::TakenOutDataCentres, this->observed(Collection::TakenOutDataCentres, this->takenOutHooks())}})
     , daemonsWatcher(context, http::parseEndpoint(this->settings.storeAddress), this->dialect, Collection::Daemons, firstDaemonsPace,
                      this->observed(Collection::Daemons, this->daemonHooks()))
+    , rolloutKnowledge(context, this->settings.storeAddress, this->dialect, this->proxy.rollouts(),
+                       [this](const std::string &collection, unsigned status) { this->metrics.countStoreCall(collection, status); })
 {
 }
 
 void EdgeKnowledge::start()
 {
     this->writeOwnEntry();
+    this->rolloutKnowledge.start();
     this->listDaemonsAt = readClock() + (this->settings.isFirstStart ? firstStartSpread : Duration(0));
     this->startSourceAt = this->listDaemonsAt + firstListTimeout;
     this->tick(readClock());
@@ -104,6 +107,7 @@
         this->unconfirmedTakenOut.clear();
         this->applyTakenOut();
     }
+    this->rolloutKnowledge.tick(now);
     this->source.tick(now, this->proxy.isOverloaded(now));
 }
 
@@ -113,9 +117,10 @@
     this->writer.remove();
 }
 
-bool EdgeKnowledge::isComplete() const
+bool EdgeKnowledge::isComplete(Time now) const
 {
-    return this->hasBackends && this->hasDaemons && this->hasTakenOut && this->proxy.routeTable() != nullptr;
+    return this->rolloutKnowledge.isComplete(now) && this->hasBackends && this->hasDaemons && this->hasTakenOut
+        && this->proxy.routeTable() != nullptr;
 }
 
 store::WatcherHooks EdgeKnowledge::observed(Collection collection, store::WatcherHooks hooks)
@@ -195,6 +200,7 @@
             }
         }
         this->proxy.backends().replaceAll(records, readClock());
+        this->proxy.updateVersions();
         this->hasBackends = true;
     };
     hooks.onChange = [this](const store::ObjectChange &change) {
@@ -203,6 +209,10 @@
             this->proxy.backends().remove(change.object.name, now);
         } else if (const auto record = this->dialect->readBackend(change.object)) {
             this->proxy.backends().apply(*record, now);
+            // A version that comes later must find the running one.
+            if (!this->proxy.rollouts().isRunningKnown(record->service)) {
+                this->proxy.updateVersions();
+            }
         } else {
             this->logUnreadableBackend(change.object);
             this->proxy.backends().onUnreadableEntry(change.object.name, now);
--- a/src/process/edge_knowledge.h
+++ b/src/process/edge_knowledge.h
@@ -7,6 +7,7 @@
 #include "process/mirror/collection_source.h"
 #include "process/proxy/proxy.h"
 #include "process/proxy_dialect.h"
+#include "process/rollout_knowledge.h"
 #include "process/store/object_writer.h"
 
 #include <set>
@@ -33,7 +34,7 @@
         this->onNeighbours = std::move(onChange);
     }
     /** @returns whether each collection has been read once. */
-    bool isComplete() const;
+    bool isComplete(Time now) const;
 
 private:
     store::WatcherHooks configurationHooks();
@@ -77,6 +78,7 @@
     store::ObjectWriter writer;
     mirror::CollectionSource source;
     store::CollectionWatcher daemonsWatcher;
+    RolloutKnowledge rolloutKnowledge;
 };
 
 }
--- a/src/process/proxy/backend_attempt.cpp
+++ b/src/process/proxy/backend_attempt.cpp
@@ -14,7 +14,6 @@
     , bufferUsage(answerBufferBudget)
     , pool(backendPool)
     , committedTokens(expectedTokens)
-    , ownPromptTokens(prompt.tokens - std::min(prompt.sharedTokens(), prompt.tokens))
 {
     ++this->backend->inFlight;
     this->backend->memory.begin(this->committedTokens);
@@ -39,26 +38,18 @@
         this->backend->loadReport = directory::LoadReport {*attributes.running, attributes.waiting.value_or(0), now};
     }
     if (attributes.slowness) {
-        engine::EngineSpeedModel::recordReport(this->backend->engineState, *attributes.slowness, now);
+        this->backend->slowness.record(*attributes.slowness, now);
     }
     if (attributes.coldLeft && *attributes.coldLeft > Duration(0)) {
         this->backend->coldUntil = std::max(this->backend->coldUntil, now + *attributes.coldLeft);
     }
 }
 
-void BackendAttempt::onFirstEvent(engine::EngineSpeedModel *speedModel, Time now)
+void BackendAttempt::onFirstEvent(Time now)
 {
     this->hasFirstEvent = true;
     this->firstEventAt = now;
     this->removePendingPrefill();
-    // What an engine reads is unknown when the request waited for others, or may have copied the shared parts from another engine.
-    const bool mayHaveCopied = this->prediction.fetchSource && this->prediction.uncachedTokens > this->ownPromptTokens;
-    if (speedModel != nullptr && this->answer.waiting.value_or(0) == 0 && !mayHaveCopied) {
-        const Duration roundTrip = this->backend->locality ? this->backend->locality->roundTrip : Duration(0);
-        const double uncachedTokens = this->prediction.uncachedTokens;
-        speedModel->recordFirstEvent(this->backend->engineState,
-                                     {uncachedTokens, now - this->startedAt, this->prediction.queueDelay, roundTrip}, now);
-    }
     const Duration undelayed = this->prediction.firstEventDelay - this->prediction.queueDelay;
     this->backend->recordExcessDelay(now - this->startedAt - undelayed, now);
 }
--- a/src/process/proxy/backend_attempt.h
+++ b/src/process/proxy/backend_attempt.h
@@ -4,7 +4,6 @@
 
 #include "connection/http/client_connection.h"
 #include "process/dispatch/placement.h"
-#include "process/engine/engine_speed.h"
 #include "process/proxy/answer_buffer_budget.h"
 #include "process/proxy/backend_connection_pool.h"
 #include "request/attributes.h"
@@ -32,8 +31,8 @@
 
     /** @brief Stores the answer header, and updates the backend server's state from what it reports. */
     void onHeader(const connection::http::AnswerHeader &answerHeader, const request::AnswerAttributes &attributes, Time now);
-    /** @brief Records the arrival of the first complete event. @param speedModel Learns from it; null for none. */
-    void onFirstEvent(engine::EngineSpeedModel *speedModel, Time now);
+    /** @brief Records the arrival of the first complete event. */
+    void onFirstEvent(Time now);
     /**
      * @brief Removes the attempt from the backend server's load and releases the connection.
      * @param isCancelled Closes the connection, so that the backend server stops its work.
@@ -58,7 +57,6 @@
 
     BackendConnectionPool &pool;
     double committedTokens;
-    std::uint32_t ownPromptTokens; ///< Of the part of the prompt that no other request shares.
 };
 
 }
--- a/src/process/proxy/proxied_request.cpp
+++ b/src/process/proxy/proxied_request.cpp
@@ -209,6 +209,7 @@
         return;
     }
     this->proxy.recordServiceDemand(this->service->name, now);
+    this->proxy.rollouts().recordRequest(this->service->name);
     this->place();
 }
 
@@ -470,6 +471,9 @@
     }
     this->triedBackends.push_back(choice.backend);
     this->lastPrediction = choice.prediction;
+    this->versionChoice = choice.version;
+    this->isOutcomeRecorded = false;
+    this->proxy.rollouts().recordSent(this->service->name, choice.backend->record.version);
     const Duration maxIdleTime = this->isRetryable() ? maxIdleRetryable : maxIdleNonRetryable;
     this->currentAttempt = std::make_unique<BackendAttempt>(
         this->proxy.pool(), this->proxy.answerBufferBudget(), choice.backend, choice.prediction, this->attributes.prompt,
@@ -576,9 +580,7 @@
 {
     BackendAttempt &attempt = *this->currentAttempt;
     if (!attempt.hasFirstEvent) {
-        // Only engines that tell how slow they are at the moment differ enough for their speeds to be learnt.
-        const bool tellsSlowness = this->isEngineService() && attempt.answer.slowness.has_value();
-        attempt.onFirstEvent(tellsSlowness ? &this->proxy.speedModelOf(this->service->name) : nullptr, now);
+        attempt.onFirstEvent(now);
         this->proxy.metrics().observePredictionError(this->route->name, now - attempt.startedAt - attempt.prediction.firstEventDelay);
     }
     if (!this->hasAnswerStarted) {
@@ -631,6 +633,7 @@
     if (const auto lastId = this->splitter.lastEventId(); this->isEngineService() && this->attributes.prompt.outputHint && lastId) {
         this->proxy.outputLengths().record(this->route->name, *this->attributes.prompt.outputHint, *lastId, now);
     }
+    this->recordOutcome(false, now);
     this->currentAttempt->backend->recordSlotTime(now - this->currentAttempt->startedAt, now);
     this->endAttempt(now, false);
     this->session->finishStream();
@@ -648,6 +651,7 @@
     }
     ++this->possibleExecutions;
     this->verdict = Verdict::Ran;
+    this->recordOutcome(status >= firstServerErrorStatus, now);
     if (status >= firstServerErrorStatus) {
         attempt.backend->recordErrorAnswer(now);
         const bool hadTime = this->remainingTime(now) > this->route->latencyTarget / 2;
@@ -719,6 +723,7 @@
 void ProxiedRequest::onFailedAttempt(const http::ExchangeEnd &end, Time now)
 {
     const bool isUnsent = end.kind == EndKind::ConnectFailed;
+    this->recordOutcome(true, now);
     if (!isUnsent) {
         ++this->possibleExecutions;
         this->verdict = std::max(this->verdict, Verdict::MayHaveRun);
@@ -807,6 +812,20 @@
     attempt->end(isCancelled, now);
 }
 
+void ProxiedRequest::recordOutcome(bool isFailure, Time now)
+{
+    if (std::exchange(this->isOutcomeRecorded, true)) {
+        return;
+    }
+    const BackendAttempt &attempt = *this->currentAttempt;
+    const double size = this->isEngineService()
+        ? attempt.prediction.uncachedTokens + outputTokenWeight * this->attributes.prompt.maxOutputTokens
+        : static_cast<double>(this->request.body().size());
+    this->proxy.rollouts().recordOutcome(
+        this->service->name, attempt.backend->record.version,
+        {this->versionChoice, false, hashName(this->route->name), isFailure, now - attempt.startedAt, size}, now);
+}
+
 void ProxiedRequest::onAttemptTimeout()
 {
     const Time now = readClock();
@@ -815,6 +834,7 @@
     if (this->possibleExecutions + 1 >= this->route->maxAttempts) {
         return;
     }
+    this->recordOutcome(false, now);
     if (this->retry(RetryReason::TimedOut, Verdict::MayHaveRun, now)) {
         ++this->possibleExecutions;
         this->verdict = std::max(this->verdict, Verdict::MayHaveRun);
@@ -832,6 +852,7 @@
     if (!this->currentAttempt->hasHeader && this->currentAttempt->backend->isUnresponsive(now)) {
         this->currentAttempt->backend->recordFailure(this->currentAttempt->startedAt, now);
     }
+    this->recordOutcome(false, now);
     this->giveUpAttempt(RefusalReason::DeadlineExpired, "time limit reached", now);
 }
 
--- a/src/process/proxy/proxied_request.h
+++ b/src/process/proxy/proxied_request.h
@@ -87,6 +87,8 @@
     /** @brief Starts another attempt at another backend server if limits and retry budget allow it. @returns whether it was started. */
     bool retry(RetryReason reason, Verdict verdict, Time now);
     void endAttempt(Time now, bool isCancelled);
+    /** @brief Records how the current attempt ended, for the comparison of versions; once for each attempt. */
+    void recordOutcome(bool isFailure, Time now);
     void forwardAnswer();
     void refuse(RefusalReason reason, Duration retryAfter, const std::string &detail);
     /** @brief Cancels the attempt, which a backend server may have run, and ends the request with a refusal or a broken stream. */
@@ -130,6 +132,8 @@
     process::budget::MemoryBudget::Holding memory; ///< Of the head, the body and the copy that an attempt sends.
     request::EventSplitter splitter;
     Verdict verdict = Verdict::NotRun; ///< Whether any attempt so far has run or may have run.
+    rollout::VersionChoice versionChoice; ///< Of the current attempt.
+    bool isOutcomeRecorded = false; ///< Of the current attempt.
     std::uint32_t attempts = 0;
     std::uint32_t possibleExecutions = 0; ///< Number of attempts that a backend server may have run.
     dispatch::Placement lastPrediction;
--- a/src/process/proxy/proxy.cpp
+++ b/src/process/proxy/proxy.cpp
@@ -59,6 +59,9 @@
 /** Window of the limit on requests to cold backend servers, in seconds; the requests are counted over a slightly longer one. */
 constexpr double coldWindowSeconds = 1.0;
 
+/** Versions of backend servers are counted this often while no order is active. */
+constexpr Duration idleRolloutPeriod = 500ms;
+
 bool isAllowedIn(const std::vector<std::string> &homeRegions, const std::string &region)
 {
     return homeRegions.empty() || std::find(homeRegions.begin(), homeRegions.end(), region) != homeRegions.end();
@@ -87,6 +90,8 @@
     , backendPool(ioContext)
     , activeDaemons(handleOf<DaemonHandle>(this->currentSettings.name),
                     {this->currentSettings.bounds.stopGrace + drainMargin, daemonListPropagationDelay})
+    , versionRollouts(handleOf<DaemonHandle>(this->currentSettings.name), this->currentSettings.bounds.rollout,
+                      [](const std::string &event, const rollout::Rollouts::Fields &fields) { logEvent(event, fields); })
 {
 }
 
@@ -324,12 +329,6 @@
     return true;
 }
 
-engine::EngineSpeedModel &Proxy::speedModelOf(const std::string &service)
-{
-    return this->speedModels.try_emplace(service, engine::EngineSpeed {dispatch::prefillTokensPerMs, dispatch::firstEventOverhead})
-        .first->second;
-}
-
 dispatch::PrefixBelief Proxy::prefixBelief(const PlacementQuery &query, std::size_t backendCount, Time now)
 {
     const std::uint32_t shared = query.prompt->sharedTokens();
@@ -342,8 +341,7 @@
         .belief(query.prompt->sharedPrefixId(), shared, query.prompt->tokens - std::min(shared, query.prompt->tokens), fleet, now);
 }
 
-dispatch::Candidate Proxy::makeCandidate(BackendServer &backend, const PlacementQuery &query, const EngineKnowledge &engines,
-                                         Time now) const
+dispatch::Candidate Proxy::makeCandidate(BackendServer &backend, const PlacementQuery &query, Time cacheUsedSince, Time now) const
 {
     dispatch::Candidate candidate;
     candidate.backend = backend.handle;
@@ -353,13 +351,10 @@
     candidate.roundTrip = locality.roundTrip;
     candidate.failureRate = backend.failureRate.value(now);
     if (query.service->engine) {
-        const engine::EngineSpeed speed = engines.speedModel->speed(backend.engineState, now);
-        candidate.prefillTokensPerMs = speed.prefillTokensPerMs;
-        candidate.firstEventOverhead = speed.firstEventOverhead;
         if (this->currentSettings.isEngineMemoryBounded && query.service->engine->cacheTokens > 0) {
             candidate.freeMemoryTokens = backend.memory.free(static_cast<double>(query.service->engine->cacheTokens));
         }
-        const Duration ownPrefillDelay = speed.prefillTime(backend.pendingPrefillTokens);
+        const Duration ownPrefillDelay = dispatch::prefillTime(backend.pendingPrefillTokens);
         const Duration prefillQueueDelay = backend.queueDelay(now) + ownPrefillDelay;
         const Duration slotWait = backend.slotDelay(now);
         candidate.queueDelay = std::max(prefillQueueDelay, slotWait);
@@ -367,8 +362,8 @@
         // Other daemons' load is known with a delay, so it counts only where this daemon has few observations of the engine.
         const double othersLoadWeight = 1.0 / (1.0 + ownObservationWeight * backend.firstEventCount.value(now));
         candidate.queueDelayFromOthers
-            = speed.prefillTime(backend.loadFromOthers.pendingPrefillTokens * othersLoadWeight) + ownPrefillDelay;
-        candidate.cachedTokens = backend.prefixCache.cachedTokens(*query.prompt, engines.cacheUsedSince);
+            = dispatch::prefillTime(backend.loadFromOthers.pendingPrefillTokens * othersLoadWeight) + ownPrefillDelay;
+        candidate.cachedTokens = backend.prefixCache.cachedTokens(*query.prompt, cacheUsedSince);
         return candidate;
     }
     const bool hasReport = backend.loadReport && now - backend.loadReport->receivedAt < maxReportAge;
@@ -402,15 +397,27 @@
     std::vector<dispatch::Candidate> candidates;
     candidates.reserve(backends.size());
     const dispatch::PrefixBelief belief = this->prefixBelief(query, backends.size(), now);
-    const EngineKnowledge engines {query.service->engine ? &this->speedModelOf(query.service->name) : nullptr, belief.usedSince};
+    choice.version = this->versionRollouts.choose(query.service->name, query.requestHash, !query.triedBackends->empty());
+    std::vector<rollout::VersionAccess> access;
+    access.reserve(backends.size());
+    bool isPreferredUsable = false;
     for (const BackendServerPtr &backend : backends) {
-        dispatch::Candidate candidate = this->makeCandidate(*backend, query, engines, now);
+        dispatch::Candidate candidate = this->makeCandidate(*backend, query, belief.usedSince, now);
         const bool isTried = std::find(query.triedBackends->begin(), query.triedBackends->end(), backend) != query.triedBackends->end();
-        candidate.isEligible = !isTried && this->isEligible(*backend, query, now);
+        access.push_back(this->versionRollouts.access(query.service->name, backend->record.version, choice.version));
+        candidate.isEligible = !isTried && access.back() != rollout::VersionAccess::Forbidden && this->isEligible(*backend, query, now);
         candidate.isUsable = candidate.isEligible && this->hasCapacity(*backend, query, now);
+        isPreferredUsable = isPreferredUsable || (candidate.isUsable && access.back() == rollout::VersionAccess::Preferred);
+        candidates.push_back(candidate);
+    }
+    for (std::size_t index = 0; index < candidates.size(); ++index) {
+        dispatch::Candidate &candidate = candidates[index];
+        if (isPreferredUsable && access[index] == rollout::VersionAccess::Fallback) {
+            candidate.isEligible = false;
+            candidate.isUsable = false;
+        }
         choice.usableCount += candidate.isUsable ? 1 : 0;
         choice.meanQueueDelay += candidate.isUsable ? candidate.queueDelayFromOthers : Duration(0);
-        candidates.push_back(candidate);
     }
     if (choice.usableCount == 0) {
         choice.earliestOpening = this->findEarliestOpening(query, backends, now);
@@ -596,6 +603,7 @@
             load.limitDemands.push_back({backend->incarnation, this->serviceDemand(backend->record.service, now)});
         }
     });
+    this->versionRollouts.addTo(load, now);
     std::sort(load.limitDemands.begin(), load.limitDemands.end(),
               [](const auto &left, const auto &right) { return left.incarnation < right.incarnation; });
     std::sort(load.backends.begin(), load.backends.end(), [](const auto &left, const auto &right) { return left.backend < right.backend; });
@@ -624,18 +632,15 @@
 double Proxy::engineThroughput(Time now) const
 {
     constexpr double millisecondsPerSecond = 1000;
+    const double perEngine = dispatch::prefillTokensPerMs * millisecondsPerSecond;
     const auto routes = this->routeTable();
     const double meanCost = this->requestCosts.meanCost(now);
     double throughput = 0;
-    this->directory.forEach([this, &routes, &throughput, meanCost, now](const BackendServerPtr &backend) {
+    this->directory.forEach([this, &routes, &throughput, perEngine, meanCost, now](const BackendServerPtr &backend) {
         const version::Service *service = routes ? routes->service(backend->record.service) : nullptr;
         const bool isUsable = backend->availability == Availability::Ready || backend->availability == Availability::Unconfirmed;
         if (isUsable && service != nullptr && service->engine && !this->directory.isTakenOut(backend->record.dataCentre)) {
             const auto limit = backend->announcedLimit.fleetRate(now);
-            const auto model = this->speedModels.find(backend->record.service);
-            const double tokensPerMs = model == this->speedModels.end() ? dispatch::prefillTokensPerMs
-                                                                        : model->second.speed(backend->engineState, now).prefillTokensPerMs;
-            const double perEngine = tokensPerMs * millisecondsPerSecond;
             throughput += limit && meanCost > 0 ? std::min(perEngine, *limit * meanCost) : perEngine;
         }
     });
@@ -659,6 +664,33 @@
     this->workspacePacer.removeExpired(now);
 }
 
+std::vector<rollout::VersionedServer> Proxy::versionedServers() const
+{
+    std::vector<rollout::VersionedServer> servers;
+    servers.reserve(this->directory.size());
+    this->directory.forEach([&servers](const BackendServerPtr &backend) {
+        const bool isUsable = backend->availability == Availability::Ready || backend->availability == Availability::Unconfirmed;
+        servers.push_back({backend->record.service, backend->record.version, backend->inFlight, isUsable});
+    });
+    return servers;
+}
+
+void Proxy::updateVersions()
+{
+    if (this->versionRollouts.isEnabled()) {
+        this->versionRollouts.setServers(this->versionedServers());
+    }
+}
+
+void Proxy::updateRollouts(const std::optional<exchange::LoadSummary> &others, Time now)
+{
+    if (!this->versionRollouts.isEnabled() || (!this->versionRollouts.hasActive() && now < this->nextRolloutUpdate)) {
+        return;
+    }
+    this->nextRolloutUpdate = now + idleRolloutPeriod;
+    this->versionRollouts.update(this->versionedServers(), this->activeDaemons, others, now);
+}
+
 void Proxy::updateLoadFromOthers(const std::optional<exchange::LoadSummary> &others, Time now)
 {
     this->activeDaemons.recordReportingDaemons(others ? others->daemons + 1 : 1, now);
@@ -673,6 +705,7 @@
     this->updateLimits(others, now);
     this->updateRetryBudgets(now);
     this->updateShedding(others, now);
+    this->updateRollouts(others, now);
     std::map<std::uint32_t, exchange::BackendLoad> loadsFromOthers;
     for (const exchange::BackendLoad &load : otherLoad.backends) {
         loadsFromOthers[load.backend] = load;
--- a/src/process/proxy/proxy.h
+++ b/src/process/proxy/proxy.h
@@ -14,7 +14,6 @@
 #include "process/dispatch/request_costs.h"
 #include "process/dispatch/workspace_pacer.h"
 #include "process/edge_settings.h"
-#include "process/engine/engine_speed.h"
 #include "process/engine/output_lengths.h"
 #include "process/handover/sender.h"
 #include "process/proxy/answer_buffer_budget.h"
@@ -22,6 +21,7 @@
 #include "process/proxy/proxy_metrics.h"
 #include "process/proxy_dialect.h"
 #include "process/published.h"
+#include "process/rollout/rollouts.h"
 #include "request/retry_budget.h"
 
 #include <boost/asio/io_context.hpp>
@@ -58,6 +58,7 @@
     std::size_t usableCount = 0;
     std::optional<Time> earliestOpening; ///< If none is usable: the earliest end of a pause that a backend server asked for with
                                          ///< Retry-After, or of the pause that its announced limit sets.
+    rollout::VersionChoice version; ///< The version that was drawn for the request.
     Duration meanQueueDelay {0}; ///< Mean of the candidates' delay over the usable engines: prefill of pending prompts, those of other
                                  ///< daemons with reduced weight.
 };
@@ -200,9 +201,16 @@
     {
         return this->partQuarantine;
     }
+    /** @brief Tells the rollouts which versions the known backend servers have. */
+    void updateVersions();
     /** @brief Adds a request that has been sent and isn't being answered yet: it is given up if a part of it is quarantined. */
     void addUnanswered(const std::shared_ptr<ProxiedRequest> &request);
     void removeUnanswered(const ProxiedRequest &request);
+    /** @returns the orders to move services to another version. */
+    rollout::Rollouts &rollouts()
+    {
+        return this->versionRollouts;
+    }
     dispatch::RequestCosts &costs()
     {
         return this->requestCosts;
@@ -212,8 +220,6 @@
     {
         return this->prefixValues[service];
     }
-    /** @returns how fast a service's engines are. */
-    engine::EngineSpeedModel &speedModelOf(const std::string &service);
     engine::OutputLengths &outputLengths()
     {
         return this->lengthsOfOutput;
@@ -244,14 +250,8 @@
     }
 
 private:
-    /** @brief What placement knows of all engines of a service. */
-    struct EngineKnowledge {
-        const engine::EngineSpeedModel *speedModel = nullptr; ///< Null for a service without model engines.
-        Time cacheUsedSince {0}; ///< Prompt parts that were last used before are taken as evicted.
-    };
-
-    dispatch::Candidate makeCandidate(directory::BackendServer &backend, const PlacementQuery &query, const EngineKnowledge &engines,
-                                      Time now) const;
+    /** @param cacheUsedSince Prompt parts that were last used before are taken as evicted. */
+    dispatch::Candidate makeCandidate(directory::BackendServer &backend, const PlacementQuery &query, Time cacheUsedSince, Time now) const;
     /** @returns what the prompt's shared prefix is worth; the defaults for a service without model engines. */
     dispatch::PrefixBelief prefixBelief(const PlacementQuery &query, std::size_t backendCount, Time now);
     /** @returns whether the backend server is available and in a region that is allowed to receive the request. */
@@ -282,6 +282,10 @@
     /** @returns prompt tokens per second that all usable engines can prefill. */
     double engineThroughput(Time now) const;
     void updateShares(const std::optional<exchange::LoadSummary> &others, Time now);
+    /** @returns the known backend servers with their versions, which live as long as the directory isn't changed. */
+    std::vector<rollout::VersionedServer> versionedServers() const;
+    /** @brief Judges the orders from this daemon's and the others' evidence. */
+    void updateRollouts(const std::optional<exchange::LoadSummary> &others, Time now);
     void updateShedding(const std::optional<exchange::LoadSummary> &others, Time now);
     const directory::Locality &localityOf(directory::BackendServer &backend) const;
     void onQuarantineChange(const dispatch::QuarantineChange &change);
@@ -308,9 +312,10 @@
     std::map<std::string, request::RetryBudget> retryBudgets;
     std::map<std::string, dispatch::DecayingSum> serviceDemands; ///< Requests by service.
     std::map<std::string, dispatch::PrefixValue> prefixValues; ///< By service.
-    std::map<std::string, engine::EngineSpeedModel> speedModels; ///< By service.
     engine::OutputLengths lengthsOfOutput;
     dispatch::ActiveDaemons activeDaemons;
+    rollout::Rollouts versionRollouts;
+    Time nextRolloutUpdate {0};
     Time configurationConfirmedAt = Time::min();
     std::optional<Time> othersMeasuredAt; ///< When the oldest part of the other daemons' load was measured.
     Duration currentTimerLag {0};
