What nothing uses is removed, and what stood twice stands once

Found by reading the whole change again. Priorities of routes and workspaces were read for the admission queue, which is not in the daemon. The counts of the handover's receiver, one count of its sender, FrameLink::isOpen() and a parameter of Receiver::tick() had no reader. The route of a request was looked up in three places and the check whether its key may use it written twice; both are functions now. The retry-after time of a local refusal was a constant in two files.

No behaviour changes.

--- a/src/process/edge_daemon.cpp
+++ b/src/process/edge_daemon.cpp
@@ -277,7 +277,7 @@
                                                                  this->handoverSender.tick(this->proxy.timerLag(),
                                                                                            this->proxy.acceptedFraction(), now);
                                                                  if (this->handoverReceiver) {
-                                                                     this->handoverReceiver->tick(this->proxy.timerLag(), now);
+                                                                     this->handoverReceiver->tick(this->proxy.timerLag());
                                                                  }
                                                              }));
         this->subscriptions.push_back(this->timers.subscribe([] { return exchangePeriod; },
--- a/src/process/handover/frame_link.h
+++ b/src/process/handover/frame_link.h
@@ -33,10 +33,6 @@
     void send(const wire::FrameT &frame);
     /** @brief Ends the link; its owner isn't told. */
     void close();
-    bool isOpen() const
-    {
-        return this->open;
-    }
     /** @returns bytes that wait to be sent. */
     std::size_t queuedBytes() const
     {
--- a/src/process/handover/receiver.cpp
+++ b/src/process/handover/receiver.cpp
@@ -255,7 +255,6 @@
         this->decline(link, frame.request());
         return;
     }
-    ++this->counts.served;
     const auto answer = std::make_shared<RemoteAnswer>(*this, link, frame.request(), frame.closes());
     link.requests.emplace(frame.request(), answer);
     this->hooks.onRequest(answer, parser.release(), readClock() - std::chrono::milliseconds(frame.waited_ms()));
@@ -263,7 +262,6 @@
 
 void Receiver::decline(Link &link, std::uint32_t request)
 {
-    ++this->counts.declined;
     wire::FrameT frame;
     frame.kind = wire::Kind::Declined;
     frame.request = request;
@@ -285,13 +283,13 @@
     }
 }
 
-void Receiver::tick(Duration timerLag, Time /*now*/)
+void Receiver::tick(Duration timerLag)
 {
     this->room.update(timerLag, this->hooks.mayServe());
     wire::FrameT frame;
     frame.kind = wire::Kind::Room;
+    frame.room = this->room.perLink(this->links.size());
     for (const auto &[key, link] : this->links) {
-        frame.room = this->room.perLink(this->links.size());
         link->frames->send(frame);
     }
 }
--- a/src/process/handover/receiver.h
+++ b/src/process/handover/receiver.h
@@ -27,14 +27,6 @@
     std::function<std::uint64_t()> configurationVersion;
 };
 
-/** @brief Counts since the start of the daemon. */
-struct ReceiverStats {
-    std::uint64_t served = 0; ///< Requests that were taken over.
-    std::uint64_t declined = 0;
-
-    bool operator==(const ReceiverStats &) const = default;
-};
-
 /** @brief Accepts links from neighbours, tells them the room that this daemon has, and serves their requests. */
 class Receiver
 {
@@ -44,13 +36,9 @@
     ~Receiver();
 
     /** @brief Adapts the room and tells the neighbours; must be called at a constant interval. */
-    void tick(Duration timerLag, Time now);
+    void tick(Duration timerLag);
     /** @returns requests in progress. */
     std::size_t inProgress() const;
-    const ReceiverStats &stats() const
-    {
-        return this->counts;
-    }
 
 private:
     class RemoteAnswer;
@@ -73,7 +61,6 @@
     ServingRoom room;
     std::map<const Link *, std::unique_ptr<Link>> links;
     std::set<std::shared_ptr<RemoteAnswer>> unflushed; ///< Answers with parts that wait to be sent together.
-    ReceiverStats counts;
     bool isFlushScheduled = false;
 };
 
--- a/src/process/handover/sender.cpp
+++ b/src/process/handover/sender.cpp
@@ -164,7 +164,6 @@
         const bool isLast = frame.is_last();
         relayed.hasBytes = true;
         if (isLast) {
-            ++this->counts.answered;
             neighbour.requests.erase(found);
         }
         if (frame.bytes() != nullptr) {
--- a/src/process/handover/sender.h
+++ b/src/process/handover/sender.h
@@ -42,7 +42,6 @@
 /** @brief Counts since the start of the daemon. */
 struct SenderStats {
     std::uint64_t handedOver = 0;
-    std::uint64_t answered = 0;
     std::uint64_t declined = 0;
     std::uint64_t lost = 0; ///< Links that ended, and answers that didn't come in time.
     std::uint64_t noRoom = 0; ///< Requests for which no neighbour had room.
--- a/src/process/proxy/admission.h
+++ b/src/process/proxy/admission.h
@@ -12,6 +12,9 @@
 namespace eelgrassnotch::process::proxy
 {
 
+/** Retry-after time when only this daemon refuses: another one can accept the request at once. */
+constexpr Duration localRefusalRetryAfter = std::chrono::milliseconds(50);
+
 /** @brief Inputs to the admission decision on a request for a model engine. */
 struct AdmissionInput {
     Duration queueDelay {0}; ///< Predicted at the chosen backend server, from what this daemon has observed.
--- a/src/process/proxy/proxied_request.cpp
+++ b/src/process/proxy/proxied_request.cpp
@@ -48,8 +48,6 @@
 constexpr Duration maxConfigurationWait = 100ms;
 /** Retry-after time when the configuration, confirmed keys or usable backend servers are missing. */
 constexpr Duration missingStateRetryAfter = 500ms;
-/** Retry-after time when only this daemon refuses: another one can accept the request at once. */
-constexpr Duration localRefusalRetryAfter = 50ms;
 /** All requests are accepted for this long after a stop request; later ones only if they can end within the grace period. */
 constexpr Duration acceptAllAfterStop = 2500ms;
 /** The process exits this long before the end of the grace period, when it would be killed. */
@@ -114,11 +112,20 @@
     this->prepare();
 }
 
+const version::Route *ProxiedRequest::matchRoute() const
+{
+    return this->table ? this->table->match(hostWithoutPort(viewOf(this->request[field::host])), this->path()) : nullptr;
+}
+
+bool ProxiedRequest::isAllowedOn(const version::Route *matched) const
+{
+    return matched != nullptr && (this->workspace != nullptr || matched->isPublic || !this->table->hasWorkspaces());
+}
+
 bool ProxiedRequest::handOver(Time now)
 {
-    const version::Route *matched
-        = this->table ? this->table->match(hostWithoutPort(viewOf(this->request[field::host])), this->path()) : nullptr;
-    if (matched == nullptr || (this->workspace == nullptr && !matched->isPublic && this->table->hasWorkspaces())) {
+    const version::Route *matched = this->matchRoute();
+    if (!this->isAllowedOn(matched)) {
         return false;
     }
     // A daemon that reads late finds requests whose callers have given up.
@@ -140,11 +147,8 @@
 
 void ProxiedRequest::identify(Time now)
 {
-    if (!this->table) {
-        return;
-    }
-    this->route = this->table->match(hostWithoutPort(viewOf(this->request[field::host])), this->path());
-    if (this->route != nullptr && (this->workspace != nullptr || this->route->isPublic || !this->table->hasWorkspaces())) {
+    this->route = this->matchRoute();
+    if (this->isAllowedOn(this->route)) {
         this->findService();
         this->recordDemand(now);
     }
@@ -291,7 +295,7 @@
 
 bool ProxiedRequest::findRoute()
 {
-    this->route = this->table->match(hostWithoutPort(viewOf(this->request[field::host])), this->path());
+    this->route = this->matchRoute();
     if (this->route == nullptr) {
         this->refuse(RefusalReason::UnknownRoute, Duration(0), "no route matches host and path");
         return false;
--- a/src/process/proxy/proxied_request.h
+++ b/src/process/proxy/proxied_request.h
@@ -34,6 +34,10 @@
     void endForStop();
 
 private:
+    /** @returns the route of the request's host and path in the table that is in force for it; null for none. */
+    const version::Route *matchRoute() const;
+    /** @returns whether the request's key, as far as it is known, may use a route. */
+    bool isAllowedOn(const version::Route *matched) const;
     /** @brief Hands the request over to a neighbour. @returns whether one takes it; this object is done then. */
     bool handOver(Time now);
     /** @brief Finds the route of a request that is refused at once, for its log line, and records its demand. */
--- a/src/process/proxy/proxy.cpp
+++ b/src/process/proxy/proxy.cpp
@@ -2,6 +2,7 @@
 
 #include "process/clock.h"
 #include "process/event_log.h"
+#include "process/proxy/admission.h"
 #include "process/proxy/proxied_request.h"
 #include "process/rendezvous.h"
 
@@ -54,8 +55,6 @@
 constexpr Duration daemonListPropagationDelay = 8s;
 /** Half-life of the demand by which announced limits are divided: long enough that single requests don't move the parts. */
 constexpr Duration demandHalfLife = 1400ms;
-/** Retry-after time when only this daemon and its neighbour refuse: another one can accept the request at once. */
-constexpr Duration localRefusalRetryAfter = 50ms;
 /** Window of the limit on requests to cold backend servers, in seconds; the requests are counted over a slightly longer one. */
 constexpr double coldWindowSeconds = 1.0;
 
--- a/src/version/route_table.h
+++ b/src/version/route_table.h
@@ -40,7 +40,6 @@
     Duration latencyTarget {0}; ///< Time to the answer, or to the first event of a stream.
     std::vector<SplitShare> split;
     std::uint32_t maxAttempts = 1; ///< Backend servers that one request may reach.
-    std::uint32_t priority = 0; ///< Zero is the highest.
     bool isPublic = false; ///< Needs no API key.
     bool isResumable = false;
     std::vector<std::string> homeRegions; ///< Empty for all.
@@ -88,7 +87,6 @@
     std::string name;
     std::vector<std::string> keys;
     std::vector<std::string> homeRegions; ///< Empty for all.
-    std::optional<std::uint32_t> priority {}; ///< Goes before the routes' priorities; zero is the highest.
 
     bool operator==(const RoutedWorkspace &) const = default;
 };
--- a/tests/proxy/test_handover.cpp
+++ b/tests/proxy/test_handover.cpp
@@ -106,7 +106,7 @@
     void onTick()
     {
         if (this->receiver) {
-            this->receiver->tick(0ms, readClock());
+            this->receiver->tick(0ms);
         }
         this->sender.tick(0ms, 0.0, readClock());
         this->tick.start(20ms, [this] { this->onTick(); });
