Show that a part that crashes replicas is never quarantined where they keep their ids

Disruption: one part of prompts crashes each replica that begins to write on it; a replica starts again under the id that it had. Seen: 13 more requests with the part reach replicas in 70 s, 18 crashes in all, and 72 of 350 sound streams break off.

--- a/review/harness-2/fleet.cpp
+++ b/review/harness-2/fleet.cpp
@@ -120,7 +120,7 @@
 Replica::Replica(std::string instanceId, std::string serviceName, ReplicaBehaviour answerBehaviour)
     : instance(std::move(instanceId))
     , service(std::move(serviceName))
-    , behaviour(answerBehaviour)
+    , behaviour(std::move(answerBehaviour))
     , listener(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0))
     , born(std::chrono::duration_cast<Milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count())
 {
@@ -164,7 +164,7 @@
     return this->arrived;
 }
 
-json Replica::entry(std::uint32_t slots) const
+json Replica::entry(std::uint32_t slots, Milliseconds coldLeft) const
 {
     return {{"service", this->service},
             {"address", "127.0.0.1:" + std::to_string(this->port)},
@@ -172,7 +172,7 @@
             {"version", "v1"},
             {"slots", slots},
             {"state", "ready"},
-            {"cold_left_ms", 0},
+            {"cold_left_ms", coldLeft.count()},
             {"stage", "unified"},
             {"seq", 1},
             {"born", this->born}};
@@ -241,9 +241,12 @@
                        "HTTP/1.1 421 Misdirected Request\r\nX-Eelgrassnotch-Attempt-Id: " + id
                            + "\r\nX-Eelgrassnotch-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n");
     }
+    const std::string parts = "," + valueOf(request, "X-Eelgrassnotch-Prefix-Hash");
+    const bool hasCrashingPart
+        = !this->behaviour.crashesOnPart.empty() && parts.find("," + this->behaviour.crashesOnPart + ":") != std::string::npos;
     {
         const std::lock_guard lock(this->mutex);
-        this->arrived.push_back({id, valueOf(request, "X-Eelgrassnotch-Tenant"), Clock::now()});
+        this->arrived.push_back({id, valueOf(request, "X-Eelgrassnotch-Tenant"), Clock::now(), hasCrashingPart});
     }
     const std::size_t running = ++this->inProgress;
     const auto leave = [this](bool result) {
@@ -255,6 +258,13 @@
     if (!this->pause(descriptor, this->behaviour.untilFirst)) {
         return leave(false);
     }
+    if (hasCrashingPart) {
+        this->crashing = true;
+        while (!this->ended) {
+            std::this_thread::sleep_for(1ms);
+        }
+        return leave(false);
+    }
     const bool isHead = request.method() == boost::beast::http::verb::head;
     if (this->behaviour.events == 0) {
         const std::string body = "answer to " + id + "\n";
--- a/review/harness-2/fleet.h
+++ b/review/harness-2/fleet.h
@@ -53,6 +53,7 @@
     std::string id;
     std::string workspace;
     Clock::time_point at;
+    bool hasCrashingPart = false;
 };
 
 /** @brief How a backend server answers. */
@@ -60,6 +61,7 @@
     Milliseconds untilFirst {20}; ///< Work before the answer, or before the first event of a stream.
     Milliseconds betweenEvents {40};
     int events = 4; ///< Of a stream; none for a plain answer.
+    std::string crashesOnPart {}; ///< Id of a part of prompts that ends the replica when it begins to write an answer on it.
 };
 
 /** @brief A sound backend server: checks the instance that is expected, echoes the id, signs, and drops work whose connection closes. */
@@ -73,9 +75,14 @@
 
     /** @brief Resets all its connections and ends, as a crash does. */
     void crash();
+    /** @returns whether it has begun to write an answer on the part that ends it; its owner calls crash() then. */
+    bool isCrashing() const
+    {
+        return this->crashing;
+    }
     std::vector<Arrival> arrivals() const;
     /** @returns its entry in the store. */
-    nlohmann::json entry(std::uint32_t slots) const;
+    nlohmann::json entry(std::uint32_t slots, Milliseconds coldLeft = Milliseconds {0}) const;
     const std::string &id() const
     {
         return this->instance;
@@ -99,6 +106,7 @@
     std::uint16_t port = 0;
     std::int64_t born = 0;
     std::atomic<bool> ended {false};
+    std::atomic<bool> crashing {false};
     std::atomic<std::size_t> inProgress {0};
     mutable std::mutex mutex;
     std::vector<Arrival> arrived;
