Let one replica of nine keep its id in the case of parts that crash replicas

Promise: at most three requests with such a part reach replicas once five crashes and contact_ms are over (BUDGET). Disruption: one part of prompts crashes each replica that begins to write on it; the replica that it is sent to first keeps its id.

--- a/review/harness-2/crashing_part.cpp
+++ b/review/harness-2/crashing_part.cpp
@@ -1,8 +1,8 @@
 /**
  * @file Cases with a part of prompts that ends each replica which begins to write an answer on it.
- * @remarks Called with "same-id", replicas start again under the id that they had. Called with "many-parts", they start again under a new
- * id, and prompts list some hundred parts. Called with "neither", they start again under a new id and prompts have few parts: the rule
- * then holds, which shows what the other two need.
+ * @remarks Called with "same-id", one replica of nine starts again under the id that it had, and the others under new ones. Called with
+ * "many-parts", they start again under a new id, and prompts list some hundred parts. Called with "neither", they start again under a new
+ * id and prompts have few parts: the rule then holds, which shows what the other two need.
  */
 
 #include "fleet.h"
@@ -19,6 +19,8 @@
 
 constexpr const char *key = "asnmgkcuyj8pjbvk9m68";
 constexpr int replicas = 9;
+/** The one that may keep its id is where prompts with the bad part go first. */
+constexpr int keepingReplica = 8;
 /** The part that ends replicas; the lowest id of all. */
 constexpr const char *badPart = "10";
 constexpr int sharedTokens = 6300;
@@ -71,7 +73,7 @@
         std::cerr << "usage: crashing_part same-id | many-parts | neither\n";
         return couldNotRun;
     }
-    const bool keepsId = mode == "same-id";
+    const auto keepsId = [&mode](int number) { return mode == "same-id" && number == keepingReplica; };
     const int shared = mode == "many-parts" ? manyParts : 3;
     Record record;
     standin::ObjectStore store;
@@ -84,7 +86,7 @@
     std::vector<Server> servers(replicas);
     const auto start = [&](Server &server, int number) {
         std::string id = "i-writer-" + std::to_string(number);
-        if (!keepsId) {
+        if (server.starts > 0 && !keepsId(number)) {
             id += "-" + std::to_string(server.starts);
         }
         ++server.starts;
@@ -158,7 +160,7 @@
                 record.line(server.replica->id() + " crashes, with " + std::to_string(others) + " other requests: crash "
                             + std::to_string(crashes.size()));
                 takeArrivals(*server.replica);
-                if (!keepsId) {
+                if (!keepsId(index)) {
                     expiring.emplace_back(now + entryLife, server.replica->id());
                 }
                 server.replica.reset();
