Tell a reset during an upload from the end of an answer

Callers of a long upload got a part of an answer as a complete one: the backend server answered early, with a 200 without a length, sent part of its body and reset the connection while the upload was still being written.

Cause: the kernel reports a reset once, to the call that comes first. The event loop tries the pending write before the pending read, so the write got ECONNRESET, which was ignored, and the read an end of file, which completes an answer without a length.

The connection keeps the error of its write. An end of file after it is the reset that the write has met, except after EPIPE, which a write gets only where the server's own end of file came before: such an answer is whole, and two cases keep it so. Answers with a length or in chunks were already told apart; they are among the cases.

--- a/src/connection/http/client_connection.cpp
+++ b/src/connection/http/client_connection.cpp
@@ -39,6 +39,7 @@
     this->onIdleClosed = nullptr;
     this->isBusy = true;
     this->isWritten = false;
+    this->writeError = {};
     this->informationalAnswers = 0;
     this->droppedAnswers = 0;
     this->droppedBytes = 0;
@@ -77,9 +78,10 @@
     beast::http::async_write(
         this->socket, *sent,
         [self = this->shared_from_this(), number = this->generation, sent](boost::system::error_code error, std::size_t) {
-            // A failed write shows as a failed read, which may still find an early answer.
-            if (number == self->generation && !error) {
-                self->isWritten = true;
+            // The exchange goes on: an early answer may still arrive, or have arrived.
+            if (number == self->generation) {
+                self->isWritten = !error;
+                self->writeError = error;
             }
         });
 }
@@ -161,6 +163,9 @@
             return;
         }
     }
+    if (!error && this->parser->need_eof() && this->parser->is_done() && this->isEndReset()) {
+        error = this->writeError;
+    }
     if (error) {
         this->end(isHttpError(error) ? EndKind::Malformed : EndKind::BrokenOff, error.message());
         return;
@@ -176,6 +181,13 @@
     this->readBody();
 }
 
+bool ClientConnection::isEndReset() const
+{
+    // The kernel reports a reset or a timeout once, to the call that comes first; the next read finds an end of file. After an end of file
+    // that the server has sent, a write fails with EPIPE.
+    return this->writeError && this->writeError != boost::asio::error::broken_pipe;
+}
+
 void ClientConnection::finishAnswer()
 {
     if (!this->isWanted) {
--- a/src/connection/http/client_connection.h
+++ b/src/connection/http/client_connection.h
@@ -77,6 +77,8 @@
     void readBody();
     void onBodyRead(boost::system::error_code error);
     void finishAnswer();
+    /** @returns whether an end of file is a reset that the write has met before the read. */
+    bool isEndReset() const;
     void end(EndKind kind, const std::string &detail);
 
     using Parser = boost::beast::http::response_parser<boost::beast::http::buffer_body>;
@@ -98,6 +100,7 @@
     bool isOpen = false;
     bool isBusy = false;
     bool isWritten = false;
+    boost::system::error_code writeError; ///< Of the request.
     bool isWanted = false; ///< The answer being read is the one waited for.
     bool keepsAlive = true;
 };
--- /dev/null
+++ b/tests/proxy/test_broken_answers.cpp
@@ -0,0 +1,224 @@
+/** @file Backend servers whose answers break off or are none: what the caller of the daemon gets. */
+
+#include "proxy/daemon_fixture.h"
+
+#include <boost/asio/read.hpp>
+#include <boost/asio/read_until.hpp>
+#include <doctest/doctest.h>
+
+#include <atomic>
+#include <future>
+#include <limits>
+#include <optional>
+#include <string>
+#include <vector>
+
+using namespace eelgrassnotch;
+using namespace std::chrono_literals;
+using namespace standin;
+
+namespace
+{
+
+/** More than the kernel's buffers take of a request that its backend server doesn't read. */
+constexpr std::size_t uploadBytes = 16u << 20;
+
+/** A caller that keeps its connection. */
+class KeptCaller
+{
+public:
+    explicit KeptCaller(const DaemonFixture &fixture)
+        : socket(this->context)
+    {
+        this->socket.connect(connection::http::parseEndpoint(fixture.settings.callersAddress));
+    }
+
+    void send(const std::string &bytes)
+    {
+        boost::asio::write(this->socket, boost::asio::buffer(bytes));
+    }
+
+    /** @returns the answer to the request that was sent; nothing when the connection ended before its end. */
+    std::optional<DaemonFixture::Answer> receive()
+    {
+        boost::beast::http::response_parser<boost::beast::http::string_body> parser;
+        parser.body_limit(std::numeric_limits<std::uint64_t>::max());
+        boost::system::error_code error;
+        boost::beast::http::read(this->socket, this->buffer, parser, error);
+        return error ? std::nullopt : std::optional(parser.release());
+    }
+
+    /** @returns the bytes of the answer so far, once they hold a text. */
+    std::string receiveUntil(const std::string &text)
+    {
+        std::string bytes;
+        boost::asio::read_until(this->socket, boost::asio::dynamic_buffer(bytes), text);
+        return bytes;
+    }
+
+    /** @returns what ended the connection. */
+    boost::system::error_code receiveEnd()
+    {
+        std::string bytes;
+        boost::system::error_code error;
+        boost::asio::read(this->socket, boost::asio::dynamic_buffer(bytes), error);
+        return error;
+    }
+
+    std::optional<DaemonFixture::Answer> call(const std::string &path, const std::string &id)
+    {
+        this->send(DaemonFixture::requestText(path, id));
+        return this->receive();
+    }
+
+private:
+    boost::asio::io_context context;
+    tcp::socket socket;
+    boost::beast::flat_buffer buffer;
+};
+
+std::string ownFields(const Request &request)
+{
+    return "X-Eelgrassnotch-Attempt-Id: " + idOf(request) + "\r\nX-Eelgrassnotch-Response-Signature: s\r\n";
+}
+
+std::string fineAnswer(const Request &request, bool keepsConnection)
+{
+    return "HTTP/1.1 200 OK\r\n" + ownFields(request) + (keepsConnection ? "" : "Connection: close\r\n") + "Content-Length: 4\r\n\r\nfine";
+}
+
+/** A backend server that has just failed may be left out for a moment; then a request is refused unsent. */
+bool isServedSoon(KeptCaller &caller)
+{
+    return eventually([&caller] {
+        const auto answer = caller.call("/order/x", "next");
+        REQUIRE(answer);
+        CHECK((answer->result_int() == 200 || answer->result_int() == 503));
+        return answer->body() == "fine";
+    });
+}
+
+void allowUploads(DaemonFixture &fixture)
+{
+    json configuration = makeConfiguration(4);
+    configuration["limits"]["max_body_bytes"] = uploadBytes;
+    fixture.store.put("config", "main", configuration);
+}
+
+/** Returns when the daemon's event loop has taken what was sent to it before: it answers probes on the same thread. */
+void waitForDaemon(const DaemonFixture &fixture)
+{
+    CHECK(fixture.probeStatus() == 200);
+    CHECK(fixture.probeStatus() == 200);
+}
+
+std::string uploadText(const std::string &path, const std::string &id)
+{
+    return "POST " + path + " HTTP/1.1\r\nHost: h.example\r\nX-Eelgrassnotch-Attempt-Id: " + id
+        + "\r\nX-Eelgrassnotch-Deadline-Ms: 8000\r\nX-Eelgrassnotch-Credential: key-1\r\nContent-Length: " + std::to_string(uploadBytes)
+        + "\r\n\r\n" + std::string(uploadBytes, 'x');
+}
+
+}
+
+// The backend server's connection is reset once the daemon waits for room to write in and for more of the answer.
+TEST_CASE("an answer without a length that is reset during its upload is not passed on as complete")
+{
+    std::string part;
+    DaemonFixture fixture;
+    allowUploads(fixture);
+    RawServer backend(
+        [&](Socket &socket, const Request &request) {
+            if (idOf(request) == "next") {
+                sendBytes(socket, fineAnswer(request, false));
+                return false;
+            }
+            sendBytes(socket, "HTTP/1.1 200 OK\r\n" + ownFields(request) + "\r\n" + part);
+            waitForDaemon(fixture);
+            sendReset(socket);
+            return false;
+        },
+        Reading::Head);
+    fixture.startWith({&backend});
+    KeptCaller caller(fixture);
+    for (const std::size_t size : {0, 4, 100000}) {
+        CAPTURE(size);
+        part = std::string(size, 'x');
+        caller.send(uploadText("/order/x", "upload"));
+        const auto answer = caller.receive();
+        REQUIRE(answer);
+        CHECK(answer->result_int() == 502);
+        CHECK(answer->keep_alive());
+        CHECK(isServedSoon(caller));
+    }
+}
+
+TEST_CASE("a lookup whose answer without a length is reset during its upload is served by another backend server")
+{
+    DaemonFixture fixture;
+    allowUploads(fixture);
+    std::atomic<int> sends {0};
+    const RawServer::Script script = [&](Socket &socket, const Request &request) {
+        if (++sends > 1) {
+            sendBytes(socket, signedAnswer(request, "fine"));
+            return false;
+        }
+        sendBytes(socket, "HTTP/1.1 200 OK\r\n" + ownFields(request) + "\r\npart");
+        waitForDaemon(fixture);
+        sendReset(socket);
+        return false;
+    };
+    RawServer one(script, Reading::Head);
+    RawServer other(script, Reading::Head);
+    fixture.startWith({&one, &other});
+    KeptCaller caller(fixture);
+    caller.send(uploadText("/check/x", "upload"));
+    const auto answer = caller.receive();
+    REQUIRE(answer);
+    CHECK(answer->result_int() == 200);
+    CHECK(answer->body() == "fine");
+    CHECK(sends == 2);
+}
+
+TEST_CASE("a stream without a length that is reset during its upload is reset at its caller")
+{
+    DaemonFixture fixture;
+    allowUploads(fixture);
+    std::promise<void> hasEvent;
+    RawServer backend(
+        [&](Socket &socket, const Request &request) {
+            sendBytes(socket, "HTTP/1.1 200 OK\r\n" + ownFields(request) + "Content-Type: text/event-stream\r\n\r\ndata: a\n\n");
+            hasEvent.get_future().wait();
+            sendReset(socket);
+            return false;
+        },
+        Reading::Head);
+    fixture.startWith({&backend});
+    KeptCaller caller(fixture);
+    caller.send(uploadText("/stream/x", "upload"));
+    CHECK(caller.receiveUntil("data: a\n\n").starts_with("HTTP/1.1 200 OK\r\n"));
+    hasEvent.set_value();
+    CHECK(caller.receiveEnd() == boost::asio::error::connection_reset);
+}
+
+TEST_CASE("an answer to an upload that its backend server ends early and in order is passed on")
+{
+    DaemonFixture fixture;
+    allowUploads(fixture);
+    RawServer backend(
+        [&](Socket &socket, const Request &request) {
+            sendBytes(socket, "HTTP/1.1 413 Too Large\r\n" + ownFields(request) + "Connection: close\r\n\r\ntoo large");
+            socket.shutdown(Socket::shutdown_send);
+            waitForDaemon(fixture);
+            sendReset(socket);
+            return false;
+        },
+        Reading::Head);
+    fixture.startWith({&backend});
+    KeptCaller caller(fixture);
+    caller.send(uploadText("/order/x", "upload"));
+    const auto answer = caller.receive();
+    REQUIRE(answer);
+    CHECK(answer->result_int() == 413);
+    CHECK(answer->body() == "too large");
+}
--- a/tests/proxy/test_client_connection.cpp
+++ b/tests/proxy/test_client_connection.cpp
@@ -6,11 +6,17 @@
 
 #include <doctest/doctest.h>
 
+#include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/read.hpp>
 
 #include <array>
 #include <atomic>
+#include <functional>
+#include <optional>
 #include <thread>
+#include <vector>
 
 using namespace eelgrassnotch::connection::http;
 using namespace std::chrono_literals;
@@ -24,16 +30,18 @@
     std::optional<ExchangeEnd> end;
 };
 
-/** Sends one request and waits for its end. */
-Outcome sendOne(boost::asio::io_context &context, const std::shared_ptr<ClientConnection> &connection, const std::string &body = "",
-                const std::string &wantedId = "")
+/** A server that sends nothing for this long is taken to hang. */
+constexpr auto maxSilence = 10s;
+
+/** Begins an exchange, and records it. */
+void startOne(Outcome &outcome, const std::shared_ptr<ClientConnection> &connection, const std::string &body = "",
+              const std::string &wantedId = "")
 {
-    Outcome outcome;
     auto request = std::make_shared<Request>(boost::beast::http::verb::post, "/x", 11);
     request->body() = body;
     request->prepare_payload();
     ExchangeHooks hooks;
-    hooks.onHeader = [&](const AnswerHeader &header) {
+    hooks.onHeader = [&outcome, wantedId](const AnswerHeader &header) {
         const auto id = header["Id"];
         if (!wantedId.empty() && id != wantedId) {
             return false;
@@ -44,9 +52,51 @@
     hooks.onBody = [&](std::string_view part) { outcome.body += part; };
     hooks.onEnd = [&](const ExchangeEnd &end) { outcome.end = end; };
     connection->send(request, 1s, std::move(hooks));
+}
+
+/** Sends one request and waits for its end. */
+Outcome sendOne(boost::asio::io_context &context, const std::shared_ptr<ClientConnection> &connection, const std::string &body = "",
+                const std::string &wantedId = "")
+{
+    Outcome outcome;
+    startOne(outcome, connection, body, wantedId);
     context.restart();
-    while (!outcome.end && context.run_one() > 0) {
+    while (!outcome.end && context.run_one_for(maxSilence) > 0) {
+    }
+    REQUIRE(outcome.end);
+    return outcome;
+}
+
+/** More than the kernel's buffers take of a request that nobody reads. */
+constexpr std::size_t endlessBodyBytes = 32u << 20;
+
+/**
+ * Sends a request that is never read and its answer, and lets the server finish while the client waits for more of the answer and for
+ * room to write in.
+ */
+Outcome answerEarly(const std::string &head, const std::string &body, const std::function<void(standin::Socket &)> &finish)
+{
+    boost::asio::io_context context;
+    boost::asio::ip::tcp::acceptor acceptor(context, {boost::asio::ip::make_address("127.0.0.1"), 0});
+    const auto connection = std::make_shared<ClientConnection>(context.get_executor(), acceptor.local_endpoint());
+    Outcome outcome;
+    startOne(outcome, connection, std::string(endlessBodyBytes, 'x'));
+    standin::Socket peer(context);
+    acceptor.accept(peer);
+    while (peer.available() == 0 && context.run_one_for(maxSilence) > 0) {
+    }
+    standin::sendBytes(peer, head + body);
+    while (!outcome.end && (outcome.status == 0 || outcome.body.size() < body.size()) && context.run_one_for(maxSilence) > 0) {
+    }
+    while (context.poll() > 0) {
     }
+    REQUIRE_FALSE(outcome.end);
+    REQUIRE(outcome.body == body);
+    finish(peer);
+    while (!outcome.end && context.run_one_for(maxSilence) > 0) {
+    }
+    REQUIRE(outcome.end);
+    CHECK_FALSE(connection->isReusable());
     return outcome;
 }
 
@@ -161,11 +211,40 @@
         });
     });
     const auto connection = std::make_shared<ClientConnection>(context.get_executor(), acceptor.local_endpoint());
-    const Outcome outcome = sendOne(context, connection, std::string(32u << 20, 'x'));
+    const Outcome outcome = sendOne(context, connection, std::string(endlessBodyBytes, 'x'));
     CHECK(outcome.status == 503);
     CHECK_FALSE(connection->isReusable());
 }
 
+// A reset is reported once, to the read or to the write; whichever comes second finds an end of file.
+TEST_CASE("an answer that ends in a reset while its request is being written is broken off, whatever its framing")
+{
+    const std::string status = "HTTP/1.1 200 OK\r\n";
+    for (const std::string &framing : {std::string(), std::string("Connection: close\r\n"), std::string("Content-Length: 1000000\r\n")}) {
+        for (const std::size_t size : {std::size_t(0), std::size_t(3), 3 * readChunkBytes}) {
+            CAPTURE(framing);
+            CAPTURE(size);
+            CHECK(answerEarly(status + framing + "\r\n", std::string(size, 'a'), standin::sendReset).end->kind == EndKind::BrokenOff);
+        }
+    }
+    CHECK(answerEarly(status + "Transfer-Encoding: chunked\r\n\r\n", "", standin::sendReset).end->kind == EndKind::BrokenOff);
+}
+
+TEST_CASE("an answer without a length that its server ends is complete, also while its request is being written")
+{
+    const auto endAnswer = [](standin::Socket &socket) { socket.shutdown(standin::Socket::shutdown_send); };
+    const auto endAnswerAndReset = [](standin::Socket &socket) {
+        socket.shutdown(standin::Socket::shutdown_send);
+        standin::sendReset(socket);
+    };
+    for (const std::function<void(standin::Socket &)> &finish :
+         {std::function<void(standin::Socket &)>(endAnswer), std::function<void(standin::Socket &)>(endAnswerAndReset)}) {
+        const Outcome outcome = answerEarly("HTTP/1.1 413 Too Large\r\n\r\n", "too large", finish);
+        CHECK(outcome.end->kind == EndKind::Complete);
+        CHECK(outcome.status == 413);
+    }
+}
+
 TEST_CASE("a port without a listener is a failed connection: nothing was sent")
 {
     boost::asio::io_context context;
--- a/tests/standin/raw_server.cpp
+++ b/tests/standin/raw_server.cpp
@@ -8,13 +8,16 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <limits>
+
 namespace standin
 {
 
 using boost::asio::ip::tcp;
 
-RawServer::RawServer(Script answerScript)
+RawServer::RawServer(Script answerScript, Reading requestReading)
     : script(std::move(answerScript))
+    , reading(requestReading)
     , acceptor(this->context, tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), 0))
     , thread([this] { this->run(); })
 {
@@ -74,12 +77,18 @@
     boost::beast::flat_buffer buffer;
     bool goesOn = true;
     while (goesOn) {
-        Request request;
+        boost::beast::http::request_parser<boost::beast::http::string_body> parser;
+        parser.body_limit(std::numeric_limits<std::uint64_t>::max());
         boost::system::error_code error;
-        boost::beast::http::read(socket, buffer, request, error);
+        if (this->reading == Reading::Whole) {
+            boost::beast::http::read(socket, buffer, parser, error);
+        } else {
+            boost::beast::http::read_header(socket, buffer, parser, error);
+        }
         if (error) {
             break;
         }
+        const Request request = parser.release();
         {
             const std::lock_guard lock(this->mutex);
             this->seen.push_back(request);
--- a/tests/standin/raw_server.h
+++ b/tests/standin/raw_server.h
@@ -20,6 +20,12 @@
 using Request = boost::beast::http::request<boost::beast::http::string_body>;
 using Socket = boost::asio::ip::tcp::socket;
 
+/** @brief How much of a request a server reads before it answers. */
+enum class Reading {
+    Whole,
+    Head, ///< And the bytes that come with it; the script's request has no body.
+};
+
 /** @brief Reads requests and lets a script answer each one. */
 class RawServer
 {
@@ -27,7 +33,7 @@
     /** Answers on the socket. @returns whether to read another request from the connection. */
     using Script = std::function<bool(Socket &, const Request &)>;
 
-    explicit RawServer(Script answerScript);
+    explicit RawServer(Script answerScript, Reading requestReading = Reading::Whole);
     ~RawServer();
     RawServer(const RawServer &) = delete;
     RawServer &operator=(const RawServer &) = delete;
@@ -45,6 +51,7 @@
     void serve(Socket socket);
 
     Script script;
+    Reading reading;
     boost::asio::io_context context;
     boost::asio::ip::tcp::acceptor acceptor;
     std::atomic<bool> stopping {false};
