Refuse answers with a status that no answer may have

Callers whose backend server answered with status 000 waited for their whole time limit and got 504, or got as an answer whatever followed: an answer inside the body of the one with status 000 reached its caller with 200. Statuses 600 and 999 reached callers as they were.

Cause: every status below 200 was read past as informational, without its body, and no status above was checked. Beast takes any three digits. A 101 was read past as well, although no request asks to switch protocols.

ClientConnection, which reads the answers of backend servers, of the store and of other daemons, now ends the exchange as malformed when the status is outside of 100 to 599 (RFC 9110, section 15) or is 101, as soon as the head is there. An order gets 502 at once, a lookup is sent to another backend server, a call to the store fails and is made again on a new connection.

--- a/src/connection/http/client_connection.cpp
+++ b/src/connection/http/client_connection.cpp
@@ -14,6 +14,17 @@
 namespace
 {
 
+/** Bounds of the statuses that an answer may have (RFC 9110, section 15), and of those that are informational. */
+constexpr unsigned minStatus = 100;
+constexpr unsigned minFinalStatus = 200;
+constexpr unsigned maxStatus = 599;
+
+/** @returns whether an answer may have this status; no request asks to switch protocols. */
+bool isValidStatus(unsigned status)
+{
+    return status >= minStatus && status <= maxStatus && status != static_cast<unsigned>(beast::http::status::switching_protocols);
+}
+
 bool isHttpError(const boost::system::error_code &error)
 {
     return error.category() == beast::http::make_error_code(beast::http::error::end_of_stream).category()
@@ -110,7 +121,12 @@
         return;
     }
     const AnswerHeader &header = this->parser->get().base();
-    if (header.result_int() < 200) {
+    const unsigned status = header.result_int();
+    if (!isValidStatus(status)) {
+        this->end(EndKind::Malformed, "invalid status " + std::to_string(status));
+        return;
+    }
+    if (status < minFinalStatus) {
         if (++this->informationalAnswers > maxInformationalAnswers) {
             this->end(EndKind::Malformed, "too many informational answers");
             return;
--- a/tests/proxy/test_broken_answers.cpp
+++ b/tests/proxy/test_broken_answers.cpp
@@ -1,5 +1,6 @@
 /** @file Backend servers whose answers break off or are none: what the caller of the daemon gets. */
 
+#include "connection/http/call_client.h"
 #include "proxy/daemon_fixture.h"
 
 #include <boost/asio/read.hpp>
@@ -20,6 +21,8 @@
 namespace
 {
 
+/** Callers are told well before their time limit of 8 s. */
+constexpr auto maxAnswerTime = 5s;
 /** More than the kernel's buffers take of a request that its backend server doesn't read. */
 constexpr std::size_t uploadBytes = 16u << 20;
 
@@ -82,6 +85,39 @@
     return "X-Eelgrassnotch-Attempt-Id: " + idOf(request) + "\r\nX-Eelgrassnotch-Response-Signature: s\r\n";
 }
 
+/** Answers that nobody may get; "%" stands for the fields that make an answer its request's own. */
+const std::vector<std::string> &brokenAnswers()
+{
+    static const std::vector<std::string> answers = {
+        "HTTP/1.1 000 X\r\n%Content-Length: 6\r\n\r\nbroken",
+        "HTTP/1.1 000 X\r\n%\r\n",
+        "HTTP/1.1 000 X\r\n%Content-Type: text/event-stream\r\nContent-Length: 14\r\n\r\ndata: broken\n\n",
+        "HTTP/1.1 000 X\r\n\r\nHTTP/1.1 200 OK\r\n%Content-Length: 6\r\n\r\nbroken",
+        "HTTP/1.1 099 X\r\n%Content-Length: 6\r\n\r\nbroken",
+        "HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n\r\nHTTP/1.1 200 OK\r\n%Content-Length: 6\r\n\r\nbroken",
+        "HTTP/1.1 600 X\r\n%Content-Length: 6\r\n\r\nbroken",
+        "HTTP/1.1 999 X\r\n%Content-Length: 6\r\n\r\nbroken",
+        "HTTP/1.1 200 OK\r\n%X Note: a\r\nContent-Length: 6\r\n\r\nbroken",
+        "HTTP/1.1 200 OK\r\n%X-Note : a\r\nContent-Length: 6\r\n\r\nbroken",
+        "HTTP/1.1 200 OK\r\n X-Note: a\r\n%Content-Length: 6\r\n\r\nbroken",
+        "HTTP/1.1 200 OK\r\n%X\x01Note: a\r\nContent-Length: 6\r\n\r\nbroken",
+        "HTTP/1.1 200 OK\r\n%X\x7fNote: a\r\nContent-Length: 6\r\n\r\nbroken",
+        "HTTP/1.1 200 OK\r\n%X-Note: a\x01\r\nContent-Length: 6\r\n\r\nbroken",
+        "HTTP/1.1 200 OK\r\n%Content Length: 6\r\n\r\nbroken",
+        "HTTP/1.1 200 OK\r\n%Content-Length : 6\r\n\r\nbroken",
+        "HTTP/1.1 200 OK\r\n%Transfer-Encoding: chunked\r\n\r\n6\r\nbroken\r\n0\r\nX Sum: 1\r\n\r\n",
+        "HTTP/1.1 200 OK\r\n%Transfer-Encoding: chunked\r\n\r\n 6\r\nbroken\r\n0\r\n\r\n",
+        "HTTP/1.1 200 OK\r\n%Transfer-Encoding: chunked\r\n\r\n6;a\x01\r\nbroken\r\n0\r\n\r\n",
+    };
+    return answers;
+}
+
+std::string fillIn(const std::string &answer, const Request &request)
+{
+    const std::size_t position = answer.find('%');
+    return answer.substr(0, position) + ownFields(request) + answer.substr(position + 1);
+}
+
 std::string fineAnswer(const Request &request, bool keepsConnection)
 {
     return "HTTP/1.1 200 OK\r\n" + ownFields(request) + (keepsConnection ? "" : "Connection: close\r\n") + "Content-Length: 4\r\n\r\nfine";
@@ -121,6 +157,87 @@
 
 }
 
+TEST_CASE("an order whose answer is broken is answered 502 at once, and the caller's next request is served")
+{
+    for (const bool isKept : {false, true}) {
+        CAPTURE(isKept);
+        std::string broken;
+        RawServer backend([&broken, isKept](Socket &socket, const Request &request) {
+            const bool isBroken = idOf(request) == "faulty";
+            sendBytes(socket, isBroken ? fillIn(broken, request) : fineAnswer(request, isKept));
+            return isBroken || isKept;
+        });
+        DaemonFixture fixture;
+        fixture.startWith({&backend});
+        KeptCaller caller(fixture);
+        for (const std::string &answer : brokenAnswers()) {
+            CAPTURE(answer);
+            broken = answer;
+            CHECK(caller.call("/order/x", "first")->body() == "fine");
+            const auto sentAt = std::chrono::steady_clock::now();
+            const auto refusal = caller.call("/order/x", "faulty");
+            CHECK(std::chrono::steady_clock::now() - sentAt < maxAnswerTime);
+            REQUIRE(refusal);
+            CHECK(refusal->result_int() == 502);
+            CHECK(refusal->body().find("broken") == std::string::npos);
+            CHECK(refusal->find("X-Note") == refusal->end());
+            CHECK(refusal->keep_alive());
+            CHECK(isServedSoon(caller));
+        }
+    }
+}
+
+TEST_CASE("a lookup whose answer is broken is served by another backend server")
+{
+    std::string broken;
+    std::atomic<int> sends {0};
+    const RawServer::Script script = [&](Socket &socket, const Request &request) {
+        if (idOf(request) == "faulty" && ++sends == 1) {
+            sendBytes(socket, fillIn(broken, request));
+            return true;
+        }
+        return answerOk(socket, request);
+    };
+    RawServer one(script);
+    RawServer other(script);
+    DaemonFixture fixture;
+    fixture.startWith({&one, &other});
+    KeptCaller caller(fixture);
+    for (const std::string &answer : brokenAnswers()) {
+        CAPTURE(answer);
+        broken = answer;
+        sends = 0;
+        CHECK(isServedSoon(caller));
+        const auto served = caller.call("/check/x", "faulty");
+        REQUIRE(served);
+        CHECK(served->result_int() == 200);
+        CHECK(served->body() == "fine");
+        CHECK(sends == 2);
+    }
+}
+
+TEST_CASE("a stream whose end is broken is reset at its caller")
+{
+    std::string end;
+    RawServer backend([&end](Socket &socket, const Request &request) {
+        if (idOf(request) != "faulty") {
+            return answerOk(socket, request);
+        }
+        sendBytes(socket, streamHeader(request) + chunk("data: a\n\n") + end);
+        return true;
+    });
+    DaemonFixture fixture;
+    fixture.startWith({&backend});
+    for (const std::string broken : {"0\r\nX Sum: 1\r\n\r\n", "0\r\nX\x01Sum: 1\r\n\r\n", " 0\r\n\r\n", "x\r\n\r\n"}) {
+        CAPTURE(broken);
+        end = broken;
+        KeptCaller caller(fixture);
+        CHECK_FALSE(caller.call("/stream/x", "faulty"));
+        KeptCaller other(fixture);
+        CHECK(isServedSoon(other));
+    }
+}
+
 // The backend server's connection is reset once the daemon waits for room to write in and for more of the answer.
 TEST_CASE("an answer without a length that is reset during its upload is not passed on as complete")
 {
@@ -222,3 +339,37 @@
     CHECK(answer->result_int() == 413);
     CHECK(answer->body() == "too large");
 }
+
+TEST_CASE("a call to the store or to another daemon brings nothing of a broken answer")
+{
+    for (const std::string &broken : brokenAnswers()) {
+        CAPTURE(broken);
+        RawServer server([&broken](Socket &socket, const Request &request) {
+            sendBytes(socket, request.target() == "/broken" ? fillIn(broken, request) : signedAnswer(request, "fine"));
+            return true;
+        });
+        boost::asio::io_context context;
+        connection::http::CallClient client(context, connection::http::parseEndpoint(server.address()));
+        const auto call = [&](const std::string &path) {
+            std::optional<connection::http::CallResult> result;
+            client.call(connection::http::Request(boost::beast::http::verb::get, path, 11), {1s, maxAnswerTime},
+                        [&result](const connection::http::CallResult &ended) { result = ended; });
+            context.restart();
+            while (!result && context.run_one() > 0) {
+            }
+            return *result;
+        };
+        for (const bool isKept : {false, true}) {
+            CAPTURE(isKept);
+            if (isKept) {
+                CHECK(call("/").body == "fine");
+            }
+            const auto result = call("/broken");
+            CHECK(result.status == 0);
+            CHECK(result.body.empty());
+            CHECK(result.header == nullptr);
+            CHECK(result.failure != "no answer in time");
+        }
+        CHECK(call("/").body == "fine");
+    }
+}
--- a/tests/proxy/test_client_connection.cpp
+++ b/tests/proxy/test_client_connection.cpp
@@ -263,6 +263,34 @@
     CHECK(sendOne(context, connectTo(context, server)).end->kind == EndKind::Malformed);
 }
 
+TEST_CASE("an answer with a status outside of 200 to 599, or one that switches protocols, is malformed")
+{
+    const std::string genuine = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nab";
+    const std::vector<std::string> rests = {
+        "\r\n",
+        "Content-Length: 2\r\n\r\nab",
+        "\r\n" + genuine,
+        "Content-Length: " + std::to_string(genuine.size()) + "\r\n\r\n" + genuine,
+    };
+    for (const std::string status : {"000", "001", "042", "099", "101", "600", "999"}) {
+        for (const std::string &rest : rests) {
+            CAPTURE(status);
+            CAPTURE(rest);
+            standin::RawServer server([&](standin::Socket &socket, const standin::Request &) {
+                standin::sendBytes(socket, "HTTP/1.1 " + status + " X\r\n" + rest);
+                return true;
+            });
+            boost::asio::io_context context;
+            const auto connection = connectTo(context, server);
+            const Outcome outcome = sendOne(context, connection);
+            CHECK(outcome.end->kind == EndKind::Malformed);
+            CHECK(outcome.status == 0);
+            CHECK(outcome.body.empty());
+            CHECK_FALSE(connection->isReusable());
+        }
+    }
+}
+
 TEST_CASE("a request that is given up is not delivered by an orderly close")
 {
     boost::asio::io_context context;
