Refuse informational answers that have a body

A caller got the body of an informational answer as its answer where that body looked like one: a 103 with a Content-Length or in chunks was read past without its body, so the next answer was read from inside it.

Cause: informational answers end with their head for the parser, whatever it states, and nothing looked at the stated framing. No such answer may have either field (RFC 9110, section 8.6; RFC 9112, section 6.1).

"Content-Length: 0", which some servers send, states no body and is read past.

ClientConnection now ends the exchange as malformed, so that nothing is taken from a connection whose framing is in doubt.

--- a/src/connection/http/client_connection.cpp
+++ b/src/connection/http/client_connection.cpp
@@ -131,6 +131,10 @@
             this->end(EndKind::Malformed, "too many informational answers");
             return;
         }
+        if (this->parser->chunked() || this->parser->content_length().value_or(0) > 0) {
+            this->end(EndKind::Malformed, "informational answer with a body");
+            return;
+        }
         this->readHeader();
         return;
     }
--- a/tests/proxy/test_client_connection.cpp
+++ b/tests/proxy/test_client_connection.cpp
@@ -291,6 +291,31 @@
     }
 }
 
+TEST_CASE("an informational answer is read past, and one with a body is malformed")
+{
+    const std::string genuine = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nab";
+    const std::string hidden = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nxy";
+    const std::vector<std::pair<std::string, EndKind>> forms = {
+        {"HTTP/1.1 100 Continue\r\n\r\n", EndKind::Complete},
+        {"HTTP/1.1 100 Continue\r\nContent-Length: 0\r\n\r\n", EndKind::Complete},
+        {"HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n", EndKind::Complete},
+        {"HTTP/1.1 199 Other\r\n\r\n", EndKind::Complete},
+        {"HTTP/1.1 103 Early Hints\r\nContent-Length: " + std::to_string(hidden.size()) + "\r\n\r\n" + hidden, EndKind::Malformed},
+        {"HTTP/1.1 103 Early Hints\r\nTransfer-Encoding: chunked\r\n\r\n" + hidden, EndKind::Malformed},
+    };
+    for (const auto &form : forms) {
+        CAPTURE(form.first);
+        standin::RawServer server([&](standin::Socket &socket, const standin::Request &) {
+            standin::sendBytes(socket, form.first + genuine);
+            return true;
+        });
+        boost::asio::io_context context;
+        const Outcome outcome = sendOne(context, connectTo(context, server));
+        CHECK(outcome.end->kind == form.second);
+        CHECK(outcome.body == (form.second == EndKind::Complete ? "ab" : ""));
+    }
+}
+
 TEST_CASE("a request that is given up is not delivered by an orderly close")
 {
     boost::asio::io_context context;
