Refuse answers whose header fields are folded

Callers got an answer in which a line that begins with a blank, such as " Content-Length: 3", was passed on as a part of the field before.

Cause: Beast joins such a line to the value of the field before it (obsolete folding), so the name with the blank is never looked at, and the composed reads don't show what they have parsed.

The case of ClientConnection holds 22 lines in nine places of an answer (heads, trailers, after other answers), whole and split inside the line, on new and kept connections; it failed there.

RFC 9112, section 5.2, lets a proxy discard such an answer. ClientConnection reads from the socket itself and gives the bytes to the parser, as the sessions of callers do, so it sees the bytes of heads and trailers and ends the exchange as malformed. What can be parsed is parsed in one turn of the event loop; before, each step was a turn.

--- a/src/connection/http/client_connection.cpp
+++ b/src/connection/http/client_connection.cpp
@@ -1,9 +1,9 @@
 #include "connection/http/client_connection.h"
 
 #include <boost/asio/connect.hpp>
-#include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include <algorithm>
 #include <limits>
 
 namespace eelgrassnotch::connection::http
@@ -25,6 +25,12 @@
     return status >= minStatus && status <= maxStatus && status != static_cast<unsigned>(beast::http::status::switching_protocols);
 }
 
+/** @returns whether parsed fields go on in a second line (RFC 9112, section 5.2), which the parser joins to the first. */
+bool hasFoldedField(std::string_view fields)
+{
+    return fields.find("\n ") != std::string_view::npos || fields.find("\n\t") != std::string_view::npos;
+}
+
 bool isHttpError(const boost::system::error_code &error)
 {
     return error.category() == beast::http::make_error_code(beast::http::error::end_of_stream).category()
@@ -58,7 +64,8 @@
         boost::system::error_code ignored; // Cancelling the idle watch can't fail on an open socket.
         this->socket.cancel(ignored);
         this->writeRequest();
-        this->readHeader();
+        this->beginAnswer();
+        this->receive();
         return;
     }
     this->connect(connectTimeout);
@@ -79,7 +86,8 @@
         self->isOpen = true;
         configureSocket(self->socket);
         self->writeRequest();
-        self->readHeader();
+        self->beginAnswer();
+        self->receive();
     });
 }
 
@@ -97,29 +105,89 @@
         });
 }
 
-void ClientConnection::readHeader()
+void ClientConnection::beginAnswer()
 {
-    this->buffer.reserve(readChunkBytes);
     this->parser.emplace();
     this->parser->header_limit(maxAnswerHeaderBytes);
     this->parser->body_limit(std::numeric_limits<std::uint64_t>::max());
     this->parser->skip(this->request->method() == beast::http::verb::head);
-    beast::http::async_read_header(
-        this->socket, this->buffer, *this->parser,
-        [self = this->shared_from_this(), number = this->generation](boost::system::error_code error, std::size_t) {
+}
+
+void ClientConnection::receive()
+{
+    const std::size_t space = std::min(readChunkBytes, this->buffer.max_size() - this->buffer.size());
+    this->socket.async_read_some(
+        this->buffer.prepare(space),
+        [self = this->shared_from_this(), number = this->generation](boost::system::error_code error, std::size_t size) {
             if (number == self->generation) {
-                self->onHeaderRead(error);
+                self->buffer.commit(size);
+                self->onReceived(error);
             }
         });
 }
 
-void ClientConnection::onHeaderRead(boost::system::error_code error)
+void ClientConnection::onReceived(boost::system::error_code error)
 {
+    const auto number = this->generation;
+    while (!error && this->buffer.size() > 0) {
+        error = this->parseReceived();
+        if (number != this->generation) {
+            return;
+        }
+    }
+    if (error == boost::asio::error::eof) {
+        this->onEndOfFile();
+        return;
+    }
+    if (error == beast::http::error::need_more) {
+        error = this->buffer.size() < this->buffer.max_size() ? boost::system::error_code() : beast::http::error::buffer_overflow;
+    }
     if (error) {
-        const bool hasBegun = this->parser->got_some();
-        this->end(isHttpError(error) ? EndKind::Malformed : (hasBegun ? EndKind::BrokenOff : EndKind::Lost), error.message());
+        this->end(isHttpError(error) ? EndKind::Malformed : (this->parser->got_some() ? EndKind::BrokenOff : EndKind::Lost),
+                  error.message());
         return;
     }
+    this->receive();
+}
+
+boost::system::error_code ClientConnection::parseReceived()
+{
+    auto &body = this->parser->get().body();
+    body.data = this->chunk.data();
+    body.size = this->chunk.size();
+    body.more = true;
+    const bool hadHeader = this->parser->is_header_done();
+    boost::system::error_code error;
+    const std::size_t parsed = this->parser->put(this->buffer.data(), error);
+    const bool mayHoldFields = !hadHeader || (this->parser->chunked() && this->parser->is_done());
+    if (mayHoldFields && hasFoldedField({static_cast<const char *>(this->buffer.data().data()), parsed})) {
+        this->end(EndKind::Malformed, "folded header field");
+        return {};
+    }
+    this->buffer.consume(parsed);
+    if (error == beast::http::error::need_buffer) {
+        error = {};
+    }
+    const auto number = this->generation;
+    const std::size_t size = this->chunk.size() - body.size;
+    if (size > 0 && this->isWanted) {
+        this->hooks.onBody(std::string_view(this->chunk.data(), size));
+    } else if (size > 0 && (this->droppedBytes += size) > maxDroppedBytes) {
+        this->end(EndKind::Malformed, "answers to other requests are too large");
+    }
+    if (error || number != this->generation) {
+        return error;
+    }
+    if (!hadHeader && this->parser->is_header_done()) {
+        this->onHeader();
+    } else if (this->parser->is_done()) {
+        this->finishAnswer();
+    }
+    return {};
+}
+
+void ClientConnection::onHeader()
+{
     const AnswerHeader &header = this->parser->get().base();
     const unsigned status = header.result_int();
     if (!isValidStatus(status)) {
@@ -135,7 +203,7 @@
             this->end(EndKind::Malformed, "informational answer with a body");
             return;
         }
-        this->readHeader();
+        this->beginAnswer();
         return;
     }
     this->keepsAlive = this->parser->keep_alive() && !this->parser->need_eof();
@@ -150,55 +218,25 @@
     }
     if (this->parser->is_done()) {
         this->finishAnswer();
-        return;
     }
-    this->readBody();
-}
-
-void ClientConnection::readBody()
-{
-    auto &body = this->parser->get().body();
-    body.data = this->chunk.data();
-    body.size = this->chunk.size();
-    body.more = true;
-    beast::http::async_read_some(
-        this->socket, this->buffer, *this->parser,
-        [self = this->shared_from_this(), number = this->generation](boost::system::error_code error, std::size_t) {
-            if (number == self->generation) {
-                self->onBodyRead(error);
-            }
-        });
 }
 
-void ClientConnection::onBodyRead(boost::system::error_code error)
+void ClientConnection::onEndOfFile()
 {
-    if (error == beast::http::error::need_buffer) {
-        error = {};
-    }
-    const std::size_t size = this->chunk.size() - this->parser->get().body().size;
-    if (size > 0 && this->isWanted) {
-        const auto number = this->generation;
-        this->hooks.onBody(std::string_view(this->chunk.data(), size));
-        if (number != this->generation) {
-            return;
-        }
+    if (!this->parser->got_some()) {
+        this->end(EndKind::Lost, "end of stream");
+        return;
     }
-    if (!error && this->parser->need_eof() && this->parser->is_done() && this->isEndReset()) {
+    boost::system::error_code error;
+    this->parser->put_eof(error);
+    if (!error && this->isEndReset()) {
         error = this->writeError;
     }
     if (error) {
-        this->end(isHttpError(error) ? EndKind::Malformed : EndKind::BrokenOff, error.message());
-        return;
-    }
-    if (!this->isWanted && (this->droppedBytes += size) > maxDroppedBytes) {
-        this->end(EndKind::Malformed, "answers to other requests are too large");
-        return;
-    }
-    if (this->parser->is_done()) {
-        this->finishAnswer();
+        this->end(EndKind::BrokenOff, error.message());
         return;
     }
-    this->readBody();
+    this->finishAnswer();
 }
 
 bool ClientConnection::isEndReset() const
@@ -211,7 +249,7 @@
 void ClientConnection::finishAnswer()
 {
     if (!this->isWanted) {
-        this->readHeader();
+        this->beginAnswer();
         return;
     }
     this->end(EndKind::Complete, "");
--- a/src/connection/http/client_connection.h
+++ b/src/connection/http/client_connection.h
@@ -72,10 +72,14 @@
 private:
     void connect(Duration timeout);
     void writeRequest();
-    void readHeader();
-    void onHeaderRead(boost::system::error_code error);
-    void readBody();
-    void onBodyRead(boost::system::error_code error);
+    void beginAnswer();
+    void receive();
+    void onReceived(boost::system::error_code error);
+    /** @brief Parses a head or a part of a body from the buffer. @returns the parser's error; it wants more bytes, or the answer is none.
+     */
+    boost::system::error_code parseReceived();
+    void onHeader();
+    void onEndOfFile();
     void finishAnswer();
     /** @returns whether an end of file is a reset that the write has met before the read. */
     bool isEndReset() const;
--- a/tests/proxy/test_broken_answers.cpp
+++ b/tests/proxy/test_broken_answers.cpp
@@ -105,6 +105,8 @@
         "HTTP/1.1 200 OK\r\n%X-Note: a\x01\r\nContent-Length: 6\r\n\r\nbroken",
         "HTTP/1.1 200 OK\r\n%Content Length: 6\r\n\r\nbroken",
         "HTTP/1.1 200 OK\r\n%Content-Length : 6\r\n\r\nbroken",
+        "HTTP/1.1 200 OK\r\n%X-Note: a\r\n Content-Length: 3\r\nContent-Length: 6\r\n\r\nbroken",
+        "HTTP/1.1 200 OK\r\n%X-Note: a\r\n\tb\r\nContent-Length: 6\r\n\r\nbroken",
         "HTTP/1.1 200 OK\r\n%Transfer-Encoding: chunked\r\n\r\n6\r\nbroken\r\n0\r\nX Sum: 1\r\n\r\n",
         "HTTP/1.1 200 OK\r\n%Transfer-Encoding: chunked\r\n\r\n 6\r\nbroken\r\n0\r\n\r\n",
         "HTTP/1.1 200 OK\r\n%Transfer-Encoding: chunked\r\n\r\n6;a\x01\r\nbroken\r\n0\r\n\r\n",
--- a/tests/proxy/test_client_connection.cpp
+++ b/tests/proxy/test_client_connection.cpp
@@ -67,6 +67,73 @@
     return outcome;
 }
 
+/** A server on the event loop of its client: it sends each part of an answer once the client has taken the one before. */
+class SteppedServer
+{
+public:
+    explicit SteppedServer(boost::asio::io_context &ioContext)
+        : context(ioContext)
+        , acceptor(ioContext, {boost::asio::ip::make_address("127.0.0.1"), 0})
+        , peer(ioContext)
+    {
+        this->acceptor.async_accept(this->peer, [this](boost::system::error_code error) {
+            if (!error) {
+                this->readRequest();
+            }
+        });
+    }
+
+    std::shared_ptr<ClientConnection> makeConnection()
+    {
+        return std::make_shared<ClientConnection>(this->context.get_executor(), this->acceptor.local_endpoint());
+    }
+
+    std::vector<std::string> answer; ///< To the next request, in parts.
+    int requests = 0;
+
+private:
+    void readRequest()
+    {
+        this->request = {};
+        boost::beast::http::async_read(this->peer, this->buffer, this->request, [this](boost::system::error_code error, std::size_t) {
+            if (!error) {
+                ++this->requests;
+                this->parts = this->answer;
+                this->sendFrom(0);
+            }
+        });
+    }
+
+    void sendFrom(std::size_t part)
+    {
+        if (part == this->parts.size()) {
+            this->readRequest();
+            return;
+        }
+        standin::sendBytes(this->peer, this->parts[part]);
+        this->afterTurns(4, [this, part] { this->sendFrom(part + 1); });
+    }
+
+    /** Each turn of the event loop looks for bytes that have arrived. */
+    void afterTurns(int turns, std::function<void()> next)
+    {
+        boost::asio::post(this->context, [this, turns, next = std::move(next)] {
+            if (turns == 0) {
+                next();
+            } else {
+                this->afterTurns(turns - 1, next);
+            }
+        });
+    }
+
+    boost::asio::io_context &context;
+    boost::asio::ip::tcp::acceptor acceptor;
+    standin::Socket peer;
+    boost::beast::flat_buffer buffer;
+    standin::Request request;
+    std::vector<std::string> parts; ///< Of the answer being sent.
+};
+
 /** More than the kernel's buffers take of a request that nobody reads. */
 constexpr std::size_t endlessBodyBytes = 32u << 20;
 
@@ -316,6 +383,79 @@
     }
 }
 
+TEST_CASE("an answer with a line that is no header field is malformed, wherever it stands")
+{
+    const std::vector<std::string> lines = {
+        "X Note: a",
+        "X-Note : a",
+        "X-Note\t: a",
+        " X-Note: a",
+        "\tX-Note: a",
+        std::string("X\0Note: a", 9),
+        "X\x01Note: a",
+        "X\x7fNote: a",
+        "X\rNote: a",
+        "X\nNote: a",
+        "X\xe9Note: a",
+        ": a",
+        "X-Note",
+        "X-Note: a\x01",
+        std::string("X-Note: a\0b", 11),
+        "X-Note: a\rb",
+        "Content Length: 2",
+        "Content-Length : 2",
+        "Content-Length: 2\r\n Content-Length: 2",
+        "X-Note: a\r\n Content-Length: 2",
+        "X-Note: a\r\n\tb",
+        "X-Note: a\r\n ",
+    };
+    const std::string whole = "HTTP/1.1 200 OK\r\nId: mine\r\nContent-Length: 2\r\n\r\nab";
+    // The line comes as "%".
+    const std::vector<std::pair<std::string, std::string>> places = {
+        {"a head", "HTTP/1.1 200 OK\r\nId: mine\r\n%\r\nContent-Length: 2\r\n\r\nab"},
+        {"the first line", "HTTP/1.1 200 OK\r\n%\r\nId: mine\r\nContent-Length: 2\r\n\r\nab"},
+        {"the last line", "HTTP/1.1 200 OK\r\nId: mine\r\nContent-Length: 2\r\n%\r\n\r\nab"},
+        {"a head without a length", "HTTP/1.1 200 OK\r\nId: mine\r\n%\r\n\r\nab"},
+        {"an informational answer", "HTTP/1.1 103 Early Hints\r\n%\r\n\r\n" + whole},
+        {"an answer to another request", "HTTP/1.1 200 OK\r\nId: other\r\n%\r\nContent-Length: 2\r\n\r\nxy" + whole},
+        {"after an answer to another request",
+         "HTTP/1.1 200 OK\r\nId: other\r\nContent-Length: 2\r\n\r\nxy"
+         "HTTP/1.1 200 OK\r\nId: mine\r\n%\r\nContent-Length: 2\r\n\r\nab"},
+        {"a trailer", "HTTP/1.1 200 OK\r\nId: mine\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\n%\r\n\r\n"},
+        {"a second trailer", "HTTP/1.1 200 OK\r\nId: mine\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\nX-Sum: 1\r\n%\r\n\r\n"},
+    };
+    for (const auto &place : places) {
+        for (const std::string &line : lines) {
+            // One segment, and two that part in the middle of the line.
+            for (const bool isSplit : {false, true}) {
+                for (const bool isKept : {false, true}) {
+                    CAPTURE(place.first);
+                    CAPTURE(line);
+                    CAPTURE(isSplit);
+                    CAPTURE(isKept);
+                    const std::size_t position = place.second.find('%');
+                    const std::string bytes = place.second.substr(0, position) + line + place.second.substr(position + 1);
+                    const std::size_t split = isSplit ? position + line.size() / 2 : bytes.size();
+                    int served = 0;
+                    boost::asio::io_context context;
+                    const auto server = std::make_unique<SteppedServer>(context);
+                    const auto connection = server->makeConnection();
+                    if (isKept) {
+                        server->answer = {whole};
+                        REQUIRE(sendOne(context, connection, "", "mine").end->kind == EndKind::Complete);
+                        ++served;
+                    }
+                    server->answer = {bytes.substr(0, split), bytes.substr(split)};
+                    const Outcome outcome = sendOne(context, connection, "", "mine");
+                    CHECK(outcome.end->kind == EndKind::Malformed);
+                    CHECK_FALSE(connection->isReusable());
+                    CHECK(server->requests == served + 1);
+                }
+            }
+        }
+    }
+}
+
 TEST_CASE("a request that is given up is not delivered by an orderly close")
 {
     boost::asio::io_context context;
