Read answers in the older daemon as in the other one

Callers of eelgrassnotchd got broken answers as whole ones: statuses 000 to 099 and 600 and above, and answers whose head held a line that is no header field, with a body that was not the backend server's where the line was meant as the length.

Cause: cpprestsdk's client takes any status, trims the names of fields, skips lines without a colon and reads no trailers. What it leaves out can't be seen afterwards, so a check behind it would miss a part.

Answers that break off, and uploads reset after a part of an answer without a length, ended as lost before as well: the library reads after it has written everything. These cases are kept.

BackendClient now uses ClientConnection, which refuses such answers, on an event loop of its own. Verdicts are as before, except that a connection that can't be opened in two seconds has certainly not run. Answers are bounded by 16 MB; nothing bounded them.

The library sent an idempotent call again by itself on a closed connection; ClientConnection sends nothing twice.

--- a/include/eelgrassnotch/config.h
+++ b/include/eelgrassnotch/config.h
@@ -100,6 +100,8 @@
 constexpr std::size_t maxLinkBacklogBytes = 16u << 20;
 /** Largest body of a caller's request, in bytes. */
 constexpr std::size_t maxRequestBytes = 1u << 20;
+/** Largest answer of a backend server that is not streamed, in bytes. */
+constexpr std::size_t maxAnswerBytes = 16u << 20;
 /** Longest header value that is read, in bytes. */
 constexpr std::size_t maxHeaderBytes = 256;
 /** Largest configuration document, in bytes: the platform's bound on a value. */
--- a/src/connection/caller.h
+++ b/src/connection/caller.h
@@ -57,7 +57,7 @@
 
     request::RequestInfo info;
     request::BackendCall call;
-    request::AbortHandle abort; ///< Of the running attempt; owned by the core's thread.
+    request::AbortAttempt abort; ///< Of the running attempt; owned by the core's thread.
 
 private:
     web::http::http_response responseWith(int status) const;
--- a/src/connection/http/client_connection.h
+++ b/src/connection/http/client_connection.h
@@ -63,6 +63,10 @@
     void watchIdle(std::function<void()> onClosed);
     /** @returns whether the connection is open and may carry another request. */
     bool isReusable() const;
+    boost::asio::any_io_executor executor()
+    {
+        return this->socket.get_executor();
+    }
     /** @returns whether a request has gone over this connection before. */
     bool wasUsed() const
     {
--- a/src/process/frontend.cpp
+++ b/src/process/frontend.cpp
@@ -246,7 +246,7 @@
                   {"verdict", std::string(nameOf(refused.refusal.verdict))}});
         entry.mapped()->refuse(refused.refusal);
         if (entry.mapped()->abort) {
-            entry.mapped()->abort->cancel();
+            entry.mapped()->abort();
         }
     }
     for (const ReplayRequest &replay : outbox.replays) {
--- a/src/request/backend_client.cpp
+++ b/src/request/backend_client.cpp
@@ -1,200 +1,214 @@
 #include "request/backend_client.h"
 
+#include "connection/http/client_connection.h"
 #include "eelgrassnotch/config.h"
 #include "process/clock.h"
+#include "process/loop_thread.h"
 #include "request/answer_check.h"
 
-#include <cpprest/streams.h>
+#include <boost/asio/post.hpp>
 
+#include <algorithm>
 #include <charconv>
+#include <map>
 
 namespace eelgrassnotch::request
 {
 
-using web::http::http_request;
-using web::http::http_response;
+namespace http = connection::http;
+using http::EndKind;
 
 namespace
 {
 
-constexpr int statusTooManyRequests = 429;
-constexpr int statusUnavailable = 503;
+using namespace std::chrono_literals;
+
+constexpr unsigned statusTooManyRequests = 429;
+constexpr unsigned statusUnavailable = 503;
 constexpr auto requestIdHeader = "X-Request-Id";
 constexpr auto generationHeader = "X-Engine-Generation";
 constexpr auto costHeader = "X-Cost";
 
-template <class Number>
-Number headerNumber(const http_response &response, const char *name)
+/** Several round trips between regions, and one lost packet. */
+constexpr Duration connectTimeout = 2s;
+/** Kept connections to one backend server; a connection beyond that is closed after its call. */
+constexpr std::size_t maxKeptConnections = 64;
+
+using ConnectionPointer = std::shared_ptr<http::ClientConnection>;
+
+std::string fieldText(const http::AnswerHeader &header, const char *name)
 {
-    Number value = 0;
-    if (const auto found = response.headers().find(name); found != response.headers().end()) {
-        const std::string &text = found->second;
-        std::from_chars(text.data(), text.data() + text.size(), value);
-    }
+    const auto value = header[name];
+    return {value.data(), value.size()};
+}
+
+std::uint32_t fieldNumber(const http::AnswerHeader &header, const char *name)
+{
+    std::uint32_t value = 0;
+    const std::string text = fieldText(header, name);
+    std::from_chars(text.data(), text.data() + text.size(), value);
     return value;
 }
 
-std::string headerText(const http_response &response, const char *name)
+AttemptResult resultOf(EndKind kind)
 {
-    const auto found = response.headers().find(name);
-    return found == response.headers().end() ? std::string() : found->second;
+    switch (kind) {
+    case EndKind::ConnectFailed:
+        return AttemptResult::ConnectFailed;
+    case EndKind::Malformed:
+        return AttemptResult::InvalidAnswer;
+    case EndKind::Complete:
+    case EndKind::Lost:
+    case EndKind::BrokenOff:
+        break;
+    }
+    return AttemptResult::ConnectionLost;
 }
 
-/** One attempt; the continuations of its tasks own it. */
+/** One attempt, on the client's thread; its connection and its timer own it until it ends. */
 class Attempt : public std::enable_shared_from_this<Attempt>
 {
 public:
-    Attempt(std::shared_ptr<web::http::client::http_client> client, BackendCall call, AnswerSink sink)
-        : client(std::move(client))
-        , call(std::move(call))
-        , sink(std::move(sink))
+    /** @param release Gets the connection back, unless the attempt gave it up. */
+    Attempt(ConnectionPointer backendConnection, BackendCall backendCall, AnswerSink answerSink,
+            std::function<void(const ConnectionPointer &)> release)
+        : connection(std::move(backendConnection))
+        , call(std::move(backendCall))
+        , sink(std::move(answerSink))
+        , onReleased(std::move(release))
+        , timer(this->connection->executor())
         , check(this->call.requestId)
         , startedAt(process::readClock())
     {
     }
 
-    void run(const AbortHandle &abort)
+    void run(const std::string &host)
     {
         const auto self = this->shared_from_this();
-        this->client->request(this->buildRequest(), abort->get_token()).then([self](const pplx::task<http_response> &task) {
-            self->runGuarded([&] { self->onResponse(task.get()); });
-        });
+        this->timer.start(config::maxDeadline, [self] { self->giveUp(AttemptResult::TimedOut); });
+        http::ExchangeHooks hooks;
+        hooks.onHeader = [self](const http::AnswerHeader &header) {
+            self->onHeader(header);
+            return true;
+        };
+        hooks.onBody = [self](std::string_view part) { self->onBody(part); };
+        hooks.onEnd = [self](const http::ExchangeEnd &end) { self->onEnd(end); };
+        this->connection->send(this->buildRequest(host), connectTimeout, std::move(hooks));
+    }
+
+    /** Closes the connection and ends the attempt, unless it has ended. */
+    void giveUp(AttemptResult result)
+    {
+        this->giveUp(result, Verdict::MayHaveRun);
     }
 
 private:
-    http_request buildRequest() const
+    std::shared_ptr<const http::Request> buildRequest(const std::string &host) const
     {
-        http_request message(this->call.method);
-        message.set_request_uri(web::uri(this->call.path));
-        message.headers().add(requestIdHeader, this->call.requestId);
+        const auto message = std::make_shared<http::Request>();
+        message->version(11);
+        message->method_string(this->call.method);
+        message->target(this->call.path);
+        message->set(boost::beast::http::field::host, host);
+        message->set(requestIdHeader, this->call.requestId);
         if (!this->call.idempotencyKey.empty()) {
-            message.headers().add("Idempotency-Key", this->call.idempotencyKey);
+            message->set("Idempotency-Key", this->call.idempotencyKey);
         }
         if (!this->call.body.empty()) {
-            message.set_body(this->call.body);
-            message.headers().set_content_type(this->call.contentType.empty() ? "application/json" : this->call.contentType);
+            message->body().assign(this->call.body.begin(), this->call.body.end());
+            message->set(boost::beast::http::field::content_type,
+                         this->call.contentType.empty() ? "application/json" : this->call.contentType);
         }
+        message->prepare_payload();
         return message;
     }
 
-    /** Runs a step; an exception ends the attempt with the matching result. */
-    template <class Step>
-    void runGuarded(Step &&step)
+    void onHeader(const http::AnswerHeader &answerHeader)
     {
-        try {
-            step();
-        } catch (const web::http::http_exception &error) {
-            this->end(this->classify(error.error_code()));
-        } catch (const pplx::task_canceled &) {
-            this->end(AttemptResult::CallerGone);
-        } catch (const std::exception &) {
-            this->end(AttemptResult::ConnectionLost);
+        this->header = answerHeader;
+        const unsigned status = answerHeader.result_int();
+        this->outcome.status = static_cast<int>(status);
+        this->outcome.generation = fieldNumber(answerHeader, generationHeader);
+        if (status == statusTooManyRequests || status == statusUnavailable) {
+            const bool isCertainlyNotRun = status == statusTooManyRequests || this->call.streamed;
+            this->giveUp(AttemptResult::BackendRefused, isCertainlyNotRun ? Verdict::NotRun : Verdict::MayHaveRun);
+            return;
         }
+        if (fieldText(answerHeader, requestIdHeader) != this->call.requestId) {
+            this->giveUp(AttemptResult::InvalidAnswer);
+            return;
+        }
+        this->isStream = this->call.streamed && fieldText(answerHeader, "Content-Type").find("text/event-stream") != std::string::npos;
     }
 
-    AttemptResult classify(const std::error_code &code) const
+    void onBody(std::string_view part)
     {
-        if (code == std::errc::timed_out) {
-            return AttemptResult::TimedOut;
+        if (!this->isStream) {
+            this->body.insert(this->body.end(), part.begin(), part.end());
+            if (this->body.size() > config::maxAnswerBytes) {
+                this->giveUp(AttemptResult::InvalidAnswer);
+            }
+            return;
+        }
+        while (!part.empty() && !this->hasEnded) {
+            const std::size_t size = std::min(part.find('\n'), part.size());
+            this->line += part.substr(0, size);
+            const bool isWhole = size < part.size();
+            part.remove_prefix(isWhole ? size + 1 : size);
+            if (isWhole) {
+                this->processLine(std::exchange(this->line, {}));
+            } else if (this->line.size() > config::maxEventBytes) {
+                this->giveUp(AttemptResult::InvalidAnswer);
+            }
         }
-        const bool isRefused
-            = code == std::errc::connection_refused || code == std::errc::host_unreachable || code == std::errc::network_unreachable;
-        return isRefused && !this->hasResponded ? AttemptResult::ConnectFailed : AttemptResult::ConnectionLost;
     }
 
-    void onResponse(const http_response &response)
+    void onEnd(const http::ExchangeEnd &exchangeEnd)
     {
-        this->hasResponded = true;
-        this->outcome.status = response.status_code();
-        this->outcome.generation = headerNumber<std::uint32_t>(response, generationHeader);
-        const bool isRefused = response.status_code() == statusTooManyRequests || response.status_code() == statusUnavailable;
-        if (isRefused) {
-            const bool isCertainlyNotRun = response.status_code() == statusTooManyRequests || this->call.streamed;
-            this->outcome.verdict = isCertainlyNotRun ? Verdict::NotRun : Verdict::MayHaveRun;
-            this->end(AttemptResult::BackendRefused, this->outcome.verdict);
+        if (exchangeEnd.kind != EndKind::Complete) {
+            const bool isUnsent = exchangeEnd.kind == EndKind::ConnectFailed;
+            this->end(resultOf(exchangeEnd.kind), isUnsent ? Verdict::NotRun : Verdict::MayHaveRun);
             return;
         }
-        const bool matchesRequest = headerText(response, requestIdHeader) == this->call.requestId;
-        if (!matchesRequest) {
-            this->end(AttemptResult::InvalidAnswer);
+        this->onReleased(this->connection);
+        if (this->isStream) {
+            this->onStreamEnd();
             return;
         }
-        const bool isStream = this->call.streamed && response.headers().content_type().find("text/event-stream") != std::string::npos;
-        if (isStream) {
-            this->readLine(response);
-        } else {
-            this->readBody(response);
-        }
-    }
-
-    void readBody(const http_response &response)
-    {
-        const auto self = this->shared_from_this();
-        response.extract_vector().then([self, response](const pplx::task<std::vector<unsigned char>> &task) {
-            self->runGuarded([&] {
-                std::vector<unsigned char> body = task.get();
-                const auto expected = response.headers().find("Content-Length");
-                if (expected != response.headers().end() && response.headers().content_length() != body.size()) {
-                    self->end(AttemptResult::InvalidAnswer);
-                    return;
-                }
-                self->outcome.cost = headerNumber<std::uint32_t>(response, costHeader);
-                self->outcome.firstToken = process::readClock() - self->startedAt;
-                self->outcome.answer.assign(body.begin(), body.end());
-                self->sink.onAnswer(response.status_code(), response.headers().content_type(), std::move(body));
-                self->end(AttemptResult::Completed, Verdict::Ran);
-            });
-        });
-    }
-
-    void readLine(const http_response &response)
-    {
-        const auto self = this->shared_from_this();
-        const auto line = std::make_shared<concurrency::streams::container_buffer<std::string>>();
-        response.body().read_line(*line).then([self, response, line](const pplx::task<size_t> &task) {
-            self->runGuarded([&] {
-                const std::size_t size = task.get();
-                const bool atEnd = size == 0 && response.body().is_eof();
-                if (atEnd) {
-                    self->onStreamEnd();
-                } else if (self->processLine(line->collection())) {
-                    self->readLine(response);
-                }
-            });
-        });
+        this->outcome.cost = fieldNumber(this->header, costHeader);
+        this->outcome.firstToken = process::readClock() - this->startedAt;
+        this->outcome.answer.assign(this->body.begin(), this->body.end());
+        this->sink.onAnswer(this->outcome.status, fieldText(this->header, "Content-Type"), std::move(this->body));
+        this->end(AttemptResult::Completed, Verdict::Ran);
     }
 
-    /** @returns whether to read the next line. */
-    bool processLine(std::string line)
+    void processLine(std::string line)
     {
         if (!line.empty() && line.back() == '\r') {
             line.pop_back();
         }
         if (line.size() + this->data.size() > config::maxEventBytes) {
-            this->end(AttemptResult::InvalidAnswer);
-            return false;
-        }
-        if (line.starts_with("id:")) {
+            this->giveUp(AttemptResult::InvalidAnswer);
+        } else if (line.starts_with("id:")) {
             this->eventId = line.substr(line.find_first_not_of(' ', 3) == std::string::npos ? line.size() : line.find_first_not_of(' ', 3));
         } else if (line.starts_with("data:")) {
             const std::size_t start = line.find_first_not_of(' ', 5);
             this->data += start == std::string::npos ? "" : line.substr(start);
         } else if (line.empty() && !this->data.empty()) {
-            return this->processEvent();
+            this->processEvent();
         }
-        return true;
     }
 
-    bool processEvent()
+    void processEvent()
     {
         const std::string eventId = std::exchange(this->eventId, {});
         const std::string data = std::exchange(this->data, {});
         switch (this->check.accept(eventId, data)) {
         case EventAction::Skip:
-            return true;
+            return;
         case EventAction::Invalid:
-            this->end(AttemptResult::InvalidAnswer);
-            return false;
+            this->giveUp(AttemptResult::InvalidAnswer);
+            return;
         case EventAction::Forward:
             break;
         }
@@ -207,20 +221,17 @@
         this->outcome.answerStarted = true;
         const std::string text = (eventId.empty() ? "" : "id: " + eventId + "\n") + "data: " + data + "\n\n";
         if (!this->sink.onEvent(text)) {
-            this->end(AttemptResult::CallerGone);
-            return false;
-        }
-        if (this->check.isWhole()) {
+            this->giveUp(AttemptResult::CallerGone);
+        } else if (this->check.isWhole()) {
+            this->connection->cancel();
             this->onStreamEnd();
-            return false;
         }
-        return true;
     }
 
     void onStreamEnd()
     {
         if (!this->check.isWhole()) {
-            this->end(AttemptResult::InvalidAnswer);
+            this->end(AttemptResult::InvalidAnswer, Verdict::MayHaveRun);
             return;
         }
         this->outcome.cost = std::max(this->check.cost(), this->check.generated());
@@ -230,10 +241,12 @@
         this->end(AttemptResult::Completed, Verdict::Ran);
     }
 
-    void end(AttemptResult result)
+    void giveUp(AttemptResult result, Verdict verdict)
     {
-        const bool isUnsent = result == AttemptResult::ConnectFailed;
-        this->end(result, isUnsent ? Verdict::NotRun : Verdict::MayHaveRun);
+        if (!this->hasEnded) {
+            this->connection->cancel();
+            this->end(result, verdict);
+        }
     }
 
     void end(AttemptResult result, Verdict verdict)
@@ -241,6 +254,7 @@
         if (std::exchange(this->hasEnded, true)) {
             return;
         }
+        this->timer.cancel();
         this->outcome.result = result;
         this->outcome.verdict = verdict;
         if (this->outcome.cost == 0 && this->check.generated() > 0) {
@@ -249,44 +263,115 @@
         this->sink.onEnd(this->outcome);
     }
 
-    std::shared_ptr<web::http::client::http_client> client;
+    ConnectionPointer connection;
     BackendCall call;
     AnswerSink sink;
+    std::function<void(const ConnectionPointer &)> onReleased;
+    connection::OneShotTimer timer;
     AnswerCheck check;
     AttemptOutcome outcome;
     Time startedAt;
     Time firstTokenAt {0};
     Time lastTokenAt {0};
+    http::AnswerHeader header;
+    std::vector<unsigned char> body;
+    std::string line; ///< Begun, of a stream.
     std::string eventId;
     std::string data;
-    bool hasResponded = false;
+    bool isStream = false;
     bool hasEnded = false;
 };
 
 }
 
-AbortHandle BackendClient::start(const version::BackendServer &backend, const BackendCall &call, AnswerSink sink)
+/** The event loop, and the connections that only its thread uses. */
+class BackendClient::Parts
 {
-    const std::string address = "http://" + backend.address + ":" + std::to_string(backend.port);
-    auto abort = std::make_shared<pplx::cancellation_token_source>();
-    const auto attempt = std::make_shared<Attempt>(this->clientFor(address, call.idempotent), call, std::move(sink));
-    attempt->run(abort);
-    return abort;
-}
+public:
+    Parts() = default;
+    ~Parts()
+    {
+        this->thread.stop();
+    }
+    Parts(const Parts &) = delete;
+    Parts &operator=(const Parts &) = delete;
 
-std::shared_ptr<web::http::client::http_client> BackendClient::clientFor(const std::string &address, bool idempotent)
-{
-    web::http::client::http_client_config settings;
-    settings.set_timeout(std::chrono::duration_cast<std::chrono::seconds>(config::maxDeadline));
-    if (!idempotent) {
-        return std::make_shared<web::http::client::http_client>(web::uri(address), settings);
+    AbortAttempt start(const version::BackendServer &backend, const BackendCall &call, AnswerSink sink)
+    {
+        const auto attempt = std::make_shared<std::weak_ptr<Attempt>>();
+        boost::asio::post(this->thread.context(), [this, attempt, backend, call, sink = std::move(sink)]() mutable {
+            const std::string host = backend.address + ":" + std::to_string(backend.port);
+            const http::Endpoint endpoint(boost::asio::ip::make_address(backend.address), backend.port);
+            const bool mayReuse = call.idempotent;
+            auto connection = mayReuse ? this->acquire(endpoint) : this->makeConnection(endpoint);
+            const auto release = [this, endpoint, mayReuse](const ConnectionPointer &used) {
+                if (mayReuse) {
+                    this->keep(endpoint, used);
+                } else {
+                    used->cancel();
+                }
+            };
+            const auto started = std::make_shared<Attempt>(std::move(connection), std::move(call), std::move(sink), release);
+            *attempt = started;
+            started->run(host);
+        });
+        return [this, attempt] {
+            boost::asio::post(this->thread.context(), [attempt] {
+                if (const auto running = attempt->lock()) {
+                    running->giveUp(AttemptResult::CallerGone);
+                }
+            });
+        };
+    }
+
+private:
+    ConnectionPointer makeConnection(const http::Endpoint &endpoint)
+    {
+        return std::make_shared<http::ClientConnection>(this->thread.context().get_executor(), endpoint);
+    }
+
+    ConnectionPointer acquire(const http::Endpoint &endpoint)
+    {
+        std::vector<ConnectionPointer> &kept = this->keptConnections[endpoint];
+        if (kept.empty()) {
+            return this->makeConnection(endpoint);
+        }
+        ConnectionPointer connection = std::move(kept.back());
+        kept.pop_back();
+        return connection;
     }
-    const std::lock_guard lock(this->mutex);
-    auto &client = this->sharedClients[address];
-    if (!client) {
-        client = std::make_shared<web::http::client::http_client>(web::uri(address), settings);
+
+    void keep(const http::Endpoint &endpoint, const ConnectionPointer &connection)
+    {
+        std::vector<ConnectionPointer> &kept = this->keptConnections[endpoint];
+        if (!connection->isReusable() || kept.size() >= maxKeptConnections) {
+            connection->cancel();
+            return;
+        }
+        kept.push_back(connection);
+        connection->watchIdle([this, endpoint, watched = connection.get()] {
+            std::vector<ConnectionPointer> &left = this->keptConnections[endpoint];
+            std::erase_if(left, [watched](const ConnectionPointer &each) { return each.get() == watched; });
+            if (left.empty()) {
+                this->keptConnections.erase(endpoint);
+            }
+        });
     }
-    return client;
+
+    process::LoopThread thread;
+    std::map<http::Endpoint, std::vector<ConnectionPointer>> keptConnections;
+};
+
+BackendClient::BackendClient()
+    : parts(std::make_unique<Parts>())
+{
+}
+
+BackendClient::~BackendClient() = default;
+
+AbortAttempt BackendClient::start(const version::BackendServer &backend, const BackendCall &call, AnswerSink sink)
+{
+    return this->parts->start(backend, call, std::move(sink));
 }
 
 }
--- a/src/request/backend_client.h
+++ b/src/request/backend_client.h
@@ -5,13 +5,8 @@
 #include "request/attempt.h"
 #include "version/configuration.h"
 
-#include <cpprest/http_client.h>
-
-#include <atomic>
 #include <functional>
-#include <map>
 #include <memory>
-#include <mutex>
 #include <string>
 #include <vector>
 
@@ -31,7 +26,7 @@
     Duration timeout {0};
 };
 
-/** @brief Callbacks for an answer; called on threads of the HTTP library, one at a time. */
+/** @brief Callbacks for an answer; called on the thread of the client, one at a time. */
 struct AnswerSink {
     /** @brief Receives the complete answer of a call that is not streamed. */
     std::function<void(int status, const std::string &contentType, std::vector<unsigned char> body)> onAnswer;
@@ -41,27 +36,29 @@
     std::function<void(const AttemptOutcome &outcome)> onEnd;
 };
 
-/** @brief Aborts an attempt. */
-using AbortHandle = std::shared_ptr<pplx::cancellation_token_source>;
+/** @brief Aborts an attempt; called on any thread while the client exists, also when the attempt has ended. */
+using AbortAttempt = std::function<void()>;
 
 /**
- * @brief Sends requests to backend servers.
+ * @brief Sends requests to backend servers, and never a request twice.
  *
- * Each non-idempotent call uses a new client with a new connection, because the
- * library silently sends a request again when a reused connection turns out to
- * be closed.
+ * Connections are kept for idempotent calls. Each non-idempotent call uses a new
+ * one, because a backend server may close a kept connection at any moment, and
+ * a call that is lost with it may have run.
  */
 class BackendClient
 {
 public:
-    /** @brief Starts an attempt. @returns a handle that aborts it. */
-    AbortHandle start(const version::BackendServer &backend, const BackendCall &call, AnswerSink sink);
+    BackendClient();
+    /** @brief Ends all attempts; their sinks are not called any more. */
+    ~BackendClient();
 
-private:
-    std::shared_ptr<web::http::client::http_client> clientFor(const std::string &address, bool idempotent);
+    /** @brief Starts an attempt. @returns what aborts it. */
+    AbortAttempt start(const version::BackendServer &backend, const BackendCall &call, AnswerSink sink);
 
-    std::mutex mutex;
-    std::map<std::string, std::shared_ptr<web::http::client::http_client>> sharedClients;
+private:
+    class Parts;
+    std::unique_ptr<Parts> parts;
 };
 
 }
--- a/tests/unit/test_backend_client.cpp
+++ b/tests/unit/test_backend_client.cpp
@@ -1,6 +1,5 @@
 /**
- * @file The HTTP library silently sends a request again when a reused connection was closed by the server.
- * A non-idempotent call must not run twice because of this.
+ * @file Calls on connections that the server has closed: none is sent twice, and a non-idempotent one never meets such a connection.
  */
 
 #include "request/backend_client.h"
@@ -112,19 +111,17 @@
     }
 }
 
-TEST_CASE("the library sends an idempotent call again when a reused connection is closed")
+TEST_CASE("an idempotent call reuses a connection, and is not sent again when the server closes it")
 {
-    // Shows the behaviour that the test above guards against. The library does not define when it returns
-    // a connection to its pool, so calls are repeated until one reuses it.
-    constexpr int maxCalls = 200;
     ClosingServer server;
     request::BackendClient client;
-    int calls = 0;
-    while (calls < maxCalls && server.executions <= calls) {
-        callOnce(client, server.port(), true);
-        ++calls;
-    }
-    CHECK(server.executions == calls + 1);
+    CHECK(callOnce(client, server.port(), true).result == request::AttemptResult::Completed);
+    CHECK(server.executions == 1);
+    // On the same connection, which the server closes without an answer.
+    CHECK(callOnce(client, server.port(), true).result == request::AttemptResult::ConnectionLost);
+    CHECK(server.executions == 2);
+    CHECK(callOnce(client, server.port(), true).result == request::AttemptResult::Completed);
+    CHECK(server.executions == 3);
 }
 
 TEST_CASE("a request on a refused connection has certainly not run")
