Read the platform's answers in the older daemon as in the other one

Daemons and the operators' tool took broken answers of the platform for its objects: a read whose answer held a line that is no header field, or such a trailer, gave a version and a value.

The two with status 000 and the one that breaks off were no answer before either; they are kept in the case.

PlatformHttp now makes its calls with CallClient on an event loop of its own, each on a new connection, since one that the platform has closed would lose a call that may have taken effect.

--- a/src/process/platform_http.cpp
+++ b/src/process/platform_http.cpp
@@ -1,20 +1,27 @@
 #include "process/platform_http.h"
 
-#include <cpprest/http_client.h>
+#include "connection/http/call_client.h"
+#include "process/loop_thread.h"
+
+#include <boost/asio/post.hpp>
 
 #include <charconv>
+#include <memory>
+#include <set>
 
 namespace eelgrassnotch::process
 {
 
-using web::http::http_request;
-using web::http::http_response;
+namespace http = connection::http;
+using boost::beast::http::field;
+using boost::beast::http::status;
+using boost::beast::http::verb;
 
 namespace
 {
 
-constexpr auto callTimeout = std::chrono::seconds(2);
-constexpr auto watchTimeout = std::chrono::seconds(15);
+constexpr Duration callTimeout = std::chrono::seconds(2);
+constexpr Duration watchTimeout = std::chrono::seconds(15);
 /** How long the platform may hold a watch without news. */
 constexpr int watchPeriodMs = 5000;
 
@@ -23,28 +30,27 @@
     return "\"" + std::to_string(version) + "\"";
 }
 
-std::uint64_t versionOf(const http_response &response)
+std::uint64_t versionOf(const http::AnswerHeader &header)
 {
     std::uint64_t version = 0;
-    if (const auto found = response.headers().find("ETag"); found != response.headers().end() && found->second.size() > 2) {
-        const std::string &tag = found->second;
+    if (const auto tag = header[field::etag]; tag.size() > 2) {
         std::from_chars(tag.data() + 1, tag.data() + tag.size() - 1, version);
     }
     return version;
 }
 
-StoreStatus statusFor(int code)
+StoreStatus statusFor(unsigned code)
 {
-    switch (code) {
-    case web::http::status_codes::OK:
-    case web::http::status_codes::Created:
-    case web::http::status_codes::NoContent:
-    case web::http::status_codes::NotModified:
+    switch (static_cast<status>(code)) {
+    case status::ok:
+    case status::created:
+    case status::no_content:
+    case status::not_modified:
         return StoreStatus::Ok;
-    case web::http::status_codes::PreconditionFailed:
-    case web::http::status_codes::Conflict:
+    case status::precondition_failed:
+    case status::conflict:
         return StoreStatus::Conflict;
-    case web::http::status_codes::NotFound:
+    case status::not_found:
         return StoreStatus::NotFound;
     default:
         return StoreStatus::Unknown;
@@ -53,53 +59,52 @@
 
 }
 
+/** Each call has a connection of its own: one that the platform had closed would lose a call that may have taken effect. */
 class PlatformHttp::Client
 {
 public:
-    explicit Client(const Endpoint &platform)
-        : base("http://" + platform.address + ":" + std::to_string(platform.port))
-        , calls(this->base, this->settings(callTimeout))
-        , watches(this->base, this->settings(watchTimeout))
+    Client(const Endpoint &endpoint, Poster answerPost)
+        : platform(boost::asio::ip::make_address(endpoint.address), endpoint.port)
+        , post(std::move(answerPost))
     {
     }
-
-    static web::http::client::http_client_config settings(std::chrono::seconds timeout)
+    ~Client()
     {
-        web::http::client::http_client_config settings;
-        settings.set_timeout(timeout);
-        return settings;
+        this->thread.stop();
     }
+    Client(const Client &) = delete;
+    Client &operator=(const Client &) = delete;
 
-    void send(const http_request &request, bool isWatch, const Poster &post, Callback callback)
+    void send(http::Request request, Duration timeout, Callback callback)
     {
-        auto &client = isWatch ? this->watches : this->calls;
-        const auto finish = [post, callback = std::move(callback)](const pplx::task<StoreAnswer> &task) {
-            StoreAnswer answer;
-            try {
-                answer = task.get();
-            } catch (const std::exception &) {
-                answer.status = StoreStatus::Unknown;
-            }
-            post([callback, answer] { callback(answer); });
-        };
-        client.request(request)
-            .then([](const http_response &response) {
-                return response.extract_utf8string(true).then([response](const std::string &body) {
-                    return StoreAnswer {statusFor(response.status_code()), versionOf(response), body};
-                });
-            })
-            .then(finish);
+        boost::asio::post(this->thread.context(), [this, request = std::move(request), timeout, callback = std::move(callback)]() mutable {
+            const auto call = std::make_shared<http::CallClient>(this->thread.context(), this->platform);
+            this->running.insert(call);
+            call->call(std::move(request), {timeout, timeout}, [this, call = call.get(), callback](const auto &result) {
+                this->post([callback, answer = toAnswer(result)] { callback(answer); });
+                boost::asio::post(this->thread.context(),
+                                  [this, call] { std::erase_if(this->running, [call](const auto &each) { return each.get() == call; }); });
+            });
+        });
     }
 
 private:
-    web::uri base;
-    web::http::client::http_client calls;
-    web::http::client::http_client watches;
+    static StoreAnswer toAnswer(const http::CallResult &result)
+    {
+        if (!result.header) {
+            return {};
+        }
+        return {statusFor(result.status), versionOf(*result.header), result.body};
+    }
+
+    http::Endpoint platform;
+    Poster post;
+    process::LoopThread thread;
+    std::set<std::shared_ptr<http::CallClient>> running; ///< Used on the thread only.
 };
 
 PlatformHttp::PlatformHttp(const Endpoint &platform, Poster post)
-    : client(std::make_unique<Client>(platform))
-    , post(std::move(post))
+    : client(std::make_unique<Client>(platform, std::move(post)))
 {
 }
 
@@ -108,11 +113,15 @@
 namespace
 {
 
-http_request requestFor(const web::http::method &method, const std::string &key)
+http::Request requestFor(verb method, const std::string &key)
+{
+    return {method, "/objects/" + key, 11};
+}
+
+void setValue(http::Request &request, const std::string &value)
 {
-    http_request request(method);
-    request.set_request_uri(web::uri("/objects/" + key));
-    return request;
+    request.set(field::content_type, "application/json");
+    request.body() = value;
 }
 
 }
@@ -120,44 +129,40 @@
 void PlatformHttp::read(const std::string &key, Callback callback)
 {
     ++this->callCount;
-    this->client->send(requestFor(web::http::methods::GET, key), false, this->post, std::move(callback));
+    this->client->send(requestFor(verb::get, key), callTimeout, std::move(callback));
 }
 
 void PlatformHttp::create(const std::string &key, const std::string &value, Callback callback)
 {
     ++this->callCount;
-    http_request request = requestFor(web::http::methods::PUT, key);
-    request.headers().add("If-None-Match", "*");
-    request.set_body(value, "application/json");
-    this->client->send(request, false, this->post, std::move(callback));
+    http::Request request = requestFor(verb::put, key);
+    request.set(field::if_none_match, "*");
+    setValue(request, value);
+    this->client->send(std::move(request), callTimeout, std::move(callback));
 }
 
 void PlatformHttp::update(const std::string &key, const std::string &value, std::uint64_t version, Callback callback)
 {
     ++this->callCount;
-    http_request request = requestFor(web::http::methods::PUT, key);
-    request.headers().add("If-Match", quoteVersion(version));
-    request.set_body(value, "application/json");
-    this->client->send(request, false, this->post, std::move(callback));
+    http::Request request = requestFor(verb::put, key);
+    request.set(field::if_match, quoteVersion(version));
+    setValue(request, value);
+    this->client->send(std::move(request), callTimeout, std::move(callback));
 }
 
 void PlatformHttp::remove(const std::string &key, std::uint64_t version, Callback callback)
 {
     ++this->callCount;
-    http_request request = requestFor(web::http::methods::DEL, key);
-    request.headers().add("If-Match", quoteVersion(version));
-    this->client->send(request, false, this->post, std::move(callback));
+    http::Request request = requestFor(verb::delete_, key);
+    request.set(field::if_match, quoteVersion(version));
+    this->client->send(std::move(request), callTimeout, std::move(callback));
 }
 
 void PlatformHttp::watch(const std::string &key, std::uint64_t knownVersion, Callback callback)
 {
     ++this->callCount;
-    http_request request(web::http::methods::GET);
-    web::uri_builder uri("/objects/" + key);
-    uri.append_query("watch", watchPeriodMs);
-    uri.append_query("known", knownVersion);
-    request.set_request_uri(uri.to_uri());
-    this->client->send(request, true, this->post, std::move(callback));
+    const std::string query = "?watch=" + std::to_string(watchPeriodMs) + "&known=" + std::to_string(knownVersion);
+    this->client->send(requestFor(verb::get, key + query), watchTimeout, std::move(callback));
 }
 
 }
--- a/src/process/platform_http.h
+++ b/src/process/platform_http.h
@@ -41,7 +41,6 @@
 private:
     class Client;
     std::unique_ptr<Client> client;
-    Poster post;
     std::atomic<std::uint64_t> callCount {0};
 };
 
--- a/tests/unit/test_backend_answers.cpp
+++ b/tests/unit/test_backend_answers.cpp
@@ -1,5 +1,6 @@
-/** @file Backend servers of the older daemon whose answers break off, or are none. */
+/** @file Backend servers and the platform of the older daemon, whose answers break off or are none. */
 
+#include "process/platform_http.h"
 #include "request/backend_client.h"
 #include "standin/raw_server.h"
 
@@ -136,3 +137,36 @@
         }
     }
 }
+
+TEST_CASE("a broken answer of the platform is no answer, and the next call is answered")
+{
+    const std::vector<std::string> answers = {
+        "HTTP/1.1 000 X\r\nETag: \"7\"\r\nContent-Length: 6\r\n\r\nbroken",
+        "HTTP/1.1 000 X\r\n\r\nHTTP/1.1 200 OK\r\nETag: \"7\"\r\nContent-Length: 6\r\n\r\nbroken",
+        "HTTP/1.1 200 OK\r\nE Tag: 1\r\nETag: \"7\"\r\nContent-Length: 6\r\n\r\nbroken",
+        "HTTP/1.1 200 OK\r\nETag : \"7\"\r\nContent-Length: 6\r\n\r\nbroken",
+        "HTTP/1.1 200 OK\r\nETag: \"7\"\r\nContent Length: 6\r\n\r\nbroken",
+        "HTTP/1.1 200 OK\r\nETag: \"7\"\r\nX\x01Note: a\r\nContent-Length: 6\r\n\r\nbroken",
+        "HTTP/1.1 200 OK\r\nETag: \"7\"\r\nX-Note: a\r\n b\r\nContent-Length: 6\r\n\r\nbroken",
+        "HTTP/1.1 200 OK\r\nETag: \"7\"\r\nContent-Length: 60\r\n\r\nbroken",
+        "HTTP/1.1 200 OK\r\nETag: \"7\"\r\nTransfer-Encoding: chunked\r\n\r\n6\r\nbroken\r\n0\r\nX Sum: 1\r\n\r\n",
+    };
+    for (const std::string &answer : answers) {
+        CAPTURE(answer);
+        RawServer server([&answer](Socket &socket, const Request &request) {
+            const bool isBroken = request.target() == "/objects/broken";
+            sendBytes(socket, isBroken ? answer : "HTTP/1.1 200 OK\r\nETag: \"7\"\r\nContent-Length: 4\r\n\r\nfine");
+            return !isBroken;
+        });
+        const std::string address = server.address();
+        const auto port = static_cast<std::uint16_t>(std::stoi(address.substr(address.find(':') + 1)));
+        process::PlatformHttp store({"127.0.0.1", port}, [](const std::function<void()> &task) { task(); });
+        const auto read = [&store](const std::string &key) {
+            std::promise<process::StoreAnswer> promise;
+            store.read(key, [&promise](const process::StoreAnswer &read) { promise.set_value(read); });
+            return promise.get_future().get();
+        };
+        CHECK(read("broken").status == process::StoreStatus::Unknown);
+        CHECK(read("sound") == process::StoreAnswer {process::StoreStatus::Ok, 7, "fine"});
+    }
+}
