Keep the linter's rules in the code that reads answers

The linter found a move without effect in BackendClient, which copied each request's body once more, and strings put together in loops of three cases.

--- a/src/connection/http/client_connection.h
+++ b/src/connection/http/client_connection.h
@@ -63,6 +63,7 @@
     void watchIdle(std::function<void()> onClosed);
     /** @returns whether the connection is open and may carry another request. */
     bool isReusable() const;
+    /** @returns the executor that calls the hooks. */
     boost::asio::any_io_executor executor()
     {
         return this->socket.get_executor();
--- a/src/request/backend_client.cpp
+++ b/src/request/backend_client.cpp
@@ -299,7 +299,7 @@
     AbortAttempt start(const version::BackendServer &backend, const BackendCall &call, AnswerSink sink)
     {
         const auto attempt = std::make_shared<std::weak_ptr<Attempt>>();
-        boost::asio::post(this->thread.context(), [this, attempt, backend, call, sink = std::move(sink)]() mutable {
+        boost::asio::post(this->thread.context(), [this, attempt, backend, call = BackendCall(call), sink = std::move(sink)]() mutable {
             const std::string host = backend.address + ":" + std::to_string(backend.port);
             const http::Endpoint endpoint(boost::asio::ip::make_address(backend.address), backend.port);
             const bool mayReuse = call.idempotent;
--- a/tests/proxy/test_client_connection.cpp
+++ b/tests/proxy/test_client_connection.cpp
@@ -344,7 +344,7 @@
             CAPTURE(status);
             CAPTURE(rest);
             standin::RawServer server([&](standin::Socket &socket, const standin::Request &) {
-                standin::sendBytes(socket, "HTTP/1.1 " + status + " X\r\n" + rest);
+                standin::sendBytes(socket, std::string("HTTP/1.1 ").append(status).append(" X\r\n").append(rest));
                 return true;
             });
             boost::asio::io_context context;
--- a/tests/unit/test_backend_answers.cpp
+++ b/tests/unit/test_backend_answers.cpp
@@ -104,7 +104,7 @@
             CAPTURE(framing);
             CAPTURE(isIdempotent);
             RawServer server([&framing](Socket &socket, const Request &) {
-                sendBytes(socket, "HTTP/1.1 200 OK\r\n" + ownField + framing + "broken");
+                sendBytes(socket, std::string("HTTP/1.1 200 OK\r\n").append(ownField).append(framing).append("broken"));
                 return false;
             });
             request::BackendClient client;
@@ -125,7 +125,7 @@
             CAPTURE(part);
             RawServer server(
                 [&part](Socket &socket, const Request &) {
-                    sendBytes(socket, "HTTP/1.1 200 OK\r\n" + ownField + "\r\n" + part);
+                    sendBytes(socket, std::string("HTTP/1.1 200 OK\r\n").append(ownField).append("\r\n").append(part));
                     sendReset(socket);
                     return false;
                 },
