Refuse at two of three engines in the process test of streams

Callers of the fleet saw nothing that the documents don't state: 502 retries_exhausted, "not run".

Cause: the test let each of three engines refuse one request and expected that request to be answered. A request has three attempts (config::maxAttempts, docs/design/limits.md), and each data centre has one engine. Where the third attempt goes depends on which data centres' digests have come since the start, one second before: to an engine that has refused already, and it is answered, or to the third engine, and it has been refused by all.

--- a/tests/processes/lib.sh
+++ b/tests/processes/lib.sh
@@ -68,3 +68,13 @@
         [ "$(version_of "$number")" = "$1" ] || return 1
     done
 }
+
+# knows_data_centres SERVICE COUNT DAEMON...: whether one of the daemons dispatches the service and knows the room of so many other data centres.
+knows_data_centres()
+{
+    local number
+    for number in "${@:3}"; do
+        curl -sf "http://127.0.0.1:$(operator_port "$number")/status" | tr '{}' '\n\n' | grep "\"dataCentresKnown\":$2,.*\"service\":\"$1\"" >/dev/null && return 0
+    done
+    return 1
+}
--- a/tests/processes/streams.sh
+++ b/tests/processes/streams.sh
@@ -21,6 +21,13 @@
     done
 }
 
+retries()
+{
+    local count
+    count="$(curl -sf "http://127.0.0.1:$(operator_port 1)/metrics" | grep '^eelgrassnotch_retries_total{reason="backend_refused"}' | awk '{print $2}')"
+    echo "${count:-0}"
+}
+
 plain="$(quote 1)"
 check "a plain stream is whole" whole "$plain" 8
 each_engine '{"crossEvent": 1}'
@@ -36,9 +43,24 @@
 cut="$(quote 1)"
 check "a cut stream has no end mark" bash -c '! grep -q "\[DONE\]" <<<"$1"' _ "$cut"
 check "and tells so" grep -q '^event: error' <<<"$cut"
-each_engine '{"truncate": 0, "refuse": 1}'
-check "a refused request is tried elsewhere" whole "$(quote 1)" 8
+each_engine '{"truncate": 0}'
+
+check "the data centres know each other's engines" wait_for 20 knows_data_centres quote-writer 2 1 2
+for port in 21101 21102; do
+    set_fault "$port" '{"refuse": 1}'
+done
+check "a request that two of three engines refuse is answered" whole "$(quote 1)" 8
+before="$(retries)"
+check "its retries are counted by their reason" [ "$before" != 0 ]
+each_engine '{"refuse": 3}'
+refused="$(quote 1)"
+check "a request that all engines refuse is refused" [ "$(status_of "$refused")" = 502 ]
+check "after three attempts" [ "$(($(retries) - before))" = 2 ]
+check "the refusal says not run" grep -q '"reason":"retries_exhausted".*"verdict":"not run"' <<<"$refused"
+check "and when to come back" grep -q '"retryAfterSeconds":[1-9]' <<<"$refused"
+id="$(grep -o '"requestId":"[^"]*"' <<<"$refused" | cut -d '"' -f 4)"
+check "it names the request" [ -n "$id" ]
+check "and the request ran nowhere" [ "$(count_executions "^$id:" 21101 21102 21103)" = 0 ]
 each_engine '{"refuse": 0}'
-counters="$(curl -sf "http://127.0.0.1:$(operator_port 1)/metrics" | grep '^eelgrassnotch_retries_total{reason="backend_refused"}' | awk '{print $2}')"
-check "the retry is counted by its reason" [ "${counters:-0}" != 0 ]
+check "the next request is answered" whole "$(quote 1)" 8
 finish
