Refuse answers with a transfer coding other than "chunked"

What callers saw: a backend server's answer with "Transfer-Encoding: gzip", before "chunked" or beside a length, was passed on by both daemons as 200, with the coded bytes as its body and without the name of the coding: a body that the caller can't read. With "chunked, chunked" the read did not end before the test's limit. No daemon asks for a coding (it sends no TE), so no answer may have one.

Evidence, on: in test_broken_answers.cpp three of the four added answers to an order were served with 200, on new and kept connections alike (chunks beside a length were refused already, and stay as a case); both in test_backend_answers.cpp came through in the older daemon; the new case of test_client_connection.cpp failed as well.

Fix: hasUnknownTransferCoding() is in types.h, and ClientConnection ends such an exchange as malformed before it delivers anything. It is the one reader of answers in both daemons, so orders get 502, lookups go to another backend server, and calls to the store are repeated.

--- a/src/connection/http/client_connection.cpp
+++ b/src/connection/http/client_connection.cpp
@@ -194,6 +194,10 @@
         this->end(EndKind::Malformed, "invalid status " + std::to_string(status));
         return;
     }
+    if (hasUnknownTransferCoding(header)) {
+        this->end(EndKind::Malformed, "unknown transfer coding");
+        return;
+    }
     if (status < minFinalStatus) {
         if (++this->informationalAnswers > maxInformationalAnswers) {
             this->end(EndKind::Malformed, "too many informational answers");
--- a/src/connection/http/server_session.cpp
+++ b/src/connection/http/server_session.cpp
@@ -40,13 +40,6 @@
     return error == boost::asio::error::would_block || error == boost::asio::error::try_again;
 }
 
-/** A coding other than "chunked" would leave the end of the body to guesswork, and what follows it to be taken for a request. */
-bool hasUnknownTransferCoding(const Request &request)
-{
-    const auto coding = request.find(field::transfer_encoding);
-    return coding != request.end() && (!beast::iequals(coding->value(), "chunked") || request.count(field::transfer_encoding) > 1);
-}
-
 /** What a socket tells without waiting. */
 enum class SocketState {
     quiet,
--- a/src/connection/http/types.cpp
+++ b/src/connection/http/types.cpp
@@ -3,6 +3,7 @@
 #include "connection/http/limits.h"
 
 #include <boost/asio/ip/address.hpp>
+#include <boost/beast/core/string.hpp>
 
 #include <netinet/tcp.h>
 #include <sys/socket.h>
@@ -29,6 +30,13 @@
     return {address, port};
 }
 
+bool hasUnknownTransferCoding(const boost::beast::http::fields &header)
+{
+    constexpr auto transferEncoding = boost::beast::http::field::transfer_encoding;
+    const auto coding = header.find(transferEncoding);
+    return coding != header.end() && (!boost::beast::iequals(coding->value(), "chunked") || header.count(transferEncoding) > 1);
+}
+
 void configureSocket(Socket &socket)
 {
     boost::system::error_code ignored; // A socket that its peer has reset fails on the next read.
--- a/src/connection/http/types.h
+++ b/src/connection/http/types.h
@@ -21,6 +21,12 @@
 /** @returns the endpoint of "IP:PORT". @throws std::invalid_argument when it is none. */
 Endpoint parseEndpoint(const std::string &text);
 
+/**
+ * @returns whether a message has a transfer coding other than "chunked", or more than one (RFC 9112, section 6.1). Its body can't be
+ * decoded, or its end can't be told, so that what follows might be taken for another message.
+ */
+bool hasUnknownTransferCoding(const boost::beast::http::fields &header);
+
 /** @brief Turns on probes and timeouts that find a peer which has gone silent, and turns off delayed sends. */
 void configureSocket(Socket &socket);
 
--- a/tests/proxy/test_broken_answers.cpp
+++ b/tests/proxy/test_broken_answers.cpp
@@ -110,6 +110,10 @@
         "HTTP/1.1 200 OK\r\n%Transfer-Encoding: chunked\r\n\r\n6\r\nbroken\r\n0\r\nX Sum: 1\r\n\r\n",
         "HTTP/1.1 200 OK\r\n%Transfer-Encoding: chunked\r\n\r\n 6\r\nbroken\r\n0\r\n\r\n",
         "HTTP/1.1 200 OK\r\n%Transfer-Encoding: chunked\r\n\r\n6;a\x01\r\nbroken\r\n0\r\n\r\n",
+        "HTTP/1.1 200 OK\r\n%Transfer-Encoding: gzip, chunked\r\n\r\n6\r\nbroken\r\n0\r\n\r\n",
+        "HTTP/1.1 200 OK\r\n%Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked\r\n\r\n6\r\nbroken\r\n0\r\n\r\n",
+        "HTTP/1.1 200 OK\r\n%Transfer-Encoding: gzip\r\nContent-Length: 6\r\n\r\nbroken",
+        "HTTP/1.1 200 OK\r\n%Transfer-Encoding: chunked\r\nContent-Length: 6\r\n\r\n6\r\nbroken\r\n0\r\n\r\n",
     };
     return answers;
 }
--- a/tests/proxy/test_client_connection.cpp
+++ b/tests/proxy/test_client_connection.cpp
@@ -383,6 +383,34 @@
     }
 }
 
+TEST_CASE("an answer with a transfer coding other than chunked is malformed")
+{
+    const std::string chunks = "\r\n2\r\nab\r\n0\r\n\r\n";
+    const std::vector<std::pair<std::string, EndKind>> forms = {
+        {"Transfer-Encoding: chunked\r\n" + chunks, EndKind::Complete},
+        {"transfer-encoding: Chunked\r\n" + chunks, EndKind::Complete},
+        {"Transfer-Encoding: gzip, chunked\r\n" + chunks, EndKind::Malformed},
+        {"Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked\r\n" + chunks, EndKind::Malformed},
+        {"Transfer-Encoding: chunked, chunked\r\n" + chunks, EndKind::Malformed},
+        {"Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n" + chunks, EndKind::Malformed},
+        {"Transfer-Encoding: chunked\r\nContent-Length: 2\r\n" + chunks, EndKind::Malformed},
+        {"Transfer-Encoding: gzip\r\nContent-Length: 2\r\n\r\nab", EndKind::Malformed},
+        {"Transfer-Encoding: identity\r\nContent-Length: 2\r\n\r\nab", EndKind::Malformed},
+        {"Transfer-Encoding: gzip\r\n\r\nab", EndKind::Malformed},
+    };
+    for (const auto &form : forms) {
+        CAPTURE(form.first);
+        standin::RawServer server([&](standin::Socket &socket, const standin::Request &) {
+            standin::sendBytes(socket, "HTTP/1.1 200 OK\r\n" + form.first);
+            return form.first.find("\r\n\r\nab") == std::string::npos;
+        });
+        boost::asio::io_context context;
+        const Outcome outcome = sendOne(context, connectTo(context, server));
+        CHECK(outcome.end->kind == form.second);
+        CHECK(outcome.body == (form.second == EndKind::Complete ? "ab" : ""));
+    }
+}
+
 TEST_CASE("an answer with a line that is no header field is malformed, wherever it stands")
 {
     const std::vector<std::string> lines = {
--- a/tests/unit/test_backend_answers.cpp
+++ b/tests/unit/test_backend_answers.cpp
@@ -74,6 +74,8 @@
         "HTTP/1.1 200 OK\r\n" + ownField + "Content-Length : 6\r\n\r\nbroken",
         "HTTP/1.1 200 OK\r\n" + ownField + "X-Note\r\nContent-Length: 6\r\n\r\nbroken",
         "HTTP/1.1 200 OK\r\n" + ownField + "Transfer-Encoding: chunked\r\n\r\n6\r\nbroken\r\n0\r\nX Sum: 1\r\n\r\n",
+        "HTTP/1.1 200 OK\r\n" + ownField + "Transfer-Encoding: gzip, chunked\r\n\r\n6\r\nbroken\r\n0\r\n\r\n",
+        "HTTP/1.1 200 OK\r\n" + ownField + "Transfer-Encoding: gzip\r\nContent-Length: 6\r\n\r\nbroken",
     };
     for (const std::string &answer : answers) {
         for (const bool isIdempotent : {false, true}) {
