--- a/tests/proxy/test_handover.cpp
+++ b/tests/proxy/test_handover.cpp
@@ -224,6 +224,24 @@
     CHECK(answer.get().result_int() == 0);
 }
 
+TEST_CASE("an answer whose backend server breaks it off at the neighbour is reset at the caller, and the next request is served")
+{
+    std::atomic<int> requests = 0;
+    Pair pair([&requests](const http::AnswerWriterPtr &answer) {
+        if (++requests == 2) {
+            answer->sendAnswer(plainAnswer(200, "fine"));
+            return;
+        }
+        answer->startStream(plainAnswer(200, ""));
+        answer->sendPart("one ");
+        answer->abort();
+    });
+    CHECK(pair.call().result_int() == 0);
+    CHECK(pair.call().body() == "fine");
+    CHECK(pair.call().result_int() == 0);
+    CHECK(requests == 3);
+}
+
 TEST_CASE("a neighbour with an older configuration declines, and nothing of the request is served")
 {
     Pair pair([](const http::AnswerWriterPtr &answer) { answer->sendAnswer(plainAnswer(200, "")); }, configurationVersion - 1);
