Tell lost incarnations apart, and keep suspected parts by age

Callers and backend servers: a part of prompts that ends backend servers was never quarantined where the one it is sent to starts again under its id, or where prompts list some hundred parts.

Cause: losses were counted by the handle of a backend server, a hash of its id alone, so that all its incarnations were one loss. The table of suspected parts held 256 and displaced those with one loss by the lowest id, so that a part with a low id never had a second loss where one request adds 394. Sixteen losses of a power cut filled a part's room for later ones.

Evidence: backend_lost, which is new in the log, names the incarnation and the number of parts. Ruled out: answers that clear the part (none is written), and daemons that tell one incarnation apart differently (losses count by time).

Now a loss counts for the incarnation that the entry tells, id and start, and for another one where this daemon was refused a connection since the last loss: a process that listens is not refused, so this holds while the entry is late or the store is away. Suspected parts are displaced by age, those with several losses last, 16,384 are kept, and a message tells what has changed first and the rest in turn. Of 16 losses the closest two are joined. Requests are given up in one pass for all parts that are quarantined together.

The flood test's bound on suspected parts is the new one, 16,384, and the message's bound stays 4,096 bytes. Its last check asked which part of a prompt is held; the prompt's common part comes only beside the deadly one there, and was missing only since it had been displaced for its low id. It asks for the deadly part alone now.

--- a/src/connection/http/client_connection.cpp
+++ b/src/connection/http/client_connection.cpp
@@ -80,7 +80,7 @@
         }
         self->connectTimer.cancel();
         if (error) {
-            self->end(EndKind::ConnectFailed, error.message());
+            self->end(EndKind::ConnectFailed, error.message(), error == boost::asio::error::connection_refused);
             return;
         }
         self->isOpen = true;
@@ -259,7 +259,7 @@
     this->end(EndKind::Complete, "");
 }
 
-void ClientConnection::end(EndKind kind, const std::string &detail)
+void ClientConnection::end(EndKind kind, const std::string &detail, bool isRefused)
 {
     ++this->generation;
     this->isBusy = false;
@@ -273,7 +273,7 @@
     }
     const ExchangeHooks finished = std::exchange(this->hooks, {});
     this->request.reset();
-    finished.onEnd({kind, detail});
+    finished.onEnd({kind, detail, isRefused});
 }
 
 void ClientConnection::cancel()
--- a/src/connection/http/client_connection.h
+++ b/src/connection/http/client_connection.h
@@ -34,6 +34,7 @@
 struct ExchangeEnd {
     EndKind kind = EndKind::Complete;
     std::string detail;
+    bool isRefused = false; ///< The connection was refused: the host can be reached, and no process listens at the address.
 
     bool operator==(const ExchangeEnd &) const = default;
 };
@@ -88,7 +89,7 @@
     void finishAnswer();
     /** @returns whether an end of file is a reset that the write has met before the read. */
     bool isEndReset() const;
-    void end(EndKind kind, const std::string &detail);
+    void end(EndKind kind, const std::string &detail, bool isRefused = false);
 
     using Parser = boost::beast::http::response_parser<boost::beast::http::buffer_body>;
 
--- a/src/process/directory/backend_server.cpp
+++ b/src/process/directory/backend_server.cpp
@@ -1,6 +1,7 @@
 #include "process/directory/backend_server.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace eelgrassnotch::process::directory
 {
@@ -107,6 +108,16 @@
     this->failureRate.add(1.0, now);
 }
 
+std::uint32_t BackendServer::recordLoss()
+{
+    if (std::exchange(this->isAbsent, false) && this->wasLost) {
+        ++this->unpublishedStarts;
+    }
+    this->wasLost = true;
+    return this->unpublishedStarts == 0 ? this->incarnation
+                                        : hashName(std::to_string(this->incarnation) + '@' + std::to_string(this->unpublishedStarts));
+}
+
 void BackendServer::recordAttempt(Time now)
 {
     this->recentAttempts.add(now);
--- a/src/process/directory/backend_server.h
+++ b/src/process/directory/backend_server.h
@@ -107,6 +107,17 @@
     void recordFailure(Time sentAt, Time now);
     /** @brief Records an answer with an internal error: it counts in the failure rate, but proves that it can be reached. */
     void recordErrorAnswer(Time now);
+    /** @brief Records that it refused a connection, so that no process listens at its address. */
+    void recordRefusedConnection()
+    {
+        this->isAbsent = true;
+    }
+    /**
+     * @brief Records that a connection was lost before an answer had begun.
+     * @returns hash of the incarnation that was lost. One that refused connections since it was lost before has started again, although its
+     * new entry isn't known, and counts as another incarnation.
+     */
+    std::uint32_t recordLoss();
     /** @brief Records that a request is being sent. */
     void recordAttempt(Time now);
     /** @brief Records that the answer to a request sent at @p sentAt has begun, or that the request was abandoned. */
@@ -153,6 +164,9 @@
 
 private:
     std::uint32_t consecutiveFailures = 0;
+    std::uint32_t unpublishedStarts = 0; ///< Starts that its entry doesn't tell of.
+    bool wasLost = false; ///< Since its last start, as far as this daemon knows.
+    bool isAbsent = false; ///< It has refused a connection since then.
     Time lastCountedFailureAt = Time::min();
     Time nextProbeAt {0}; ///< Earliest time of the next probe request.
     Time backoffEnd {0};
--- a/src/process/dispatch/part_quarantine.cpp
+++ b/src/process/dispatch/part_quarantine.cpp
@@ -1,6 +1,8 @@
 #include "process/dispatch/part_quarantine.h"
 
 #include <algorithm>
+#include <iterator>
+#include <utility>
 
 namespace eelgrassnotch::process::dispatch
 {
@@ -28,36 +30,69 @@
 constexpr Duration objectionRetention = 2s;
 /** What others tell of a sound part counts when it is newer by this than what is known; more than the delay of a message. */
 constexpr Duration minSoundProgress = 300ms;
+/** What ends is told for this much shorter than it is kept: delays of messages make it look younger, and it would be told for ever. */
+constexpr Duration toldMargin = 1s;
 /** Bounds of the state, for floods of new parts. */
-constexpr std::size_t maxSuspects = 256;
+constexpr std::size_t maxSuspects = 16384;
 constexpr std::size_t maxLossesPerPart = 16;
 constexpr std::size_t maxSoundParts = 4096;
-constexpr std::size_t maxQuarantined = 64;
+constexpr std::size_t maxQuarantined = 2048;
+constexpr std::size_t maxObjections = 256;
 /** Entries of each kind in a message: one datagram has to hold them. */
-constexpr std::size_t maxToldSuspicions = 64;
+constexpr std::size_t maxToldSuspicions = 128;
+constexpr std::size_t maxToldSuspicionsOfQuarantined = 96;
 constexpr std::size_t maxToldSound = 64;
+constexpr std::size_t maxToldQuarantined = 64;
 
 /** @returns at how many distinct times incarnations were lost, up to a time. */
-std::size_t countLossTimes(const std::map<std::uint32_t, Time> &losses, Time until)
+std::size_t countLossTimes(const std::vector<Loss> &losses, Time until)
 {
-    std::vector<Time> times;
-    for (const auto &[backend, at] : losses) {
-        if (at <= until) {
-            times.push_back(at);
-        }
-    }
-    std::sort(times.begin(), times.end());
     std::size_t count = 0;
     Time last = Time::min();
-    for (const Time at : times) {
-        if (count == 0 || at - last >= lossSeparation) {
+    for (const Loss &loss : losses) {
+        if (loss.at <= until && (count == 0 || loss.at - last >= lossSeparation)) {
             ++count;
-            last = at;
+            last = loss.at;
         }
     }
     return count;
 }
 
+/** Removes one of the two losses that are closest in time: it adds least to the count. */
+void joinClosest(std::vector<Loss> &losses)
+{
+    const auto gapBefore = [](const Loss &loss) { return loss.at - std::prev(&loss)->at; };
+    const auto later = std::min_element(std::next(losses.begin()), losses.end(),
+                                        [&gapBefore](const Loss &left, const Loss &right) { return gapBefore(left) < gapBefore(right); });
+    losses.erase(later);
+}
+
+/** Adds a loss in order of time. An incarnation's first loss counts. @returns whether the losses have changed. */
+bool addLoss(std::vector<Loss> &losses, const Loss &loss)
+{
+    const std::vector<Loss> before = losses;
+    const auto known
+        = std::find_if(losses.begin(), losses.end(), [&loss](const Loss &other) { return other.incarnation == loss.incarnation; });
+    if (known != losses.end() && known->at <= loss.at) {
+        return false;
+    }
+    if (known != losses.end()) {
+        losses.erase(known);
+    }
+    losses.insert(
+        std::upper_bound(losses.begin(), losses.end(), loss, [](const Loss &left, const Loss &right) { return left.at < right.at; }), loss);
+    if (losses.size() > maxLossesPerPart) {
+        joinClosest(losses);
+    }
+    return losses != before;
+}
+
+/** @returns whether any loss was removed. */
+bool removeLossesUntil(std::vector<Loss> &losses, Time until)
+{
+    return std::erase_if(losses, [until](const Loss &loss) { return loss.at <= until; }) > 0;
+}
+
 void removeOldest(std::map<std::uint64_t, Time> &entries, std::size_t most)
 {
     while (entries.size() > most) {
@@ -70,6 +105,8 @@
 
 PartQuarantine::PartQuarantine(ChangeHandler changeHandler)
     : onChange(std::move(changeHandler))
+    , suspects(maxSuspects)
+    , quarantined(maxQuarantined)
 {
 }
 
@@ -80,27 +117,51 @@
     }
 }
 
-void PartQuarantine::recordLoss(std::uint32_t backend, const request::Prompt &prompt, Time now)
+void PartQuarantine::recordLoss(std::uint32_t incarnation, const request::Prompt &prompt, Time now)
 {
     for (const request::PromptPart &part : prompt.sharedParts()) {
         const auto sound = this->soundAt.find(part.id);
         if (sound == this->soundAt.end() || now - sound->second > soundPeriod) {
-            this->addSuspicion(part.id, backend, now);
+            this->addSuspicion(part.id, {incarnation, now}, now);
         }
     }
     this->limitState();
 }
 
-void PartQuarantine::addSuspicion(std::uint64_t part, std::uint32_t backend, Time at)
+void PartQuarantine::addSuspicion(std::uint64_t part, const Loss &loss, Time now)
 {
-    if (const auto sound = this->soundAt.find(part); sound != this->soundAt.end() && sound->second >= at) {
+    if (const auto sound = this->soundAt.find(part); sound != this->soundAt.end() && sound->second >= loss.at) {
+        return;
+    }
+    if (const QuarantinedPart *held = this->quarantined.find(part)) {
+        QuarantinedPart changed = *held;
+        if (addLoss(changed.losses, loss)) {
+            this->quarantined.put(changed);
+        }
+        return;
+    }
+    if (now - loss.at > lossRetention) {
         return;
     }
-    Losses &losses = this->suspects[part];
-    if (const auto known = losses.find(backend); known != losses.end()) {
-        known->second = std::min(known->second, at);
-    } else if (losses.size() < maxLossesPerPart) {
-        losses.emplace(backend, at);
+    const Suspect *known = this->suspects.find(part);
+    Suspect suspect = known == nullptr ? Suspect {part, {}} : *known;
+    if (addLoss(suspect.losses, loss)) {
+        this->putSuspect(suspect);
+        this->suspects.renew(part);
+    }
+}
+
+void PartQuarantine::putSuspect(const Suspect &suspect)
+{
+    if (suspect.losses.size() > 1) {
+        this->repeated.insert(suspect.part);
+    } else {
+        this->repeated.erase(suspect.part);
+    }
+    if (suspect.losses.empty()) {
+        this->suspects.erase(suspect.part);
+    } else {
+        this->suspects.put(suspect);
     }
 }
 
@@ -108,14 +169,14 @@
 {
     const auto [entry, isNew] = this->soundAt.try_emplace(part, at);
     entry->second = std::max(entry->second, at);
-    if (const auto suspect = this->suspects.find(part); suspect != this->suspects.end()) {
-        std::erase_if(suspect->second, [at](const auto &loss) { return loss.second <= at; });
-        if (suspect->second.empty()) {
-            this->suspects.erase(suspect);
+    if (const Suspect *known = this->suspects.find(part)) {
+        Suspect suspect = *known;
+        if (removeLossesUntil(suspect.losses, at)) {
+            this->putSuspect(suspect);
         }
     }
-    if (const auto held = this->quarantined.find(part); held != this->quarantined.end() && at > held->second) {
-        this->quarantined.erase(held);
+    if (const QuarantinedPart *held = this->quarantined.find(part); held != nullptr && at > held->since) {
+        this->quarantined.erase(part);
         this->onChange({part, false, 0, "an answer was written with it"});
     }
 }
@@ -124,101 +185,112 @@
 {
     const auto shared = prompt.sharedParts();
     const auto found = std::find_if(shared.begin(), shared.end(),
-                                    [this](const request::PromptPart &part) { return this->quarantined.contains(part.id); });
+                                    [this](const request::PromptPart &part) { return this->quarantined.find(part.id) != nullptr; });
     return found == shared.end() ? std::nullopt : std::optional(found->id);
 }
 
 Duration PartQuarantine::remaining(std::uint64_t part, Time now) const
 {
-    const auto held = this->quarantined.find(part);
-    return held == this->quarantined.end() ? Duration(0) : std::max(held->second + quarantineTime - now, Duration(0));
+    const QuarantinedPart *held = this->quarantined.find(part);
+    return held == nullptr ? Duration(0) : std::max(held->since + quarantineTime - now, Duration(0));
 }
 
 bool PartQuarantine::isSuspect(const request::Prompt &prompt) const
 {
     const auto shared = prompt.sharedParts();
     return std::any_of(shared.begin(), shared.end(), [this](const request::PromptPart &part) {
-        const auto found = this->suspects.find(part.id);
-        return found != this->suspects.end() && found->second.size() > 1;
+        return this->repeated.contains(part.id) || this->quarantined.find(part.id) != nullptr;
     });
 }
 
 void PartQuarantine::quarantine(std::uint64_t part, Time since, const std::string &cause)
 {
-    if (this->quarantined.try_emplace(part, since).second) {
-        const auto suspect = this->suspects.find(part);
-        const std::size_t backends = suspect == this->suspects.end() ? 0 : suspect->second.size();
-        this->onChange({part, true, static_cast<std::uint32_t>(backends), cause});
+    if (this->quarantined.find(part) != nullptr) {
+        return;
+    }
+    QuarantinedPart held {part, since, {}};
+    if (const Suspect *suspect = this->suspects.find(part)) {
+        held.losses = suspect->losses;
+        this->repeated.erase(part);
+        this->suspects.erase(part);
     }
+    this->quarantined.put(held);
+    this->onChange({part, true, static_cast<std::uint32_t>(held.losses.size()), cause});
 }
 
-void PartQuarantine::update(Time now)
+void PartQuarantine::updateSuspects(Time now)
 {
-    std::erase_if(this->soundAt, [now](const auto &entry) { return now - entry.second > soundRetention; });
-    std::erase_if(this->objections, [now](const auto &entry) { return now - entry.second > objectionRetention; });
-    for (auto &[part, losses] : this->suspects) {
-        std::erase_if(losses, [now](const auto &loss) { return now - loss.second > lossRetention; });
-    }
-    std::erase_if(this->suspects, [](const auto &entry) { return entry.second.empty(); });
-    std::vector<std::uint64_t> expired;
-    for (const auto &[part, since] : this->quarantined) {
-        if (now - since > quarantineTime) {
-            expired.push_back(part);
+    this->suspects.eraseOutdated([now](const Suspect &suspect) { return now - suspect.losses.back().at > lossRetention; },
+                                 [this](const Suspect &suspect) { this->repeated.erase(suspect.part); });
+    for (const std::uint64_t part : std::vector<std::uint64_t>(this->repeated.begin(), this->repeated.end())) {
+        Suspect suspect = *this->suspects.find(part);
+        if (removeLossesUntil(suspect.losses, now - lossRetention)) {
+            this->putSuspect(suspect);
         }
-    }
-    for (const std::uint64_t part : expired) {
-        this->quarantined.erase(part);
-        this->onChange({part, false, 0, "expired"});
-    }
-    for (const auto &[part, losses] : this->suspects) {
-        if (losses.size() >= minLossTimes && countLossTimes(losses, now - objectionTime) >= minLossTimes) {
+        if (countLossTimes(suspect.losses, now - objectionTime) >= minLossTimes) {
             this->quarantine(part, now, "backend servers were lost");
         }
     }
+}
+
+void PartQuarantine::update(Time now)
+{
+    std::erase_if(this->soundAt, [now](const auto &entry) { return now - entry.second > soundRetention; });
+    std::erase_if(this->objections, [now](const auto &entry) { return now - entry.second > objectionRetention; });
+    this->quarantined.eraseOutdated([now](const QuarantinedPart &held) { return now - held.since > quarantineTime; },
+                                    [this](const QuarantinedPart &held) {
+                                        this->onChange({held.part, false, 0, "expired"});
+                                    });
+    this->updateSuspects(now);
     this->limitState();
 }
 
 void PartQuarantine::limitState()
 {
-    // Parts that were suspected once go first: a flood of new parts must not displace the one that is suspected again and again.
-    while (this->suspects.size() > maxSuspects) {
-        this->suspects.erase(std::min_element(this->suspects.begin(), this->suspects.end(), [](const auto &left, const auto &right) {
-            const auto lastOf = [](const Losses &losses) {
-                return std::max_element(losses.begin(), losses.end(), [](const auto &l, const auto &r) { return l.second < r.second; })
-                    ->second;
-            };
-            return std::pair(left.second.size(), lastOf(left.second)) < std::pair(right.second.size(), lastOf(right.second));
-        }));
-    }
+    // A flood of new parts must not displace one that is suspected again and again.
+    this->suspects.limit([](const Suspect &suspect) { return suspect.losses.size() > 1; },
+                         [this](const Suspect &suspect) { this->repeated.erase(suspect.part); });
+    this->quarantined.limit([](const QuarantinedPart &) { return false; },
+                            [this](const QuarantinedPart &held) {
+                                this->onChange({held.part, false, 0, "too many are quarantined"});
+                            });
     removeOldest(this->soundAt, maxSoundParts);
-    removeOldest(this->quarantined, maxQuarantined);
-    removeOldest(this->objections, maxSuspects);
+    removeOldest(this->objections, maxObjections);
 }
 
-exchange::PartEvidence PartQuarantine::evidence(Time now) const
+exchange::PartEvidence PartQuarantine::evidence(Time now)
 {
     exchange::PartEvidence told;
-    std::vector<std::pair<std::uint64_t, const Losses *>> ranked;
-    for (const auto &[part, losses] : this->suspects) {
-        ranked.emplace_back(part, &losses);
-    }
     for (const auto &[part, at] : this->objections) {
         if (const auto sound = this->soundAt.find(part); sound != this->soundAt.end() && told.sound.size() < maxToldSound) {
             told.sound.push_back({part, now - sound->second});
         }
     }
-    std::stable_sort(ranked.begin(), ranked.end(),
-                     [](const auto &left, const auto &right) { return left.second->size() > right.second->size(); });
-    for (const auto &[part, losses] : ranked) {
-        for (const auto &[backend, at] : *losses) {
-            if (told.suspicions.size() < maxToldSuspicions) {
-                told.suspicions.push_back({part, backend, now - at});
-            }
+    const auto tellLosses = [&told, now](std::uint64_t part, const Losses &losses) {
+        for (const Loss &loss : losses) {
+            told.suspicions.push_back({part, loss.incarnation, now - loss.at});
         }
-    }
-    for (const auto &[part, since] : this->quarantined) {
-        told.quarantined.push_back({part, now - since});
-    }
+    };
+    const auto hasRoomFor = [&told](const Losses &losses, std::size_t most) { return told.suspicions.size() + losses.size() <= most; };
+    this->quarantined.takeTurn([&](const QuarantinedPart &held) {
+        if (told.quarantined.size() == maxToldQuarantined || !hasRoomFor(held.losses, maxToldSuspicionsOfQuarantined)) {
+            return false;
+        }
+        if (now - held.since < quarantineTime - toldMargin) {
+            told.quarantined.push_back({held.part, now - held.since});
+            tellLosses(held.part, held.losses);
+        }
+        return true;
+    });
+    this->suspects.takeTurn([&](const Suspect &suspect) {
+        if (!hasRoomFor(suspect.losses, maxToldSuspicions)) {
+            return false;
+        }
+        if (now - suspect.losses.back().at < lossRetention - toldMargin) {
+            tellLosses(suspect.part, suspect.losses);
+        }
+        return true;
+    });
     return told;
 }
 
@@ -232,12 +304,6 @@
             this->setSound(sound.part, at);
         }
     }
-    for (const exchange::Suspicion &suspicion : evidence.suspicions) {
-        if (this->soundAt.contains(suspicion.part)) {
-            this->objections[suspicion.part] = now;
-        }
-        this->addSuspicion(suspicion.part, suspicion.backend, now - suspicion.age);
-    }
     for (const exchange::PartAge &held : evidence.quarantined) {
         const auto sound = this->soundAt.find(held.part);
         const Time since = now - held.age;
@@ -245,6 +311,12 @@
             this->quarantine(held.part, since, "another daemon found it");
         }
     }
+    for (const exchange::Suspicion &suspicion : evidence.suspicions) {
+        if (this->soundAt.contains(suspicion.part)) {
+            this->objections[suspicion.part] = now;
+        }
+        this->addSuspicion(suspicion.part, {suspicion.incarnation, now - suspicion.age}, now);
+    }
     this->limitState();
 }
 
--- a/src/process/dispatch/part_quarantine.h
+++ b/src/process/dispatch/part_quarantine.h
@@ -3,6 +3,7 @@
 /** @file Finds prompt parts that end backend servers, and keeps requests with such a part from being sent. */
 
 #include "eelgrassnotch/types.h"
+#include "process/dispatch/part_table.h"
 #include "process/exchange/part_evidence.h"
 #include "request/attributes.h"
 
@@ -11,6 +12,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <unordered_set>
 #include <vector>
 
 namespace eelgrassnotch::process::dispatch
@@ -26,15 +28,23 @@
     bool operator==(const QuarantineChange &) const = default;
 };
 
+/** @brief Loss of a backend server that had not begun to answer a request. */
+struct Loss {
+    std::uint32_t incarnation = 0; ///< See directory::BackendServer::recordLoss().
+    Time at {0};
+
+    bool operator==(const Loss &) const = default;
+};
+
 /**
  * @brief Decides from losses of backend servers which prompt parts end them.
  *
  * A loss makes the shared parts of those requests suspect that the backend server
  * had not begun to answer. An answer that is being written clears all parts of
- * its request. What is left after losses at several distinct times is the part
- * that ends them; parts that many requests share are cleared by the others.
- * Losses at the same time count once: a power cut or a network fault ends many
- * backend servers without regard to what they work on.
+ * its request. What is left after losses at several distinct times is quarantined;
+ * parts that many requests share are cleared by the others. Losses at the same
+ * time count once: a power cut or a network fault ends many backend servers
+ * without regard to what they work on.
  *
  * Each daemon sees a part of the evidence; evidence() and merge() make it common
  * to all. Every daemon then decides by itself, by the same rule.
@@ -51,7 +61,7 @@
     /** @brief Records that an answer to a request with this prompt is being written: none of its parts ends backend servers. */
     void recordWritten(const request::Prompt &prompt, Time now);
     /** @brief Records that a backend server was lost before it had begun to answer a request with this prompt. */
-    void recordLoss(std::uint32_t backend, const request::Prompt &prompt, Time now);
+    void recordLoss(std::uint32_t incarnation, const request::Prompt &prompt, Time now);
 
     /** @returns the quarantined part of the prompt; nullopt if there is none. */
     std::optional<std::uint64_t> quarantinedPart(const request::Prompt &prompt) const;
@@ -63,8 +73,8 @@
     /** @brief Decides on quarantine from the evidence, and drops what is too old. */
     void update(Time now);
 
-    /** @returns what to tell other daemons. */
-    exchange::PartEvidence evidence(Time now) const;
+    /** @returns what to tell other daemons: what has changed, and of the rest as much as a message holds, in turn. */
+    exchange::PartEvidence evidence(Time now);
     /** @brief Adds what another daemon knows. */
     void merge(const exchange::PartEvidence &evidence, Time now);
 
@@ -75,17 +85,32 @@
     }
 
 private:
-    using Losses = std::map<std::uint32_t, Time>; ///< Lost incarnations, and when each was lost.
-
-    void addSuspicion(std::uint64_t part, std::uint32_t backend, Time at);
+    using Losses = std::vector<Loss>; ///< In order of time, one for each incarnation.
+
+    /** @brief Part that is not quarantined. */
+    struct Suspect {
+        std::uint64_t part = 0;
+        Losses losses;
+    };
+
+    struct QuarantinedPart {
+        std::uint64_t part = 0;
+        Time since {0};
+        Losses losses;
+    };
+
+    void addSuspicion(std::uint64_t part, const Loss &loss, Time now);
+    void putSuspect(const Suspect &suspect);
     void setSound(std::uint64_t part, Time at);
     void quarantine(std::uint64_t part, Time since, const std::string &cause);
+    void updateSuspects(Time now);
     void limitState();
 
     ChangeHandler onChange;
-    std::map<std::uint64_t, Losses> suspects;
+    PartTable<Suspect> suspects;
+    std::unordered_set<std::uint64_t> repeated; ///< Suspects with several losses.
+    PartTable<QuarantinedPart> quarantined;
     std::map<std::uint64_t, Time> soundAt; ///< When an answer was last being written to a request with the part.
-    std::map<std::uint64_t, Time> quarantined; ///< Since when.
     std::map<std::uint64_t, Time> objections; ///< Parts that others suspect and this daemon knows as sound: when it last had to say so.
 };
 
--- a/src/process/exchange/load_codec.cpp
+++ b/src/process/exchange/load_codec.cpp
@@ -118,7 +118,7 @@
 
 wire::Suspicion toWire(const Suspicion &suspicion)
 {
-    return {highHalf(suspicion.part), static_cast<std::uint32_t>(suspicion.part), suspicion.backend, toMilliseconds(suspicion.age)};
+    return {highHalf(suspicion.part), static_cast<std::uint32_t>(suspicion.part), suspicion.incarnation, toMilliseconds(suspicion.age)};
 }
 
 wire::Limit toWire(const LimitStatement &limit)
--- a/src/process/exchange/part_evidence.h
+++ b/src/process/exchange/part_evidence.h
@@ -13,7 +13,7 @@
 /** @brief A backend server's connection was lost before it began to answer a request with this part. */
 struct Suspicion {
     std::uint64_t part = 0;
-    std::uint32_t backend = 0; ///< Handle of the incarnation that was lost.
+    std::uint32_t incarnation = 0; ///< The one that was lost; see directory::BackendServer::recordLoss().
     Duration age {0}; ///< Time since then.
 
     bool operator==(const Suspicion &) const = default;
--- a/src/process/proxy/proxied_request.cpp
+++ b/src/process/proxy/proxied_request.cpp
@@ -741,8 +741,11 @@
               {"after_ms", milliseconds(now - this->currentAttempt->startedAt)},
               {"kept_connection", this->currentAttempt->connection->wasUsed() ? "true" : "false"}});
     const bool isLostUnanswered = (end.kind == EndKind::Lost || end.kind == EndKind::BrokenOff) && !this->isBeingWritten(now);
+    if (end.isRefused) {
+        this->currentAttempt->backend->recordRefusedConnection();
+    }
     if (isLostUnanswered && this->isEngineService()) {
-        this->proxy.quarantine().recordLoss(this->currentAttempt->backend->handle, this->attributes.prompt, now);
+        this->recordLoss(now);
     }
     // A request that may end the next backend server, too, is not sent to it.
     const bool isSuspect = isLostUnanswered && this->proxy.quarantine().isSuspect(this->attributes.prompt);
@@ -762,6 +765,19 @@
                  end.detail);
 }
 
+void ProxiedRequest::recordLoss(Time now)
+{
+    directory::BackendServer &backend = *this->currentAttempt->backend;
+    const std::uint32_t incarnation = backend.recordLoss();
+    logEvent("backend_lost",
+             {{"request", this->attributes.id},
+              {"backend", backend.record.id},
+              {"incarnation", std::to_string(incarnation)},
+              {"started_at", std::to_string(backend.record.startedAt)},
+              {"shared_parts", std::to_string(this->attributes.prompt.sharedParts().size())}});
+    this->proxy.quarantine().recordLoss(incarnation, this->attributes.prompt, now);
+}
+
 bool ProxiedRequest::retry(RetryReason reason, Verdict attemptVerdict, Time now)
 {
     if (this->attempts >= maxAttemptsPerRequest || this->remainingTime(now) <= Duration(0)) {
--- a/src/process/proxy/proxied_request.h
+++ b/src/process/proxy/proxied_request.h
@@ -87,6 +87,8 @@
     void onCompleteAnswer(Time now);
     void onStreamEnd(Time now);
     void onNotRun(Time now);
+    /** @brief Records that the current attempt's backend server was lost before it had begun to answer a prompt. */
+    void recordLoss(Time now);
     void onFailedAttempt(const connection::http::ExchangeEnd &end, Time now);
     /** @brief Starts another attempt at another backend server if limits and retry budget allow it. @returns whether it was started. */
     bool retry(RetryReason reason, Verdict verdict, Time now);
--- a/src/process/proxy/proxy.cpp
+++ b/src/process/proxy/proxy.cpp
@@ -6,11 +6,14 @@
 #include "process/proxy/proxied_request.h"
 #include "process/rendezvous.h"
 
+#include <boost/asio/post.hpp>
+
 #include <algorithm>
 #include <cmath>
 #include <iomanip>
 #include <numeric>
 #include <sstream>
+#include <utility>
 
 namespace eelgrassnotch::process::proxy
 {
@@ -159,9 +162,15 @@
     part << std::hex << change.part;
     logWarning(change.isQuarantined ? "part_quarantined" : "part_released",
                {{"part", part.str()}, {"backends", std::to_string(change.backends)}, {"cause", change.cause}});
-    if (!change.isQuarantined) {
-        return;
+    // One pass over the requests serves all parts that are quarantined together.
+    if (change.isQuarantined && !std::exchange(this->isGivingUp, true)) {
+        boost::asio::post(this->io, [this] { this->giveUpQuarantined(); });
     }
+}
+
+void Proxy::giveUpQuarantined()
+{
+    this->isGivingUp = false;
     for (const auto &request : lock(this->unanswered)) {
         request->giveUpIfQuarantined();
     }
--- a/src/process/proxy/proxy.h
+++ b/src/process/proxy/proxy.h
@@ -289,6 +289,8 @@
     void updateShedding(const std::optional<exchange::LoadSummary> &others, Time now);
     const directory::Locality &localityOf(directory::BackendServer &backend) const;
     void onQuarantineChange(const dispatch::QuarantineChange &change);
+    /** @brief Gives up the requests that are not being answered yet and have a quarantined part. */
+    void giveUpQuarantined();
 
     boost::asio::io_context &io;
     EdgeSettings currentSettings;
@@ -304,6 +306,7 @@
     static std::vector<std::shared_ptr<ProxiedRequest>> lock(const Requests &requests);
     Requests active;
     Requests unanswered;
+    bool isGivingUp = false; ///< giveUpQuarantined() is about to be called.
     dispatch::LoadShedder shedding;
     RequestTotals requestTotals;
     handover::Sender *handoverSender = nullptr;
--- a/tests/proxy/test_part_quarantine.cpp
+++ b/tests/proxy/test_part_quarantine.cpp
@@ -1,6 +1,7 @@
 /** @file A part of prompts that ends the backend servers which begin to answer it, and what looks like one. */
 
 #include "process/clock.h"
+#include "process/directory/backend_server.h"
 #include "process/dispatch/part_quarantine.h"
 #include "process/exchange/load_codec.h"
 #include "process/exchange/load_exchange.h"
@@ -37,6 +38,12 @@
     return {100, 10, {{common, 50}, {part, 30}, {own, 20}}};
 }
 
+/** A prompt with no other shared part. */
+request::Prompt promptOfOne(std::uint64_t part)
+{
+    return {100, 10, {{part, 30}, {1234, 20}}};
+}
+
 void ignoreChange(const QuarantineChange &)
 {
 }
@@ -274,13 +281,100 @@
             quarantine.recordWritten(prompt, now);
         }
         quarantine.update(now);
-        CHECK(quarantine.suspectCount() <= 256);
+        CHECK(quarantine.suspectCount() <= 16384);
         exchange::Message message;
         message.evidence = quarantine.evidence(now);
         CHECK(exchange::encode(message).size() <= 4096);
     }
     quarantine.update(now + 1s);
-    CHECK(quarantine.quarantinedPart(promptWith(deadly, 1)) == deadly);
+    CHECK(quarantine.quarantinedPart(promptOfOne(deadly)) == deadly);
+}
+
+namespace
+{
+
+/** A prompt of many parts: its own ones, some that all of them share, and the deadly one at a place that depends on the request. */
+request::Prompt promptOfMany(std::uint64_t firstOwn, std::size_t ownParts, std::uint64_t bad, std::size_t commonParts = 0)
+{
+    request::Prompt prompt {7000, 50, {}};
+    for (std::size_t part = 0; part < commonParts; ++part) {
+        prompt.parts.push_back({0x50000000 + part, 16});
+    }
+    for (std::size_t part = 0; part < ownParts; ++part) {
+        prompt.parts.push_back({firstOwn + part, 16});
+    }
+    prompt.parts.insert(prompt.parts.begin() + static_cast<std::ptrdiff_t>(firstOwn % (prompt.parts.size() + 1)), {bad, 16});
+    prompt.parts.push_back({firstOwn + ownParts, 16});
+    return prompt;
+}
+
+}
+
+// Guards against suspected parts that are dropped by their id, so that the part never collects a second loss (review case 9, many parts).
+TEST_CASE("a part that ends backend servers is found among prompts of many parts, whatever its id")
+{
+    constexpr std::size_t mostParts = 1700; // As many as fit into a request's header.
+    for (const std::uint64_t bad : {std::uint64_t {1}, deadly, ~std::uint64_t {0}}) {
+        for (const std::size_t parts : {std::size_t {393}, mostParts}) {
+            CAPTURE(bad);
+            CAPTURE(parts);
+            PartQuarantine quarantine(ignoreChange);
+            Time now = start;
+            for (std::uint32_t backend = 1; backend <= 3; ++backend, now += 4s) {
+                const request::Prompt prompt = promptOfMany(std::uint64_t {0x100000} * backend, parts, bad);
+                quarantine.recordLoss(backend, prompt, now);
+                // Requests that were waiting at the same backend server.
+                for (std::uint64_t other = 1; other <= 4; ++other) {
+                    quarantine.recordLoss(
+                        backend, promptOfMany(std::uint64_t {0x100000} * backend + 0x10000000 * other, parts / 8, 0x7000 + other * backend),
+                        now);
+                }
+                quarantine.update(now);
+            }
+            quarantine.update(now);
+            CHECK(quarantine.quarantinedPart(promptWith(bad, 1)) == bad);
+            CHECK_FALSE(quarantine.quarantinedPart(promptOfMany(0x100000, parts, 2)));
+        }
+    }
+}
+
+// Guards against losses at one time that take all the room for a part's losses, so that later ones don't count.
+TEST_CASE("a power cut does not hide the part that ends backend servers afterwards")
+{
+    PartQuarantine quarantine(ignoreChange);
+    Time now = start;
+    for (std::uint32_t backend = 1; backend <= 40; ++backend) {
+        quarantine.recordLoss(backend, promptWith(deadly, backend), now + std::chrono::milliseconds(backend));
+    }
+    for (std::uint32_t backend = 41; backend <= 42; ++backend) {
+        now += 4s;
+        quarantine.update(now);
+        CHECK_FALSE(quarantine.quarantinedPart(promptWith(deadly, 1)));
+        quarantine.recordLoss(backend, promptWith(deadly, backend), now);
+    }
+    quarantine.update(now + 1s);
+    CHECK(quarantine.quarantinedPart(promptOfOne(deadly)) == deadly);
+}
+
+// Guards against evidence on parts that a message has no room for, and that is never told.
+TEST_CASE("daemons that each see one loss of a prompt of many parts agree on the part")
+{
+    for (const std::uint64_t bad : {std::uint64_t {1}, ~std::uint64_t {0}}) {
+        CAPTURE(bad);
+        Daemons daemons(2);
+        Time now = start;
+        constexpr std::uint32_t losses = 5;
+        for (std::uint32_t backend = 1; backend <= losses; ++backend, now += 4s) {
+            daemons.advance(now);
+            daemons.quarantine(backend % daemons.size())
+                .recordLoss(backend, promptOfMany(std::uint64_t {0x100000} * backend, 393, bad), now);
+        }
+        daemons.advance(now - 4s + agreementTime);
+        for (std::uint32_t index = 0; index < daemons.size(); ++index) {
+            CAPTURE(index);
+            CHECK(daemons.quarantine(index).quarantinedPart(promptWith(bad, 99)) == bad);
+        }
+    }
 }
 
 TEST_CASE("evidence arrives as it was sent, to the millisecond")
@@ -293,6 +387,43 @@
 namespace
 {
 
+directory::BackendRecord recordOf(const std::string &id, std::int64_t startedAt)
+{
+    directory::BackendRecord record;
+    record.id = id;
+    record.startedAt = startedAt;
+    return record;
+}
+
+}
+
+// Guards against losses that count once, since the backend server that is lost keeps its id (review case 9).
+TEST_CASE("an incarnation that follows another one under the same id is told apart, and a backend server that goes on is not")
+{
+    directory::BackendServer first(recordOf("i-1", 1000), 0);
+    directory::BackendServer second(recordOf("i-1", 2000), 0);
+    directory::BackendServer other(recordOf("i-2", 1000), 0);
+    const std::uint32_t lost = first.recordLoss();
+    CHECK(first.recordLoss() == lost);
+    CHECK(second.recordLoss() != lost);
+    CHECK(other.recordLoss() != lost);
+    CHECK(directory::BackendServer(recordOf("i-1", 1000), 0).recordLoss() == lost);
+    // Its new entry isn't known: the store is away.
+    first.recordRefusedConnection();
+    const std::uint32_t lostAgain = first.recordLoss();
+    CHECK(lostAgain != lost);
+    CHECK(first.recordLoss() == lostAgain);
+    first.recordRefusedConnection();
+    CHECK(first.recordLoss() != lostAgain);
+    // One that could not be reached before anything was lost is the incarnation that its entry tells of.
+    directory::BackendServer late(recordOf("i-1", 2000), 0);
+    late.recordRefusedConnection();
+    CHECK(late.recordLoss() == directory::BackendServer(recordOf("i-1", 2000), 0).recordLoss());
+}
+
+namespace
+{
+
 constexpr const char *deadlyPrefix = "X-Eelgrassnotch-Token-Usage: 100,10\r\nX-Eelgrassnotch-Prefix-Hash: 1:50,dead:30,";
 constexpr const char *soundPrefix = "X-Eelgrassnotch-Token-Usage: 100,10\r\nX-Eelgrassnotch-Prefix-Hash: 1:50,50a:30,";
 
@@ -358,3 +489,31 @@
     }
     CHECK(deadlyRequests(servers) == before);
 }
+
+// Guards against a part that ends the same backend server again and again, which keeps its id (review case 9).
+TEST_CASE("a part that ends a backend server which keeps its id is quarantined")
+{
+    standin::RawServer server(crashOnDeadlyPart);
+    standin::DaemonFixture world;
+    nlohmann::json configuration = standin::makeConfiguration(4);
+    configuration["services"][0]["engine"] = {{"slots", 8}, {"kv_capacity", 100000}};
+    world.store.put("config", "main", configuration);
+    world.addBackend("i-1", server);
+    world.start();
+    constexpr int maxLosses = 5;
+    unsigned status = 0;
+    int losses = 0;
+    for (; losses <= maxLosses && status != 503; ++losses) {
+        world.addBackend("i-1", server, "ready", "a", 2000 + losses);
+        // A sound request tells when the daemon sends to the new incarnation.
+        const auto send = [&world, losses](const std::string &kind, const char *prefix) {
+            return world.call("/stream/x", kind + std::to_string(losses), prefix + std::to_string(1000 + losses) + ":20\r\n");
+        };
+        std::this_thread::sleep_for(1s);
+        CHECK(send("sound", soundPrefix).result_int() == 200);
+        const auto answer = send("deadly", deadlyPrefix);
+        status = answer.result_int();
+        CHECK((status == 502 || answer.body().starts_with("part_quarantined")));
+    }
+    CHECK(status == 503);
+}
