Try out which of several quarantined parts ends backend servers

Callers: a workspace whose prompts all begin with the same sound part got 503 for ten minutes, once that part had come beside a bad one only, for three losses.

Cause: each part with three losses was quarantined by itself and for good. Parts that came only together have the same losses, and the answer that would clear the sound one never comes, as no request with it is sent any more.

Now a request with held parts is refused only if a loss speaks against it without the parts that it doesn't have: unexplained losses at three times, or one since the part is held. Otherwise it is a trial: the daemon claims it, lets the request wait for 700 ms, by which all others have heard of the claim, and sends it. Its answer releases its parts; its loss has no other part to explain it, and holds its parts for certain. Claims travel with the load messages and need no store; the earlier one goes before, and of two within 300 ms the one with the higher hash. Losses of held parts are kept and told as long as the quarantine.

With 6 and 60 daemons that all get doubtful requests, at most five backend servers are lost in all.

--- a/src/process/dispatch/part_quarantine.cpp
+++ b/src/process/dispatch/part_quarantine.cpp
@@ -18,6 +18,8 @@
 constexpr Duration lossSeparation = 250ms;
 /** Evidence convicts when it is this old: by then every daemon that knows the part as sound has said so. */
 constexpr Duration objectionTime = 700ms;
+/** Losses in the same span of this length, or in spans next to each other, explain each other. */
+constexpr Duration lossSpan = lossSeparation / 2;
 /** Losses are forgotten after this time. */
 constexpr Duration lossRetention = 60s;
 /** A part is not suspected while answers with it were being written here within this time. */
@@ -30,6 +32,14 @@
 constexpr Duration objectionRetention = 2s;
 /** What others tell of a sound part counts when it is newer by this than what is known; more than the delay of a message. */
 constexpr Duration minSoundProgress = 300ms;
+/** A claim may be used when it is this old: by then all daemons know it, and have said so if theirs goes before. */
+constexpr Duration claimTime = 700ms;
+/** A claim ends after this time, with or without a result. */
+constexpr Duration claimRetention = 3s;
+/** Claims made within this time are as old as each other, as their ages include delays of messages. */
+constexpr Duration claimUncertainty = 300ms;
+/** Retry-After of a request that waits for a trial to end. */
+constexpr Duration trialRetryAfter = 1s;
 /** What ends is told for this much shorter than it is kept: delays of messages make it look younger, and it would be told for ever. */
 constexpr Duration toldMargin = 1s;
 /** Bounds of the state, for floods of new parts. */
@@ -43,6 +53,7 @@
 constexpr std::size_t maxToldSuspicionsOfQuarantined = 96;
 constexpr std::size_t maxToldSound = 64;
 constexpr std::size_t maxToldQuarantined = 64;
+constexpr std::size_t maxToldClaims = 16;
 
 /** @returns at how many distinct times incarnations were lost, up to a time. */
 std::size_t countLossTimes(const std::vector<Loss> &losses, Time until)
@@ -58,6 +69,11 @@
     return count;
 }
 
+std::int64_t spanOf(const Loss &loss)
+{
+    return loss.at / lossSpan;
+}
+
 /** Removes one of the two losses that are closest in time: it adds least to the count. */
 void joinClosest(std::vector<Loss> &losses)
 {
@@ -103,17 +119,21 @@
 
 }
 
-PartQuarantine::PartQuarantine(ChangeHandler changeHandler)
+PartQuarantine::PartQuarantine(ChangeHandler changeHandler, DaemonHandle ownDaemon)
     : onChange(std::move(changeHandler))
     , suspects(maxSuspects)
     , quarantined(maxQuarantined)
+    , claims(maxQuarantined)
+    , self(ownDaemon)
 {
 }
 
 void PartQuarantine::recordWritten(const request::Prompt &prompt, Time now)
 {
     for (const request::PromptPart &part : prompt.sharedParts()) {
-        this->setSound(part.id, now);
+        if (this->setSound(part.id, now)) {
+            this->objections[part.id] = now;
+        }
     }
 }
 
@@ -136,6 +156,8 @@
     if (const QuarantinedPart *held = this->quarantined.find(part)) {
         QuarantinedPart changed = *held;
         if (addLoss(changed.losses, loss)) {
+            this->lossCounts.add(held->losses, -1);
+            this->lossCounts.add(changed.losses, 1);
             this->quarantined.put(changed);
         }
         return;
@@ -153,10 +175,12 @@
 
 void PartQuarantine::putSuspect(const Suspect &suspect)
 {
+    if (const Suspect *known = this->suspects.find(suspect.part)) {
+        this->onSuspectErased(*known);
+    }
     if (suspect.losses.size() > 1) {
         this->repeated.insert(suspect.part);
-    } else {
-        this->repeated.erase(suspect.part);
+        this->lossCounts.add(suspect.losses, 1);
     }
     if (suspect.losses.empty()) {
         this->suspects.erase(suspect.part);
@@ -165,22 +189,138 @@
     }
 }
 
-void PartQuarantine::setSound(std::uint64_t part, Time at)
+void PartQuarantine::onSuspectErased(const Suspect &suspect)
+{
+    if (this->repeated.erase(suspect.part) > 0) {
+        this->lossCounts.add(suspect.losses, -1);
+    }
+}
+
+void LossCounts::add(const std::vector<Loss> &losses, int change)
+{
+    std::optional<std::int64_t> last;
+    for (const Loss &loss : losses) {
+        if (const std::int64_t span = spanOf(loss); last != span) {
+            last = span;
+            const auto entry = this->parts.try_emplace(span, 0).first;
+            entry->second += change;
+            if (entry->second == 0) {
+                this->parts.erase(entry);
+            }
+        }
+    }
+}
+
+int LossCounts::countAt(const Loss &loss) const
+{
+    const std::int64_t span = spanOf(loss);
+    int count = 0;
+    for (const std::int64_t near : {span - 1, span, span + 1}) {
+        const auto found = this->parts.find(near);
+        count += found == this->parts.end() ? 0 : found->second;
+    }
+    return count;
+}
+
+bool PartQuarantine::setSound(std::uint64_t part, Time at)
 {
     const auto [entry, isNew] = this->soundAt.try_emplace(part, at);
     entry->second = std::max(entry->second, at);
-    if (const Suspect *known = this->suspects.find(part)) {
-        Suspect suspect = *known;
-        if (removeLossesUntil(suspect.losses, at)) {
-            this->putSuspect(suspect);
+    if (const QuarantinedPart *held = this->quarantined.find(part)) {
+        if (at <= held->since) {
+            return false;
         }
-    }
-    if (const QuarantinedPart *held = this->quarantined.find(part); held != nullptr && at > held->since) {
+        this->onReleased(*held, "an answer was written with it");
         this->quarantined.erase(part);
-        this->onChange({part, false, 0, "an answer was written with it"});
+        return true;
+    }
+    const Suspect *known = this->suspects.find(part);
+    if (known == nullptr) {
+        return false;
+    }
+    Suspect suspect = *known;
+    const bool isCleared = removeLossesUntil(suspect.losses, at);
+    if (isCleared) {
+        this->putSuspect(suspect);
+    }
+    return isCleared;
+}
+
+QuarantineRuling PartQuarantine::rule(const request::Prompt &prompt, Time now)
+{
+    const auto first = this->quarantinedPart(prompt);
+    if (!first) {
+        return {};
+    }
+    if (const auto convicting = this->convictingPart(prompt)) {
+        return {QuarantineRuling::Kind::Refused, *convicting, std::max(this->remaining(*convicting, now), trialRetryAfter)};
+    }
+    return this->ruleOnTrial(*first, now);
+}
+
+std::optional<std::uint64_t> PartQuarantine::convictingPart(const request::Prompt &prompt) const
+{
+    std::unordered_set<std::uint64_t> parts;
+    std::vector<const QuarantinedPart *> held;
+    LossCounts ownCounts;
+    for (const request::PromptPart &part : prompt.sharedParts()) {
+        if (!parts.insert(part.id).second) {
+            continue;
+        }
+        if (const QuarantinedPart *found = this->quarantined.find(part.id)) {
+            held.push_back(found);
+            ownCounts.add(found->losses, 1);
+        } else if (const Suspect *suspect = this->suspects.find(part.id); suspect != nullptr && suspect->losses.size() > 1) {
+            ownCounts.add(suspect->losses, 1);
+        }
+    }
+    const auto convicting = std::find_if(held.begin(), held.end(), [this, &ownCounts](const QuarantinedPart *part) {
+        Losses unexplained;
+        std::copy_if(part->losses.begin(), part->losses.end(), std::back_inserter(unexplained),
+                     [this, &ownCounts](const Loss &loss) { return this->lossCounts.countAt(loss) <= ownCounts.countAt(loss); });
+        const bool isLostSince = !unexplained.empty() && unexplained.back().at > part->since;
+        return part->losses.empty() || isLostSince || countLossTimes(unexplained, Time::max()) >= minLossTimes;
+    });
+    return convicting == held.end() ? std::nullopt : std::optional((*convicting)->part);
+}
+
+bool PartQuarantine::isBefore(const Claim &claim, const Claim &other)
+{
+    if (claim.daemon == other.daemon) {
+        return claim.since < other.since;
+    }
+    const Duration difference = claim.since - other.since;
+    if (difference > claimUncertainty || difference < -claimUncertainty) {
+        return difference < Duration(0);
+    }
+    return mixBits(claim.part ^ claim.daemon.id) > mixBits(other.part ^ other.daemon.id);
+}
+
+void PartQuarantine::putClaim(const Claim &claim)
+{
+    if (const Claim *known = this->claims.find(claim.part); known == nullptr || isBefore(claim, *known)) {
+        this->claims.put(claim);
     }
 }
 
+QuarantineRuling PartQuarantine::ruleOnTrial(std::uint64_t part, Time now)
+{
+    using Kind = QuarantineRuling::Kind;
+    const Claim *known = this->claims.find(part);
+    if (known == nullptr || now - known->since > claimRetention) {
+        this->claims.erase(part);
+        this->claims.put({part, this->self, now, false});
+        return {Kind::Claim, part, claimTime};
+    }
+    if (known->daemon != this->self || known->isUsed || now - known->since < claimTime) {
+        return {Kind::Refused, part, trialRetryAfter};
+    }
+    Claim used = *known;
+    used.isUsed = true;
+    this->claims.put(used);
+    return {Kind::Trial, part, Duration(0)};
+}
+
 std::optional<std::uint64_t> PartQuarantine::quarantinedPart(const request::Prompt &prompt) const
 {
     const auto shared = prompt.sharedParts();
@@ -211,17 +351,24 @@
     QuarantinedPart held {part, since, {}};
     if (const Suspect *suspect = this->suspects.find(part)) {
         held.losses = suspect->losses;
-        this->repeated.erase(part);
+        this->onSuspectErased(*suspect);
         this->suspects.erase(part);
     }
     this->quarantined.put(held);
+    this->lossCounts.add(held.losses, 1);
     this->onChange({part, true, static_cast<std::uint32_t>(held.losses.size()), cause});
 }
 
+void PartQuarantine::onReleased(const QuarantinedPart &held, const std::string &cause)
+{
+    this->lossCounts.add(held.losses, -1);
+    this->onChange({held.part, false, 0, cause});
+}
+
 void PartQuarantine::updateSuspects(Time now)
 {
     this->suspects.eraseOutdated([now](const Suspect &suspect) { return now - suspect.losses.back().at > lossRetention; },
-                                 [this](const Suspect &suspect) { this->repeated.erase(suspect.part); });
+                                 [this](const Suspect &suspect) { this->onSuspectErased(suspect); });
     for (const std::uint64_t part : std::vector<std::uint64_t>(this->repeated.begin(), this->repeated.end())) {
         Suspect suspect = *this->suspects.find(part);
         if (removeLossesUntil(suspect.losses, now - lossRetention)) {
@@ -238,9 +385,8 @@
     std::erase_if(this->soundAt, [now](const auto &entry) { return now - entry.second > soundRetention; });
     std::erase_if(this->objections, [now](const auto &entry) { return now - entry.second > objectionRetention; });
     this->quarantined.eraseOutdated([now](const QuarantinedPart &held) { return now - held.since > quarantineTime; },
-                                    [this](const QuarantinedPart &held) {
-                                        this->onChange({held.part, false, 0, "expired"});
-                                    });
+                                    [this](const QuarantinedPart &held) { this->onReleased(held, "expired"); });
+    this->claims.eraseOutdated([now](const Claim &claim) { return now - claim.since > claimRetention; }, [](const Claim &) {});
     this->updateSuspects(now);
     this->limitState();
 }
@@ -249,11 +395,10 @@
 {
     // A flood of new parts must not displace one that is suspected again and again.
     this->suspects.limit([](const Suspect &suspect) { return suspect.losses.size() > 1; },
-                         [this](const Suspect &suspect) { this->repeated.erase(suspect.part); });
+                         [this](const Suspect &suspect) { this->onSuspectErased(suspect); });
     this->quarantined.limit([](const QuarantinedPart &) { return false; },
-                            [this](const QuarantinedPart &held) {
-                                this->onChange({held.part, false, 0, "too many are quarantined"});
-                            });
+                            [this](const QuarantinedPart &held) { this->onReleased(held, "too many are quarantined"); });
+    this->claims.limit([](const Claim &) { return false; }, [](const Claim &) {});
     removeOldest(this->soundAt, maxSoundParts);
     removeOldest(this->objections, maxObjections);
 }
@@ -291,6 +436,15 @@
         }
         return true;
     });
+    this->claims.takeTurn([&](const Claim &claim) {
+        if (told.trials.size() == maxToldClaims) {
+            return false;
+        }
+        if (now - claim.since < claimRetention - toldMargin) {
+            told.trials.push_back({claim.part, claim.daemon, now - claim.since});
+        }
+        return true;
+    });
     return told;
 }
 
@@ -317,6 +471,11 @@
         }
         this->addSuspicion(suspicion.part, {suspicion.incarnation, now - suspicion.age}, now);
     }
+    for (const exchange::TrialClaim &claim : evidence.trials) {
+        if (claim.age < claimRetention && claim.daemon != this->self) {
+            this->putClaim({claim.part, claim.daemon, now - claim.age, false});
+        }
+    }
     this->limitState();
 }
 
--- a/src/process/dispatch/part_quarantine.h
+++ b/src/process/dispatch/part_quarantine.h
@@ -12,6 +12,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <unordered_map>
 #include <unordered_set>
 #include <vector>
 
@@ -36,6 +37,35 @@
     bool operator==(const Loss &) const = default;
 };
 
+/** @brief Counts parts by the times at which backend servers with them were lost. */
+class LossCounts
+{
+public:
+    /** @brief Adds a part's losses, or takes them away again. @param change 1 or -1. */
+    void add(const std::vector<Loss> &losses, int change);
+    /** @returns parts with losses at the same time, once for each neighbouring span of time. */
+    int countAt(const Loss &loss) const;
+
+private:
+    std::unordered_map<std::int64_t, int> parts; ///< By span of time.
+};
+
+/** @brief What becomes of a request because of its prompt's parts. */
+struct QuarantineRuling {
+    enum class Kind {
+        Sent, ///< No part of it is quarantined.
+        Trial, ///< Sent, to find out which of several quarantined parts ends backend servers.
+        Claim, ///< Asks again after `retryAfter`, and is a trial then unless another daemon's claim goes before.
+        Refused,
+    };
+
+    Kind kind = Kind::Sent;
+    std::uint64_t part = 0; ///< The quarantined part that decides.
+    Duration retryAfter {0}; ///< When a request that isn't sent may come again.
+
+    bool operator==(const QuarantineRuling &) const = default;
+};
+
 /**
  * @brief Decides from losses of backend servers which prompt parts end them.
  *
@@ -46,6 +76,11 @@
  * time count once: a power cut or a network fault ends many backend servers
  * without regard to what they work on.
  *
+ * Parts that came only together are quarantined together. A request that has
+ * all of them is refused. One that has some of them is sent as a trial, one at
+ * a time in the fleet: its answer releases its parts, its loss leaves the
+ * quarantine to them.
+ *
  * Each daemon sees a part of the evidence; evidence() and merge() make it common
  * to all. Every daemon then decides by itself, by the same rule.
  *
@@ -56,13 +91,16 @@
 public:
     using ChangeHandler = std::function<void(const QuarantineChange &)>;
 
-    explicit PartQuarantine(ChangeHandler changeHandler);
+    /** @param ownDaemon The daemon that claims trials. */
+    explicit PartQuarantine(ChangeHandler changeHandler, DaemonHandle ownDaemon = {});
 
     /** @brief Records that an answer to a request with this prompt is being written: none of its parts ends backend servers. */
     void recordWritten(const request::Prompt &prompt, Time now);
     /** @brief Records that a backend server was lost before it had begun to answer a request with this prompt. */
     void recordLoss(std::uint32_t incarnation, const request::Prompt &prompt, Time now);
 
+    /** @brief Decides on a request that is about to be sent. Makes a claim for a trial, or uses up the one that was made. */
+    QuarantineRuling rule(const request::Prompt &prompt, Time now);
     /** @returns the quarantined part of the prompt; nullopt if there is none. */
     std::optional<std::uint64_t> quarantinedPart(const request::Prompt &prompt) const;
     /** @returns how much longer the part stays quarantined; zero when it isn't. */
@@ -99,17 +137,38 @@
         Losses losses;
     };
 
+    struct Claim {
+        std::uint64_t part = 0;
+        DaemonHandle daemon;
+        Time since {0};
+        bool isUsed = false; ///< By this daemon.
+    };
+
     void addSuspicion(std::uint64_t part, const Loss &loss, Time now);
     void putSuspect(const Suspect &suspect);
-    void setSound(std::uint64_t part, Time at);
+    void onSuspectErased(const Suspect &suspect);
+    /** @returns whether this ends a suspicion or a quarantine. */
+    bool setSound(std::uint64_t part, Time at);
     void quarantine(std::uint64_t part, Time since, const std::string &cause);
+    void onReleased(const QuarantinedPart &held, const std::string &cause);
     void updateSuspects(Time now);
+    /** @returns the quarantined part whose losses speak against the request even without the parts that it doesn't have; nullopt if there
+     * is none. */
+    std::optional<std::uint64_t> convictingPart(const request::Prompt &prompt) const;
+    /** @brief Decides on a request that would show whether the part ends backend servers. */
+    QuarantineRuling ruleOnTrial(std::uint64_t part, Time now);
+    /** @brief Keeps the claim if it goes before the one that is known. */
+    void putClaim(const Claim &claim);
+    static bool isBefore(const Claim &claim, const Claim &other);
     void limitState();
 
     ChangeHandler onChange;
     PartTable<Suspect> suspects;
     std::unordered_set<std::uint64_t> repeated; ///< Suspects with several losses.
     PartTable<QuarantinedPart> quarantined;
+    PartTable<Claim> claims; ///< The one that is first, for each part.
+    LossCounts lossCounts; ///< Of quarantined parts, and of suspects with several losses.
+    DaemonHandle self;
     std::map<std::uint64_t, Time> soundAt; ///< When an answer was last being written to a request with the part.
     std::map<std::uint64_t, Time> objections; ///< Parts that others suspect and this daemon knows as sound: when it last had to say so.
 };
--- a/src/process/exchange/load_codec.cpp
+++ b/src/process/exchange/load_codec.cpp
@@ -63,6 +63,11 @@
     return {partOf(entry), entry.backend(), std::chrono::milliseconds(entry.age_ms())};
 }
 
+TrialClaim fromWire(const wire::Trial &entry)
+{
+    return {partOf(entry), DaemonHandle {entry.daemon()}, std::chrono::milliseconds(entry.age_ms())};
+}
+
 LimitStatement fromWire(const wire::Limit &entry)
 {
     return {entry.incarnation(), entry.rate(), entry.has_ended() != 0, std::chrono::milliseconds(entry.age_ms())};
@@ -121,6 +126,11 @@
     return {highHalf(suspicion.part), static_cast<std::uint32_t>(suspicion.part), suspicion.incarnation, toMilliseconds(suspicion.age)};
 }
 
+wire::Trial toWire(const TrialClaim &claim)
+{
+    return {highHalf(claim.part), static_cast<std::uint32_t>(claim.part), claim.daemon.id, toMilliseconds(claim.age)};
+}
+
 wire::Limit toWire(const LimitStatement &limit)
 {
     return {limit.incarnation, static_cast<float>(limit.rate), toMilliseconds(limit.age), limit.hasEnded ? 1U : 0U};
@@ -214,10 +224,11 @@
     const auto committedOffset = writeList(builder, committed);
     const auto rolloutsOffset = writeList(builder, message.load.rollouts);
     const auto rolloutCountsOffset = writeList(builder, message.load.rolloutCounts);
+    const auto trialsOffset = writeList(builder, message.evidence.trials);
     builder.Finish(wire::CreateMessage(builder, static_cast<wire::Kind>(message.kind), message.sender.id, message.dataCentre.id,
                                        workspacesOffset, backendsOffset, message.load.daemons, toMilliseconds(message.load.age),
                                        offeredOffset, suspicionsOffset, soundOffset, quarantinedOffset, limitsOffset, limitDemandsOffset,
-                                       committedOffset, rolloutsOffset, rolloutCountsOffset));
+                                       committedOffset, rolloutsOffset, rolloutCountsOffset, trialsOffset));
     return {builder.GetBufferPointer(), builder.GetBufferPointer() + builder.GetSize()};
 }
 
@@ -259,7 +270,7 @@
             message.load.backends.push_back({load->backend(), load->unread_tokens(), load->in_flight(), 0});
         }
     }
-    message.evidence = {fromWire(root->suspicions()), fromWire(root->sound()), fromWire(root->quarantined())};
+    message.evidence = {fromWire(root->suspicions()), fromWire(root->sound()), fromWire(root->quarantined()), fromWire(root->trials())};
     message.limits = fromWire(root->limits(), maxLimitEntries);
     message.load.limitDemands = fromWire(root->limit_demands(), maxLimitEntries);
     message.load.rollouts = fromWire(root->rollouts(), maxRolloutEntries);
--- a/src/process/exchange/part_evidence.h
+++ b/src/process/exchange/part_evidence.h
@@ -19,6 +19,15 @@
     bool operator==(const Suspicion &) const = default;
 };
 
+/** @brief A daemon's claim to send a request with a quarantined part, to find out whether the part ends backend servers. */
+struct TrialClaim {
+    std::uint64_t part = 0;
+    DaemonHandle daemon;
+    Duration age {0}; ///< Time since it was made.
+
+    bool operator==(const TrialClaim &) const = default;
+};
+
 /** @brief A part, and the time since something happened to it. */
 struct PartAge {
     std::uint64_t part = 0;
@@ -35,6 +44,7 @@
     std::vector<Suspicion> suspicions;
     std::vector<PartAge> sound; ///< Suspected parts with which an answer was written, and when.
     std::vector<PartAge> quarantined;
+    std::vector<TrialClaim> trials {};
 
     bool operator==(const PartEvidence &) const = default;
 };
--- a/src/process/proxy/proxied_request.cpp
+++ b/src/process/proxy/proxied_request.cpp
@@ -209,6 +209,12 @@
         }
     });
     this->deadlineTimer.start(this->deadline - now, [self = this->shared_from_this()] { self->onDeadline(); });
+    this->admit();
+}
+
+void ProxiedRequest::admit()
+{
+    const Time now = readClock();
     if (this->isEngineService() && (!this->checkQuarantine(now) || !this->checkPace(now))) {
         return;
     }
@@ -219,13 +225,21 @@
 
 bool ProxiedRequest::checkQuarantine(Time now)
 {
-    const auto part = this->proxy.quarantine().quarantinedPart(this->attributes.prompt);
-    if (!part) {
-        return true;
+    using Kind = dispatch::QuarantineRuling::Kind;
+    const dispatch::QuarantineRuling ruling = this->proxy.quarantine().rule(this->attributes.prompt, now);
+    if (ruling.kind == Kind::Claim && ruling.retryAfter < this->remainingTime(now)) {
+        this->pollTimer.start(ruling.retryAfter, [self = this->shared_from_this()] { self->admit(); });
+        return false;
     }
-    this->refuse(RefusalReason::PartQuarantined, this->proxy.quarantine().remaining(*part, now),
-                 "a part of the prompt ends backend servers");
-    return false;
+    if (ruling.kind == Kind::Claim || ruling.kind == Kind::Refused) {
+        this->refuse(RefusalReason::PartQuarantined, ruling.retryAfter, "a part of the prompt ends backend servers");
+        return false;
+    }
+    this->isTrial = ruling.kind == Kind::Trial;
+    if (this->isTrial) {
+        logEvent("part_trial", {{"request", this->attributes.id}, {"part", Proxy::formatPart(ruling.part)}});
+    }
+    return true;
 }
 
 bool ProxiedRequest::isBeingWritten(Time now) const
@@ -236,7 +250,7 @@
 void ProxiedRequest::giveUpIfQuarantined()
 {
     const Time now = readClock();
-    if (this->isFinished || !this->currentAttempt || this->isBeingWritten(now)
+    if (this->isFinished || this->isTrial || !this->currentAttempt || this->isBeingWritten(now)
         || !this->proxy.quarantine().quarantinedPart(this->attributes.prompt)) {
         return;
     }
--- a/src/process/proxy/proxied_request.h
+++ b/src/process/proxy/proxied_request.h
@@ -63,6 +63,8 @@
     Duration computeRetryAfter(const BackendChoice &choice, Time now) const;
     /** @brief Refuses a request with a quarantined part. @returns false when it was refused. */
     bool checkQuarantine(Time now);
+    /** @brief Places the request unless its prompt or its workspace's pace forbids it. */
+    void admit();
     /** @returns whether the current attempt's answer has been written for long enough to show that the prompt's parts are sound. */
     bool isBeingWritten(Time now) const;
     /** @brief Refuses a request beyond its workspace's pace, before a backend server is chosen. @returns false when it was refused. */
@@ -147,6 +149,7 @@
     std::uint32_t lastWaiting = 0; ///< Waiting requests of the same report.
     Duration timeToFirstEvent {0};
     bool hasAnswerStarted = false; ///< A part of the answer has been sent to the caller.
+    bool isTrial = false; ///< It is sent although a part of its prompt is quarantined.
     bool isFinished = false;
     bool wasCounted = false; ///< The first attempt has been counted for retry budget, shares and costs.
 };
--- a/src/process/proxy/proxy.cpp
+++ b/src/process/proxy/proxy.cpp
@@ -88,7 +88,8 @@
           [](const directory::BackendChange &change) {
               logEvent("backend_changed", {{"backend", change.id}, {"availability", nameOf(change.availability)}, {"cause", change.cause}});
           })
-    , partQuarantine([this](const dispatch::QuarantineChange &change) { this->onQuarantineChange(change); })
+    , partQuarantine([this](const dispatch::QuarantineChange &change) { this->onQuarantineChange(change); },
+                     handleOf<DaemonHandle>(this->currentSettings.name))
     , backendPool(ioContext)
     , activeDaemons(handleOf<DaemonHandle>(this->currentSettings.name),
                     {this->currentSettings.bounds.stopGrace + drainMargin, daemonListPropagationDelay})
@@ -156,12 +157,17 @@
     this->unanswered.erase(&request);
 }
 
+std::string Proxy::formatPart(std::uint64_t part)
+{
+    std::ostringstream text;
+    text << std::hex << part;
+    return text.str();
+}
+
 void Proxy::onQuarantineChange(const dispatch::QuarantineChange &change)
 {
-    std::ostringstream part;
-    part << std::hex << change.part;
     logWarning(change.isQuarantined ? "part_quarantined" : "part_released",
-               {{"part", part.str()}, {"backends", std::to_string(change.backends)}, {"cause", change.cause}});
+               {{"part", formatPart(change.part)}, {"backends", std::to_string(change.backends)}, {"cause", change.cause}});
     // One pass over the requests serves all parts that are quarantined together.
     if (change.isQuarantined && !std::exchange(this->isGivingUp, true)) {
         boost::asio::post(this->io, [this] { this->giveUpQuarantined(); });
--- a/src/process/proxy/proxy.h
+++ b/src/process/proxy/proxy.h
@@ -197,6 +197,8 @@
     {
         return this->workspacePacer;
     }
+    /** @returns a part's id as requests write it. */
+    static std::string formatPart(std::uint64_t part);
     dispatch::PartQuarantine &quarantine()
     {
         return this->partQuarantine;
--- a/tests/proxy/test_part_quarantine.cpp
+++ b/tests/proxy/test_part_quarantine.cpp
@@ -14,6 +14,7 @@
 #include <map>
 #include <memory>
 #include <random>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -70,7 +71,7 @@
             peers.push_back({DaemonHandle {index + 1}, DataCentreHandle {1 + index % 3}, std::to_string(index + 1)});
         }
         for (const exchange::Peer &peer : peers) {
-            auto daemon = std::make_unique<Daemon>(Daemon {PartQuarantine(ignoreChange), nullptr});
+            auto daemon = std::make_unique<Daemon>(Daemon {PartQuarantine(ignoreChange, peer.daemon), nullptr});
             daemon->exchange
                 = std::make_unique<exchange::LoadExchange>(peer, [this, peer](const exchange::Peer &to, const exchange::Message &message) {
                       this->deliver(to, message, peer.address);
@@ -91,7 +92,7 @@
     /** Forgets all that a daemon knows, as in a restart. */
     void restart(std::uint32_t index)
     {
-        this->quarantine(index) = PartQuarantine(ignoreChange);
+        this->quarantine(index) = PartQuarantine(ignoreChange, DaemonHandle {index + 1});
     }
 
     void advance(Time to)
@@ -377,10 +378,258 @@
     }
 }
 
+namespace
+{
+
+using Kind = dispatch::QuarantineRuling::Kind;
+
+bool isSent(Kind kind)
+{
+    return kind == Kind::Sent || kind == Kind::Trial;
+}
+
+/** Requests that a daemon sends again and again, until something is decided. */
+constexpr Duration callerPause = 500ms;
+/** Time in which a doubtful request is decided on: a claim, a trial, and the way of its result to all daemons, twice. */
+constexpr Duration trialTime = 4s;
+
+/** Backend servers, one of whose prompt parts ends them. */
+class Backends
+{
+public:
+    explicit Backends(std::set<std::uint64_t> badParts)
+        : bad(std::move(badParts))
+    {
+    }
+
+    /** Sends a request as the daemon decides. @returns what was decided. */
+    Kind send(PartQuarantine &quarantine, const request::Prompt &prompt, Time now)
+    {
+        const Kind kind = quarantine.rule(prompt, now).kind;
+        if (isSent(kind)) {
+            const auto shared = prompt.sharedParts();
+            if (std::any_of(shared.begin(), shared.end(),
+                            [this](const request::PromptPart &part) { return this->bad.contains(part.id); })) {
+                quarantine.recordLoss(++this->lost, prompt, now);
+            } else {
+                quarantine.recordWritten(prompt, now);
+            }
+        }
+        return kind;
+    }
+
+    std::uint32_t lost = 0;
+
+private:
+    std::set<std::uint64_t> bad;
+};
+
+/** A caller's requests begin with its first part. */
+constexpr std::uint64_t firstPart = 0xf1257;
+
+request::Prompt promptOfCaller(std::uint64_t part, std::uint64_t own)
+{
+    return {100, 10, {{firstPart, 50}, {part, 30}, {own, 20}}};
+}
+
+/** Three losses of requests with both parts, while the caller sends nothing else. */
+void quarantineBoth(PartQuarantine &quarantine, Backends &backends, std::uint64_t part, Time &now)
+{
+    for (std::uint64_t own = 1; own <= 3; ++own, now += 3s) {
+        CHECK(backends.send(quarantine, promptOfCaller(part, own), now) == Kind::Sent);
+        quarantine.update(now);
+    }
+    quarantine.update(now);
+    CHECK(quarantine.quarantinedPart(promptOfCaller(7, 1)) == firstPart);
+    CHECK(quarantine.quarantinedPart(promptWith(part, 1)) == part);
+}
+
+/** Sends a request each half second until it is sent, or for the time in which a trial is decided. @returns whether it was sent. */
+bool sendUntilDecided(PartQuarantine &quarantine, Backends &backends, const request::Prompt &prompt, Time &now)
+{
+    for (const Time until = now + trialTime; now < until; now += callerPause) {
+        quarantine.update(now);
+        if (isSent(backends.send(quarantine, prompt, now))) {
+            now += callerPause;
+            quarantine.update(now);
+            return true;
+        }
+    }
+    return false;
+}
+
+}
+
+// Guards against a sound part that is refused for ten minutes, as it came only beside the part that ends servers (review case 10).
+TEST_CASE("a sound part that came only beside the bad one is served again, and the bad one stays quarantined")
+{
+    std::vector<QuarantineChange> changes;
+    PartQuarantine quarantine([&changes](const QuarantineChange &change) { changes.push_back(change); }, DaemonHandle {1});
+    Backends backends({deadly});
+    Time now = start;
+    quarantineBoth(quarantine, backends, deadly, now);
+    const auto claim = quarantine.rule(promptOfCaller(7, 1), now);
+    CHECK(claim.kind == Kind::Claim);
+    CHECK(claim.retryAfter <= 1s);
+    CHECK(quarantine.rule(promptOfCaller(8, 1), now).kind == Kind::Refused);
+    CHECK(quarantine.rule(promptOfCaller(deadly, 1), now).retryAfter > 1min);
+    CHECK(sendUntilDecided(quarantine, backends, promptOfCaller(7, 2), now));
+    CHECK(backends.lost == 3);
+    REQUIRE_FALSE(changes.empty());
+    CHECK(changes.back() == QuarantineChange {firstPart, false, 0, "an answer was written with it"});
+    for (std::uint64_t own = 10; own < 40; ++own, now += callerPause) {
+        quarantine.update(now);
+        CHECK(backends.send(quarantine, promptOfCaller(7, own), now) == Kind::Sent);
+        CHECK(backends.send(quarantine, promptOfCaller(deadly, own), now) == Kind::Refused);
+        CHECK(backends.send(quarantine, promptWith(deadly, own), now) == Kind::Refused);
+    }
+    CHECK(backends.lost == 3);
+}
+
+TEST_CASE("a part that ends backend servers alone is never tried")
+{
+    PartQuarantine quarantine(ignoreChange, DaemonHandle {1});
+    Backends backends({deadly});
+    Time now = start;
+    for (std::uint64_t own = 1; own <= 3; ++own, now += 3s) {
+        quarantine.recordWritten(promptWith(7, own), now - 10ms);
+        backends.send(quarantine, promptWith(deadly, own), now);
+        quarantine.update(now);
+    }
+    for (const Time until = now + 9min; now < until; now += callerPause) {
+        quarantine.update(now);
+        CHECK(backends.send(quarantine, promptWith(deadly, 9), now) == Kind::Refused);
+    }
+    CHECK(backends.lost == 3);
+}
+
+// Guards against a quarantine that is lifted by mistake: which of the parts that came together is bad must not be guessed.
+TEST_CASE("of two parts that came only together, the bad one is held after one trial, whichever it is")
+{
+    constexpr std::uint64_t companion = 0x5e55;
+    for (const std::uint64_t bad : {firstPart, companion}) {
+        CAPTURE(bad);
+        PartQuarantine quarantine(ignoreChange, DaemonHandle {1});
+        Backends backends({bad});
+        Time now = start;
+        quarantineBoth(quarantine, backends, companion, now);
+        // The first request without the companion is the one that ends a backend server, or clears the first part.
+        CHECK(sendUntilDecided(quarantine, backends, promptOfCaller(7, 1), now));
+        CHECK(sendUntilDecided(quarantine, backends, promptWith(companion, 1), now) == (bad != companion));
+        CHECK(sendUntilDecided(quarantine, backends, promptOfCaller(7, 2), now) == (bad != firstPart));
+        CHECK_FALSE(sendUntilDecided(quarantine, backends, promptOfCaller(companion, 3), now));
+        CHECK_FALSE(sendUntilDecided(quarantine, backends, bad == firstPart ? promptOfCaller(8, 4) : promptWith(bad, 4), now));
+        CHECK(backends.lost <= 4);
+    }
+}
+
+TEST_CASE("a sound part beside two bad ones is served again, and both are held")
+{
+    constexpr std::uint64_t otherBad = 0xbad2;
+    // At 300 ms all losses come before the first verdict, at 1 s the sound part collects its third loss before a bad one does.
+    for (const Duration pause : {Duration(300ms), Duration(1s)}) {
+        CAPTURE(pause.count());
+        PartQuarantine quarantine(ignoreChange, DaemonHandle {1});
+        Backends backends({deadly, otherBad});
+        Time now = start;
+        for (std::uint64_t own = 1; own <= 3; ++own) {
+            for (const std::uint64_t bad : {deadly, otherBad}) {
+                backends.send(quarantine, promptOfCaller(bad, own), now);
+                now += pause;
+                quarantine.update(now);
+            }
+        }
+        CHECK(sendUntilDecided(quarantine, backends, promptOfCaller(7, 1), now));
+        for (std::uint64_t own = 10; own < 16; ++own, now += pause) {
+            quarantine.update(now);
+            CHECK(backends.send(quarantine, promptOfCaller(7, own), now) == Kind::Sent);
+            for (const std::uint64_t bad : {deadly, otherBad}) {
+                backends.send(quarantine, promptOfCaller(bad, own), now);
+                now += pause;
+            }
+        }
+        for (const std::uint64_t bad : {deadly, otherBad}) {
+            CHECK_FALSE(sendUntilDecided(quarantine, backends, promptOfCaller(bad, 20), now));
+            CHECK_FALSE(sendUntilDecided(quarantine, backends, promptWith(bad, 20), now));
+        }
+        CHECK(backends.send(quarantine, promptOfCaller(7, 20), now) == Kind::Sent);
+        // Three for each of them, and one trial.
+        CHECK(backends.lost <= 7);
+    }
+}
+
+// Guards against a verdict on hundreds of parts of a system prompt, one of which is bad, that holds the sound ones or loses the bad one.
+TEST_CASE("a system prompt of many parts is cleared by one trial")
+{
+    constexpr std::size_t commonParts = 394;
+    for (const std::uint64_t bad : {std::uint64_t {1}, ~std::uint64_t {0}}) {
+        CAPTURE(bad);
+        PartQuarantine quarantine(ignoreChange, DaemonHandle {1});
+        Backends backends({bad});
+        Time now = start;
+        for (std::uint64_t own = 1; own <= 3; ++own, now += 3s) {
+            backends.send(quarantine, promptOfMany(0x100000 * own, 1, bad, commonParts), now);
+            quarantine.update(now);
+        }
+        quarantine.update(now);
+        CHECK(backends.send(quarantine, promptOfMany(0x900000, 1, bad, commonParts), now) == Kind::Refused);
+        CHECK(sendUntilDecided(quarantine, backends, promptOfMany(0xa00000, 1, 7, commonParts), now));
+        CHECK(backends.send(quarantine, promptOfMany(0xb00000, 1, 8, commonParts), now) == Kind::Sent);
+        CHECK(backends.send(quarantine, promptWith(bad, 1), now) == Kind::Refused);
+        CHECK(backends.lost == 3);
+    }
+}
+
+// Guards against trials at many daemons at once, each of which ends a backend server where the tried part is the bad one.
+TEST_CASE("daemons try one doubtful request at a time, and few backend servers are lost, without the store")
+{
+    constexpr std::uint64_t companion = 0x5e55;
+    for (const std::uint64_t bad : {firstPart, companion}) {
+        for (const std::uint32_t perDataCentre : {2U, 20U}) {
+            CAPTURE(bad);
+            CAPTURE(perDataCentre);
+            Daemons daemons(perDataCentre);
+            Backends backends({bad});
+            Time now = start;
+            std::uint64_t own = 0;
+            for (int loss = 0; loss < 3; ++loss, now += 3s) {
+                daemons.advance(now);
+                backends.send(daemons.quarantine(static_cast<std::uint32_t>(loss)), promptOfCaller(companion, ++own), now);
+            }
+            daemons.advance(now);
+            // From now on each daemon gets such requests all the time.
+            std::size_t served = 0;
+            std::size_t sent = 0;
+            const Time decided = now + 2 * trialTime;
+            for (const Time until = decided + 10s; now < until; now += callerPause) {
+                daemons.advance(now);
+                for (std::uint32_t index = 0; index < daemons.size(); ++index) {
+                    const std::uint32_t lost = backends.lost;
+                    const request::Prompt sound = bad == companion ? promptOfCaller(7, ++own) : promptWith(companion, ++own);
+                    const bool isServed = isSent(backends.send(daemons.quarantine(index), sound, now));
+                    backends.send(daemons.quarantine(index), bad == companion ? promptWith(bad, ++own) : promptOfCaller(7, ++own), now);
+                    backends.send(daemons.quarantine(index), promptOfCaller(companion, ++own), now);
+                    if (now >= decided) {
+                        ++sent;
+                        served += isServed ? 1 : 0;
+                        CHECK(backends.lost == lost);
+                    }
+                }
+            }
+            CHECK(served == sent);
+            // Three for the verdict, one for the trial, and one for a claim that was made at the same moment.
+            CHECK(backends.lost <= 5);
+        }
+    }
+}
+
 TEST_CASE("evidence arrives as it was sent, to the millisecond")
 {
     exchange::Message message;
-    message.evidence = {{{deadly, 7, 1500ms}, {3, 8, 0ms}}, {{deadly, 20ms}}, {{0xffffffffffffffff, 10min}}};
+    message.evidence = {{{deadly, 7, 1500ms}, {3, 8, 0ms}},
+                        {{deadly, 20ms}},
+                        {{0xffffffffffffffff, 10min}},
+                        {{deadly, DaemonHandle {9}, 700ms}, {0xffffffffffffffff, DaemonHandle {0xffffffff}, 0ms}}};
     CHECK(exchange::decode(exchange::encode(message)) == message);
 }
 
@@ -517,3 +766,38 @@
     }
     CHECK(status == 503);
 }
+
+// Guards against callers that get nothing for ten minutes, as a part of theirs came only beside the bad one for a while (review case 10).
+TEST_CASE("a caller whose first part came only beside the bad one is served again within seconds, while the store is away")
+{
+    std::vector<std::unique_ptr<standin::RawServer>> servers;
+    standin::DaemonFixture world;
+    nlohmann::json configuration = standin::makeConfiguration(4);
+    configuration["services"][0]["engine"] = {{"slots", 8}, {"kv_capacity", 100000}};
+    world.store.put("config", "main", configuration);
+    for (std::size_t index = 0; index < 8; ++index) {
+        servers.push_back(std::make_unique<standin::RawServer>(crashOnDeadlyPart));
+        world.addBackend("i-" + std::to_string(index), *servers.back());
+    }
+    world.start();
+    world.store.refusesAll = true;
+    int sent = 0;
+    const auto send = [&world, &sent](const char *prefix) {
+        const std::string id = "q" + std::to_string(++sent);
+        return world.call("/stream/x", id, prefix + std::to_string(1000 + sent) + ":20\r\n");
+    };
+    for (int round = 0; round < 3; ++round) {
+        CHECK(send(deadlyPrefix).result_int() == 502);
+        std::this_thread::sleep_for(400ms);
+    }
+    std::this_thread::sleep_for(2s);
+    REQUIRE(send(deadlyPrefix).result_int() == 503);
+    const std::size_t before = deadlyRequests(servers);
+    // The first sound one waits until no other daemon can be trying one, too.
+    for (int round = 0; round < 20; ++round) {
+        CHECK(send(soundPrefix).result_int() == 200);
+        CHECK(send(deadlyPrefix).result_int() == 503);
+    }
+    CHECK(deadlyRequests(servers) == before);
+    CHECK(before == 3);
+}
