Look only at the parts that are due, whatever has piled up

Callers and operators: a daemon stood still for 8 to 52 s at a time when 20 prompts a second listed 1,700 parts each.

Cause: PartQuarantine entered each part of an answered prompt, and every 100 ms removed those beyond its bound with a search of all for each one; while the event loop stood still, more came.

Ruled out: the model of a cache, whose time grows with the parts alone, and the header, which is read once.

Parts are kept in one kind of table now, in the order of their age and of the time at which they are due: a part that is convicted then, or a loss, a verdict or an objection that ends. An operation looks at what it returns or removes and at a constant number besides. The bounds are 16,384 sound parts, as many as suspected ones, and 2,048 objections, which are told in turn. A verdict's requests are given up 16 in each turn of the loop.

The test counts entries that are changed or looked at, not time: 32 a part at most.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # Front door of the build; each target does its own set-up.
 BUILD := build
 
-.PHONY: all setup build test fuzz demo tour latency capacity plots check format lint generate clean
+.PHONY: all setup build test fuzz demo tour latency capacity growth plots check format lint generate clean
 
 all: build
 
@@ -27,6 +27,9 @@
 capacity: build
 	@$(BUILD)/bin/capacity
 
+growth: build
+	@$(BUILD)/bin/growth
+
 demo: build
 	@scripts/demo.sh
 
--- a/src/process/dispatch/part_quarantine.cpp
+++ b/src/process/dispatch/part_quarantine.cpp
@@ -1,5 +1,7 @@
 #include "process/dispatch/part_quarantine.h"
 
+#include "process/rendezvous.h"
+
 #include <algorithm>
 #include <iterator>
 #include <utility>
@@ -45,9 +47,9 @@
 /** Bounds of the state, for floods of new parts. */
 constexpr std::size_t maxSuspects = 16384;
 constexpr std::size_t maxLossesPerPart = 16;
-constexpr std::size_t maxSoundParts = 4096;
+constexpr std::size_t maxSoundParts = 16384;
 constexpr std::size_t maxQuarantined = 2048;
-constexpr std::size_t maxObjections = 256;
+constexpr std::size_t maxObjections = 2048;
 /** Entries of each kind in a message: one datagram has to hold them. */
 constexpr std::size_t maxToldSuspicions = 128;
 constexpr std::size_t maxToldSuspicionsOfQuarantined = 96;
@@ -55,18 +57,26 @@
 constexpr std::size_t maxToldQuarantined = 64;
 constexpr std::size_t maxToldClaims = 16;
 
-/** @returns at how many distinct times incarnations were lost, up to a time. */
-std::size_t countLossTimes(const std::vector<Loss> &losses, Time until)
+/** @returns the loss that completes as many distinct times as convict a part; the end without one. */
+std::vector<Loss>::const_iterator findConvictingLoss(const std::vector<Loss> &losses)
 {
-    std::size_t count = 0;
+    std::size_t times = 0;
     Time last = Time::min();
-    for (const Loss &loss : losses) {
-        if (loss.at <= until && (count == 0 || loss.at - last >= lossSeparation)) {
-            ++count;
+    return std::find_if(losses.begin(), losses.end(), [&times, &last](const Loss &loss) {
+        if (times == 0 || loss.at - last >= lossSeparation) {
+            ++times;
             last = loss.at;
         }
-    }
-    return count;
+        return times == minLossTimes;
+    });
+}
+
+/** @returns when a part with these losses is convicted, or else the first of them is forgotten. */
+Time dueTime(const std::vector<Loss> &losses)
+{
+    const Time forgottenAt = losses.front().at + lossRetention;
+    const auto convicting = findConvictingLoss(losses);
+    return convicting == losses.end() ? forgottenAt : std::min(forgottenAt, convicting->at + objectionTime);
 }
 
 std::int64_t spanOf(const Loss &loss)
@@ -109,14 +119,6 @@
     return std::erase_if(losses, [until](const Loss &loss) { return loss.at <= until; }) > 0;
 }
 
-void removeOldest(std::map<std::uint64_t, Time> &entries, std::size_t most)
-{
-    while (entries.size() > most) {
-        entries.erase(std::min_element(entries.begin(), entries.end(),
-                                       [](const auto &left, const auto &right) { return left.second < right.second; }));
-    }
-}
-
 }
 
 PartQuarantine::PartQuarantine(ChangeHandler changeHandler, DaemonHandle ownDaemon)
@@ -125,6 +127,8 @@
     , quarantined(maxQuarantined)
     , claims(maxQuarantined)
     , self(ownDaemon)
+    , soundParts(maxSoundParts)
+    , objections(maxObjections)
 {
 }
 
@@ -132,16 +136,18 @@
 {
     for (const request::PromptPart &part : prompt.sharedParts()) {
         if (this->setSound(part.id, now)) {
-            this->objections[part.id] = now;
+            this->object(part.id, now);
         }
     }
+    this->soundParts.limit();
+    this->objections.limit();
 }
 
 void PartQuarantine::recordLoss(std::uint32_t incarnation, const request::Prompt &prompt, Time now)
 {
     for (const request::PromptPart &part : prompt.sharedParts()) {
-        const auto sound = this->soundAt.find(part.id);
-        if (sound == this->soundAt.end() || now - sound->second > soundPeriod) {
+        const SoundPart *sound = this->soundParts.find(part.id);
+        if (sound == nullptr || now - sound->writtenAt > soundPeriod) {
             this->addSuspicion(part.id, {incarnation, now}, now);
         }
     }
@@ -150,7 +156,7 @@
 
 void PartQuarantine::addSuspicion(std::uint64_t part, const Loss &loss, Time now)
 {
-    if (const auto sound = this->soundAt.find(part); sound != this->soundAt.end() && sound->second >= loss.at) {
+    if (const SoundPart *sound = this->soundParts.find(part); sound != nullptr && sound->writtenAt >= loss.at) {
         return;
     }
     if (const QuarantinedPart *held = this->quarantined.find(part)) {
@@ -159,6 +165,7 @@
             this->lossCounts.add(held->losses, -1);
             this->lossCounts.add(changed.losses, 1);
             this->quarantined.put(changed);
+            this->quarantined.renew(part);
         }
         return;
     }
@@ -166,36 +173,40 @@
         return;
     }
     const Suspect *known = this->suspects.find(part);
-    Suspect suspect = known == nullptr ? Suspect {part, {}} : *known;
-    if (addLoss(suspect.losses, loss)) {
-        this->putSuspect(suspect);
+    Losses losses = known == nullptr ? Losses() : known->losses;
+    if (addLoss(losses, loss)) {
+        this->putSuspect(part, losses);
         this->suspects.renew(part);
     }
 }
 
-void PartQuarantine::putSuspect(const Suspect &suspect)
+void PartQuarantine::putSuspect(std::uint64_t part, const Losses &losses)
 {
-    if (const Suspect *known = this->suspects.find(suspect.part)) {
+    if (const Suspect *known = this->suspects.find(part)) {
         this->onSuspectErased(*known);
     }
-    if (suspect.losses.size() > 1) {
-        this->repeated.insert(suspect.part);
-        this->lossCounts.add(suspect.losses, 1);
+    if (losses.empty()) {
+        this->suspects.erase(part);
+        return;
     }
-    if (suspect.losses.empty()) {
-        this->suspects.erase(suspect.part);
-    } else {
-        this->suspects.put(suspect);
+    if (losses.size() > 1) {
+        this->lossCounts.add(losses, 1);
     }
+    this->suspects.put({part, dueTime(losses), losses});
 }
 
 void PartQuarantine::onSuspectErased(const Suspect &suspect)
 {
-    if (this->repeated.erase(suspect.part) > 0) {
+    if (suspect.losses.size() > 1) {
         this->lossCounts.add(suspect.losses, -1);
     }
 }
 
+void PartQuarantine::object(std::uint64_t part, Time now)
+{
+    this->objections.put({part, now + objectionRetention});
+}
+
 void LossCounts::add(const std::vector<Loss> &losses, int change)
 {
     std::optional<std::int64_t> last;
@@ -224,8 +235,10 @@
 
 bool PartQuarantine::setSound(std::uint64_t part, Time at)
 {
-    const auto [entry, isNew] = this->soundAt.try_emplace(part, at);
-    entry->second = std::max(entry->second, at);
+    if (const SoundPart *known = this->soundParts.find(part); known == nullptr || known->writtenAt < at) {
+        this->soundParts.put({part, at + soundRetention, at});
+        this->soundParts.renew(part);
+    }
     if (const QuarantinedPart *held = this->quarantined.find(part)) {
         if (at <= held->since) {
             return false;
@@ -238,10 +251,10 @@
     if (known == nullptr) {
         return false;
     }
-    Suspect suspect = *known;
-    const bool isCleared = removeLossesUntil(suspect.losses, at);
+    Losses losses = known->losses;
+    const bool isCleared = removeLossesUntil(losses, at);
     if (isCleared) {
-        this->putSuspect(suspect);
+        this->putSuspect(part, losses);
     }
     return isCleared;
 }
@@ -260,17 +273,18 @@
 
 std::optional<std::uint64_t> PartQuarantine::convictingPart(const request::Prompt &prompt) const
 {
-    std::unordered_set<std::uint64_t> parts;
+    const auto shared = prompt.sharedParts();
+    std::vector<std::uint64_t> parts(shared.size());
+    std::transform(shared.begin(), shared.end(), parts.begin(), [](const request::PromptPart &part) { return part.id; });
+    std::sort(parts.begin(), parts.end());
+    parts.erase(std::unique(parts.begin(), parts.end()), parts.end());
     std::vector<const QuarantinedPart *> held;
     LossCounts ownCounts;
-    for (const request::PromptPart &part : prompt.sharedParts()) {
-        if (!parts.insert(part.id).second) {
-            continue;
-        }
-        if (const QuarantinedPart *found = this->quarantined.find(part.id)) {
+    for (const std::uint64_t part : parts) {
+        if (const QuarantinedPart *found = this->quarantined.find(part)) {
             held.push_back(found);
             ownCounts.add(found->losses, 1);
-        } else if (const Suspect *suspect = this->suspects.find(part.id); suspect != nullptr && suspect->losses.size() > 1) {
+        } else if (const Suspect *suspect = this->suspects.find(part); suspect != nullptr && suspect->losses.size() > 1) {
             ownCounts.add(suspect->losses, 1);
         }
     }
@@ -279,7 +293,7 @@
         std::copy_if(part->losses.begin(), part->losses.end(), std::back_inserter(unexplained),
                      [this, &ownCounts](const Loss &loss) { return this->lossCounts.countAt(loss) <= ownCounts.countAt(loss); });
         const bool isLostSince = !unexplained.empty() && unexplained.back().at > part->since;
-        return part->losses.empty() || isLostSince || countLossTimes(unexplained, Time::max()) >= minLossTimes;
+        return part->losses.empty() || isLostSince || findConvictingLoss(unexplained) != unexplained.end();
     });
     return convicting == held.end() ? std::nullopt : std::optional((*convicting)->part);
 }
@@ -309,7 +323,7 @@
     const Claim *known = this->claims.find(part);
     if (known == nullptr || now - known->since > claimRetention) {
         this->claims.erase(part);
-        this->claims.put({part, this->self, now, false});
+        this->claims.put({part, now + claimRetention, this->self, now, false});
         return {Kind::Claim, part, claimTime};
     }
     if (known->daemon != this->self || known->isUsed || now - known->since < claimTime) {
@@ -339,7 +353,8 @@
 {
     const auto shared = prompt.sharedParts();
     return std::any_of(shared.begin(), shared.end(), [this](const request::PromptPart &part) {
-        return this->repeated.contains(part.id) || this->quarantined.find(part.id) != nullptr;
+        const Suspect *suspect = this->suspects.find(part.id);
+        return (suspect != nullptr && suspect->losses.size() > 1) || this->quarantined.find(part.id) != nullptr;
     });
 }
 
@@ -348,7 +363,7 @@
     if (this->quarantined.find(part) != nullptr) {
         return;
     }
-    QuarantinedPart held {part, since, {}};
+    QuarantinedPart held {part, since + quarantineTime, since, {}};
     if (const Suspect *suspect = this->suspects.find(part)) {
         held.losses = suspect->losses;
         this->onSuspectErased(*suspect);
@@ -367,26 +382,25 @@
 
 void PartQuarantine::updateSuspects(Time now)
 {
-    this->suspects.eraseOutdated([now](const Suspect &suspect) { return now - suspect.losses.back().at > lossRetention; },
-                                 [this](const Suspect &suspect) { this->onSuspectErased(suspect); });
-    for (const std::uint64_t part : std::vector<std::uint64_t>(this->repeated.begin(), this->repeated.end())) {
-        Suspect suspect = *this->suspects.find(part);
-        if (removeLossesUntil(suspect.losses, now - lossRetention)) {
-            this->putSuspect(suspect);
+    this->suspects.takeDue(now, [this, now](const Suspect &due) {
+        Losses losses = due.losses;
+        removeLossesUntil(losses, now - lossRetention);
+        this->putSuspect(due.part, losses);
+        if (const auto convicting = findConvictingLoss(losses); convicting != losses.end() && convicting->at <= now - objectionTime) {
+            this->quarantine(due.part, now, "backend servers were lost");
         }
-        if (countLossTimes(suspect.losses, now - objectionTime) >= minLossTimes) {
-            this->quarantine(part, now, "backend servers were lost");
-        }
-    }
+    });
 }
 
 void PartQuarantine::update(Time now)
 {
-    std::erase_if(this->soundAt, [now](const auto &entry) { return now - entry.second > soundRetention; });
-    std::erase_if(this->objections, [now](const auto &entry) { return now - entry.second > objectionRetention; });
-    this->quarantined.eraseOutdated([now](const QuarantinedPart &held) { return now - held.since > quarantineTime; },
-                                    [this](const QuarantinedPart &held) { this->onReleased(held, "expired"); });
-    this->claims.eraseOutdated([now](const Claim &claim) { return now - claim.since > claimRetention; }, [](const Claim &) {});
+    this->soundParts.takeDue(now, [this](const SoundPart &due) { this->soundParts.erase(due.part); });
+    this->objections.takeDue(now, [this](const Objection &due) { this->objections.erase(due.part); });
+    this->claims.takeDue(now, [this](const Claim &due) { this->claims.erase(due.part); });
+    this->quarantined.takeDue(now, [this](const QuarantinedPart &due) {
+        this->quarantined.erase(due.part);
+        this->onReleased(due, "expired");
+    });
     this->updateSuspects(now);
     this->limitState();
 }
@@ -398,19 +412,29 @@
                          [this](const Suspect &suspect) { this->onSuspectErased(suspect); });
     this->quarantined.limit([](const QuarantinedPart &) { return false; },
                             [this](const QuarantinedPart &held) { this->onReleased(held, "too many are quarantined"); });
-    this->claims.limit([](const Claim &) { return false; }, [](const Claim &) {});
-    removeOldest(this->soundAt, maxSoundParts);
-    removeOldest(this->objections, maxObjections);
+    this->claims.limit();
+    this->soundParts.limit();
+    this->objections.limit();
+}
+
+std::uint64_t PartQuarantine::stepCount() const
+{
+    return this->suspects.stepCount() + this->quarantined.stepCount() + this->claims.stepCount() + this->soundParts.stepCount()
+        + this->objections.stepCount();
 }
 
 exchange::PartEvidence PartQuarantine::evidence(Time now)
 {
     exchange::PartEvidence told;
-    for (const auto &[part, at] : this->objections) {
-        if (const auto sound = this->soundAt.find(part); sound != this->soundAt.end() && told.sound.size() < maxToldSound) {
-            told.sound.push_back({part, now - sound->second});
+    this->objections.takeTurn([&](const Objection &objection) {
+        if (told.sound.size() == maxToldSound) {
+            return false;
         }
-    }
+        if (const SoundPart *sound = this->soundParts.find(objection.part)) {
+            told.sound.push_back({objection.part, now - sound->writtenAt});
+        }
+        return true;
+    });
     const auto tellLosses = [&told, now](std::uint64_t part, const Losses &losses) {
         for (const Loss &loss : losses) {
             told.suspicions.push_back({part, loss.incarnation, now - loss.at});
@@ -453,27 +477,27 @@
     for (const exchange::PartAge &sound : evidence.sound) {
         const Time at = now - sound.age;
         // Each hop makes it look newer by its delay; without a margin it would go round for ever.
-        if (const auto known = this->soundAt.find(sound.part); known == this->soundAt.end() || known->second + minSoundProgress < at) {
-            this->objections[sound.part] = now;
+        if (const SoundPart *known = this->soundParts.find(sound.part); known == nullptr || known->writtenAt + minSoundProgress < at) {
+            this->object(sound.part, now);
             this->setSound(sound.part, at);
         }
     }
     for (const exchange::PartAge &held : evidence.quarantined) {
-        const auto sound = this->soundAt.find(held.part);
+        const SoundPart *sound = this->soundParts.find(held.part);
         const Time since = now - held.age;
-        if (held.age <= quarantineTime && (sound == this->soundAt.end() || sound->second < since)) {
+        if (held.age < quarantineTime && (sound == nullptr || sound->writtenAt < since)) {
             this->quarantine(held.part, since, "another daemon found it");
         }
     }
     for (const exchange::Suspicion &suspicion : evidence.suspicions) {
-        if (this->soundAt.contains(suspicion.part)) {
-            this->objections[suspicion.part] = now;
+        if (this->soundParts.find(suspicion.part) != nullptr) {
+            this->object(suspicion.part, now);
         }
         this->addSuspicion(suspicion.part, {suspicion.incarnation, now - suspicion.age}, now);
     }
     for (const exchange::TrialClaim &claim : evidence.trials) {
         if (claim.age < claimRetention && claim.daemon != this->self) {
-            this->putClaim({claim.part, claim.daemon, now - claim.age, false});
+            this->putClaim({claim.part, now - claim.age + claimRetention, claim.daemon, now - claim.age, false});
         }
     }
     this->limitState();
--- a/src/process/dispatch/part_quarantine.h
+++ b/src/process/dispatch/part_quarantine.h
@@ -9,11 +9,9 @@
 
 #include <cstdint>
 #include <functional>
-#include <map>
 #include <optional>
 #include <string>
 #include <unordered_map>
-#include <unordered_set>
 #include <vector>
 
 namespace eelgrassnotch::process::dispatch
@@ -121,6 +119,8 @@
     {
         return this->suspects.size();
     }
+    /** @returns entries that were changed or looked at in a row, for tests of the work that is done. */
+    std::uint64_t stepCount() const;
 
 private:
     using Losses = std::vector<Loss>; ///< In order of time, one for each incarnation.
@@ -128,25 +128,41 @@
     /** @brief Part that is not quarantined. */
     struct Suspect {
         std::uint64_t part = 0;
+        Time dueAt {0}; ///< When it is convicted, or a loss is forgotten.
         Losses losses;
     };
 
     struct QuarantinedPart {
         std::uint64_t part = 0;
+        Time dueAt {0}; ///< When it is released.
         Time since {0};
         Losses losses;
     };
 
     struct Claim {
         std::uint64_t part = 0;
+        Time dueAt {0}; ///< When it ends.
         DaemonHandle daemon;
         Time since {0};
         bool isUsed = false; ///< By this daemon.
     };
 
+    struct SoundPart {
+        std::uint64_t part = 0;
+        Time dueAt {0}; ///< When it is forgotten.
+        Time writtenAt {0}; ///< When an answer was last being written to a request with the part.
+    };
+
+    /** @brief Part that others suspect and this daemon knows as sound. */
+    struct Objection {
+        std::uint64_t part = 0;
+        Time dueAt {0}; ///< Until when it is told.
+    };
+
     void addSuspicion(std::uint64_t part, const Loss &loss, Time now);
-    void putSuspect(const Suspect &suspect);
+    void putSuspect(std::uint64_t part, const Losses &losses);
     void onSuspectErased(const Suspect &suspect);
+    void object(std::uint64_t part, Time now);
     /** @returns whether this ends a suspicion or a quarantine. */
     bool setSound(std::uint64_t part, Time at);
     void quarantine(std::uint64_t part, Time since, const std::string &cause);
@@ -164,13 +180,12 @@
 
     ChangeHandler onChange;
     PartTable<Suspect> suspects;
-    std::unordered_set<std::uint64_t> repeated; ///< Suspects with several losses.
     PartTable<QuarantinedPart> quarantined;
     PartTable<Claim> claims; ///< The one that is first, for each part.
     LossCounts lossCounts; ///< Of quarantined parts, and of suspects with several losses.
     DaemonHandle self;
-    std::map<std::uint64_t, Time> soundAt; ///< When an answer was last being written to a request with the part.
-    std::map<std::uint64_t, Time> objections; ///< Parts that others suspect and this daemon knows as sound: when it last had to say so.
+    PartTable<SoundPart> soundParts;
+    PartTable<Objection> objections;
 };
 
 }
--- a/src/process/proxy/proxy.cpp
+++ b/src/process/proxy/proxy.cpp
@@ -63,6 +63,8 @@
 
 /** Versions of backend servers are counted this often while no order is active. */
 constexpr Duration idleRolloutPeriod = 500ms;
+/** Requests whose parts are looked up in one turn of the event loop; each may have as many as fit into a header. */
+constexpr std::size_t quarantineChecksPerTurn = 16;
 
 bool isAllowedIn(const std::vector<std::string> &homeRegions, const std::string &region)
 {
@@ -177,8 +179,17 @@
 void Proxy::giveUpQuarantined()
 {
     this->isGivingUp = false;
-    for (const auto &request : lock(this->unanswered)) {
-        request->giveUpIfQuarantined();
+    this->giveUpQuarantinedOf(lock(this->unanswered));
+}
+
+void Proxy::giveUpQuarantinedOf(std::vector<std::shared_ptr<ProxiedRequest>> left)
+{
+    for (std::size_t checked = 0; checked < quarantineChecksPerTurn && !left.empty(); ++checked) {
+        left.back()->giveUpIfQuarantined();
+        left.pop_back();
+    }
+    if (!left.empty()) {
+        boost::asio::post(this->io, [this, left = std::move(left)]() mutable { this->giveUpQuarantinedOf(std::move(left)); });
     }
 }
 
--- a/src/process/proxy/proxy.h
+++ b/src/process/proxy/proxy.h
@@ -293,6 +293,8 @@
     void onQuarantineChange(const dispatch::QuarantineChange &change);
     /** @brief Gives up the requests that are not being answered yet and have a quarantined part. */
     void giveUpQuarantined();
+    /** @brief The same for some requests, a few in each turn of the event loop. */
+    void giveUpQuarantinedOf(std::vector<std::shared_ptr<ProxiedRequest>> left);
 
     boost::asio::io_context &io;
     EdgeSettings currentSettings;
--- a/tests/proxy/test_part_quarantine.cpp
+++ b/tests/proxy/test_part_quarantine.cpp
@@ -623,6 +623,54 @@
     }
 }
 
+// Guards against a daemon that stands still for seconds, as prompts of many parts make it look at all parts for each of them (review case
+// 6).
+TEST_CASE("work on parts grows with their number, however many a prompt has and however many have come since the last look")
+{
+    constexpr std::size_t totalParts = 40'000;
+    constexpr std::uint64_t maxStepsPerPart = 32;
+    for (const std::size_t parts : {std::size_t {10}, std::size_t {100}, std::size_t {1000}, std::size_t {10'000}}) {
+        CAPTURE(parts);
+        PartQuarantine quarantine(ignoreChange, DaemonHandle {1});
+        Time now = start;
+        std::uint64_t stepsBefore = 0;
+        const auto stepsPerPart = [&] {
+            const std::uint64_t steps = quarantine.stepCount() - std::exchange(stepsBefore, quarantine.stepCount());
+            return steps / totalParts;
+        };
+        const auto forEachPrompt = [parts](std::uint64_t firstPart, const std::function<void(const request::Prompt &)> &function) {
+            for (std::size_t prompt = 0; prompt < totalParts / parts; ++prompt) {
+                function(promptOfMany(firstPart + prompt * parts, parts, deadly));
+            }
+        };
+        // Answers are written, and nothing is updated meanwhile.
+        forEachPrompt(0x1000000, [&](const request::Prompt &prompt) { quarantine.recordWritten(prompt, now); });
+        CHECK(stepsPerPart() <= maxStepsPerPart);
+        quarantine.update(now);
+        CHECK(stepsPerPart() <= maxStepsPerPart);
+        // Other parts are lost three times, and quarantined.
+        for (std::uint32_t backend = 1; backend <= 3; ++backend, now += 4s) {
+            forEachPrompt(0x2000000, [&](const request::Prompt &prompt) { quarantine.recordLoss(backend, prompt, now); });
+            CHECK(stepsPerPart() <= maxStepsPerPart);
+            quarantine.evidence(now);
+            quarantine.update(now);
+            CHECK(stepsPerPart() <= maxStepsPerPart);
+        }
+        quarantine.update(now);
+        forEachPrompt(0x2000000, [&](const request::Prompt &prompt) { quarantine.rule(prompt, now); });
+        CHECK(stepsPerPart() <= maxStepsPerPart);
+        // All of it is forgotten at the same moment.
+        quarantine.update(now + 1h);
+        CHECK(stepsPerPart() <= maxStepsPerPart);
+        // A look at which nothing is due does not grow with what is kept.
+        quarantine.recordWritten(promptOfMany(0x3000000, totalParts, 7), now + 1h);
+        stepsPerPart();
+        const std::uint64_t before = quarantine.stepCount();
+        quarantine.update(now + 1h);
+        CHECK(quarantine.stepCount() - before <= maxStepsPerPart);
+    }
+}
+
 TEST_CASE("evidence arrives as it was sent, to the millisecond")
 {
     exchange::Message message;
