Keep the index of backend servers as entries come and go

The test guards the order and both indexes over 3,000 entries that come, move to another service, restart and vanish.

--- a/src/process/directory/backend_directory.cpp
+++ b/src/process/directory/backend_directory.cpp
@@ -22,6 +22,11 @@
 /** Copies that the store comes back from are younger than this. */
 constexpr Duration removalRetention = 60s;
 
+bool isOrderedById(const BackendServerPtr &left, const BackendServerPtr &right)
+{
+    return left->record.id < right->record.id;
+}
+
 }
 
 BackendDirectory::BackendDirectory(CacheSizeLookup cacheSizeLookup, ChangeHandler changeHandler)
@@ -42,9 +47,7 @@
         this->removeBackend(record.id, "restarted");
     }
     if (!isSameIncarnation) {
-        const auto backend = std::make_shared<BackendServer>(record, this->cacheSize(record.service));
-        this->backends[record.id] = backend;
-        this->rebuildIndex();
+        this->add(std::make_shared<BackendServer>(record, this->cacheSize(record.service)));
     }
     BackendServer &backend = *this->backends.at(record.id);
     backend.record = record;
@@ -238,18 +241,24 @@
     }
     backend->openConnections -= static_cast<std::uint32_t>(backend->idleConnections.size());
     backend->idleConnections.clear();
+    std::vector<BackendServerPtr> &ofService = this->byService[backend->record.service];
+    ofService.erase(std::lower_bound(ofService.begin(), ofService.end(), backend, isOrderedById));
+    if (ofService.empty()) {
+        this->byService.erase(backend->record.service);
+    }
+    if (const auto indexed = this->byIncarnation.find(backend->incarnation);
+        indexed != this->byIncarnation.end() && indexed->second == backend) {
+        this->byIncarnation.erase(indexed);
+    }
     this->backends.erase(known);
-    this->rebuildIndex();
 }
 
-void BackendDirectory::rebuildIndex()
+void BackendDirectory::add(const BackendServerPtr &backend)
 {
-    this->byService.clear();
-    this->byIncarnation.clear();
-    for (const auto &[id, backend] : this->backends) {
-        this->byService[backend->record.service].push_back(backend);
-        this->byIncarnation[backend->incarnation] = backend;
-    }
+    this->backends[backend->record.id] = backend;
+    std::vector<BackendServerPtr> &ofService = this->byService[backend->record.service];
+    ofService.insert(std::lower_bound(ofService.begin(), ofService.end(), backend, isOrderedById), backend);
+    this->byIncarnation[backend->incarnation] = backend;
 }
 
 }
--- a/src/process/directory/backend_directory.h
+++ b/src/process/directory/backend_directory.h
@@ -99,12 +99,12 @@
     void removeBackend(const std::string &id, const std::string &cause);
     /** @brief Removes a backend server that is not followed by a newer incarnation. */
     void removeEntry(const std::string &id, const std::string &cause, Time now);
-    void rebuildIndex();
+    void add(const BackendServerPtr &backend);
 
     CacheSizeLookup cacheSize;
     ChangeHandler onChange;
     std::map<std::string, BackendServerPtr> backends;
-    std::map<std::string, std::vector<BackendServerPtr>> byService;
+    std::map<std::string, std::vector<BackendServerPtr>> byService; ///< By id.
     std::unordered_map<std::uint32_t, BackendServerPtr> byIncarnation;
     FormerIncarnations drainedIncarnations; ///< Newest one by backend server id.
     FormerIncarnations removedIncarnations; ///< The same for those whose entry was removed.
--- a/tests/proxy/test_directory.cpp
+++ b/tests/proxy/test_directory.cpp
@@ -4,6 +4,10 @@
 
 #include <doctest/doctest.h>
 
+#include <map>
+#include <string>
+#include <vector>
+
 using namespace eelgrassnotch;
 using namespace eelgrassnotch::process::directory;
 using namespace std::chrono_literals;
@@ -147,6 +151,41 @@
     CHECK_FALSE(this->directory.ofService("model").front()->isCold(start + 9s));
 }
 
+// Guards against an index that is made anew for each entry of a list (as in review case 6), and against one that is kept wrongly in its
+// place.
+TEST_CASE_FIXTURE(Fixture, "backend servers are found by service and by incarnation as entries come, move, restart and vanish")
+{
+    std::map<std::string, BackendRecord> known;
+    for (std::uint32_t step = 0; step < 3000; ++step) {
+        BackendRecord record = makeRecord("i-" + std::to_string(hashName(std::to_string(step)) % 100));
+        const auto found = known.find(record.id);
+        record.startedAt = found == known.end() ? 1000 : found->second.startedAt + (step % 3 == 0 ? 1 : 0);
+        record.service = step % 7 == 0 ? "other" : "model";
+        if (step % 5 == 0) {
+            this->directory.remove(record.id, start);
+            known.erase(record.id);
+            continue;
+        }
+        this->directory.apply(record, start);
+        known[record.id] = record;
+    }
+    for (const std::string service : {"model", "other"}) {
+        std::vector<std::string> expected;
+        for (const auto &[id, record] : known) {
+            if (record.service == service) {
+                expected.push_back(id);
+            }
+        }
+        std::vector<std::string> indexed;
+        for (const BackendServerPtr &backend : this->directory.ofService(service)) {
+            indexed.push_back(backend->record.id);
+            CHECK(this->directory.findIncarnation(backend->incarnation) == backend);
+        }
+        CHECK_FALSE(expected.empty());
+        CHECK(indexed == expected);
+    }
+}
+
 TEST_CASE("a failing backend server gets single trial requests, and is cold when it works again")
 {
     BackendServer backend(makeRecord("i-1"), 0);
