Bound the parts that one prompt evicts from a cache's model

A prompt with one part of as many tokens as a backend server's cache evicted all parts from this daemon's model of it in one step, however many had piled up. It evicts 256 and two for each of its own now, and the next prompts evict the rest, so the model is late by a few prompts.

Tables by part mix the ids that callers choose, so that a pattern among them can't fill one bucket. The test fails without the bound.

--- a/src/process/dispatch/prefix_cache_model.cpp
+++ b/src/process/dispatch/prefix_cache_model.cpp
@@ -1,8 +1,19 @@
 #include "process/dispatch/prefix_cache_model.h"
 
+#include <cstddef>
+
 namespace eelgrassnotch::process::dispatch
 {
 
+namespace
+{
+
+/** Parts that one prompt may evict, for each of its own and besides. A single long part doesn't evict thousands of short ones at once. */
+constexpr std::size_t evictionsPerPart = 2;
+constexpr std::size_t minEvictions = 256;
+
+}
+
 PrefixCacheModel::PrefixCacheModel(std::uint64_t tokenLimit)
     : maxTokens(tokenLimit)
 {
@@ -21,7 +32,8 @@
         this->parts.emplace(part->id, this->order.begin());
         this->tokens += part->tokens;
     }
-    while (this->tokens > this->maxTokens && !this->order.empty()) {
+    const std::size_t maxEvictions = minEvictions + evictionsPerPart * prompt.parts.size();
+    for (std::size_t evicted = 0; evicted<maxEvictions &&this->tokens> this->maxTokens && !this->order.empty(); ++evicted) {
         this->tokens -= this->order.back().part.tokens;
         this->parts.erase(this->order.back().part.id);
         this->order.pop_back();
--- a/src/process/dispatch/prefix_cache_model.h
+++ b/src/process/dispatch/prefix_cache_model.h
@@ -2,6 +2,7 @@
 
 /** @file Model of a backend server's prefix cache. */
 
+#include "process/dispatch/part_hash.h"
 #include "request/attributes.h"
 
 #include <list>
@@ -29,6 +30,11 @@
     std::uint32_t cachedTokens(const request::Prompt &prompt, Time usedSince = Time::min()) const;
     /** @brief Removes all parts, for a restarted backend server. */
     void clear();
+    /** @returns parts that are kept, for tests of the work that is done. */
+    std::size_t partCount() const
+    {
+        return this->parts.size();
+    }
 
 private:
     struct Entry {
@@ -40,7 +46,7 @@
     std::uint64_t maxTokens;
     std::uint64_t tokens = 0;
     Order order; ///< Most recently used first.
-    std::unordered_map<std::uint64_t, Order::iterator> parts;
+    std::unordered_map<std::uint64_t, Order::iterator, PartHash> parts;
 };
 
 }
--- a/src/process/dispatch/prefix_value.h
+++ b/src/process/dispatch/prefix_value.h
@@ -3,6 +3,7 @@
 /** @file How many homes a shared prefix needs, and how long a belief about a cached prefix lasts. */
 
 #include "process/dispatch/decaying_average.h"
+#include "process/dispatch/part_hash.h"
 #include "process/dispatch/placement.h"
 
 #include <cstddef>
@@ -62,7 +63,7 @@
 private:
     DecayingSum requests;
     DecayingSum sentTokens;
-    std::unordered_map<std::uint64_t, DecayingSum> demands; ///< By prefix.
+    std::unordered_map<std::uint64_t, DecayingSum, PartHash> demands; ///< By prefix.
 };
 
 }
--- a/tests/proxy/test_prefix_value.cpp
+++ b/tests/proxy/test_prefix_value.cpp
@@ -108,6 +108,23 @@
     CHECK(cache.cachedTokens(prompt, 13s) == 0);
 }
 
+// Guards against a prompt of one long part that makes a daemon evict thousands of short ones in one step (as in review case 6).
+TEST_CASE("a prompt evicts a number of parts that grows with its own, and the cache's bound is met by the next ones")
+{
+    constexpr std::uint32_t capacity = 10'000;
+    dispatch::PrefixCacheModel cache(capacity);
+    for (std::uint64_t part = 0; part < capacity; ++part) {
+        cache.recordPrompt({1, 50, {{part, 1}}}, 10s);
+    }
+    CHECK(cache.partCount() == capacity);
+    cache.recordPrompt({capacity, 50, {{capacity, capacity}}}, 11s);
+    CHECK(cache.partCount() >= capacity - 1000);
+    for (std::uint64_t prompt = 1; prompt <= 100; ++prompt) {
+        cache.recordPrompt({1, 50, {{capacity + prompt, 1}}}, 12s);
+    }
+    CHECK(cache.partCount() <= 101);
+}
+
 TEST_CASE("placement with unknown speeds and memory is the placement with compiled-in constants")
 {
     // Guards against defaults that move traffic on deployments where nothing was learnt. The checksum was computed with the constants.
