Order definitions, and say when a request waits for its trial

No change of behaviour: the counts of losses stand before the class that uses them, the loop over evictions reads as one, and a docstring names the third outcome.

--- a/src/process/dispatch/part_quarantine.cpp
+++ b/src/process/dispatch/part_quarantine.cpp
@@ -121,6 +121,32 @@
 
 }
 
+void LossCounts::add(const std::vector<Loss> &losses, int change)
+{
+    std::optional<std::int64_t> last;
+    for (const Loss &loss : losses) {
+        if (const std::int64_t span = spanOf(loss); last != span) {
+            last = span;
+            const auto entry = this->parts.try_emplace(span, 0).first;
+            entry->second += change;
+            if (entry->second == 0) {
+                this->parts.erase(entry);
+            }
+        }
+    }
+}
+
+int LossCounts::countAt(const Loss &loss) const
+{
+    const std::int64_t span = spanOf(loss);
+    int count = 0;
+    for (const std::int64_t near : {span - 1, span, span + 1}) {
+        const auto found = this->parts.find(near);
+        count += found == this->parts.end() ? 0 : found->second;
+    }
+    return count;
+}
+
 PartQuarantine::PartQuarantine(ChangeHandler changeHandler, DaemonHandle ownDaemon)
     : onChange(std::move(changeHandler))
     , suspects(maxSuspects)
@@ -207,32 +233,6 @@
     this->objections.put({part, now + objectionRetention});
 }
 
-void LossCounts::add(const std::vector<Loss> &losses, int change)
-{
-    std::optional<std::int64_t> last;
-    for (const Loss &loss : losses) {
-        if (const std::int64_t span = spanOf(loss); last != span) {
-            last = span;
-            const auto entry = this->parts.try_emplace(span, 0).first;
-            entry->second += change;
-            if (entry->second == 0) {
-                this->parts.erase(entry);
-            }
-        }
-    }
-}
-
-int LossCounts::countAt(const Loss &loss) const
-{
-    const std::int64_t span = spanOf(loss);
-    int count = 0;
-    for (const std::int64_t near : {span - 1, span, span + 1}) {
-        const auto found = this->parts.find(near);
-        count += found == this->parts.end() ? 0 : found->second;
-    }
-    return count;
-}
-
 bool PartQuarantine::setSound(std::uint64_t part, Time at)
 {
     if (const SoundPart *known = this->soundParts.find(part); known == nullptr || known->writtenAt < at) {
--- a/src/process/dispatch/prefix_cache_model.cpp
+++ b/src/process/dispatch/prefix_cache_model.cpp
@@ -32,8 +32,9 @@
         this->parts.emplace(part->id, this->order.begin());
         this->tokens += part->tokens;
     }
-    const std::size_t maxEvictions = minEvictions + evictionsPerPart * prompt.parts.size();
-    for (std::size_t evicted = 0; evicted<maxEvictions &&this->tokens> this->maxTokens && !this->order.empty(); ++evicted) {
+    std::size_t evictionsLeft = minEvictions + evictionsPerPart * prompt.parts.size();
+    while (this->tokens > this->maxTokens && !this->order.empty() && evictionsLeft > 0) {
+        --evictionsLeft;
         this->tokens -= this->order.back().part.tokens;
         this->parts.erase(this->order.back().part.id);
         this->order.pop_back();
--- a/src/process/proxy/proxied_request.h
+++ b/src/process/proxy/proxied_request.h
@@ -61,7 +61,7 @@
     void waitForUsableBackend(const BackendChoice &choice, Time now);
     /** @returns the retry-after time for a request for which no backend server is usable. */
     Duration computeRetryAfter(const BackendChoice &choice, Time now) const;
-    /** @brief Refuses a request with a quarantined part. @returns false when it was refused. */
+    /** @brief Refuses a request with a quarantined part. @returns false when it was refused, or waits to be sent as a trial. */
     bool checkQuarantine(Time now);
     /** @brief Places the request unless its prompt or its workspace's pace forbids it. */
     void admit();
