Send a trial although its workspace is beyond its share

Cause: a trial used up its claim and was then refused by admission control, six times in a row, each 3 s apart; the part_trial and request lines of the six show it.

One trial decides on all requests with its parts, so it is admitted whatever the pace and the queues are, and if it ends before it is sent, the next request with the part is the trial. The new test of a workspace beyond its pace fails without the exemption from the pace.

--- a/src/process/dispatch/part_quarantine.cpp
+++ b/src/process/dispatch/part_quarantine.cpp
@@ -335,6 +335,15 @@
     return {Kind::Trial, part, Duration(0)};
 }
 
+void PartQuarantine::returnTrial(std::uint64_t part)
+{
+    if (const Claim *known = this->claims.find(part); known != nullptr && known->daemon == this->self) {
+        Claim unused = *known;
+        unused.isUsed = false;
+        this->claims.put(unused);
+    }
+}
+
 std::optional<std::uint64_t> PartQuarantine::quarantinedPart(const request::Prompt &prompt) const
 {
     const auto shared = prompt.sharedParts();
--- a/src/process/dispatch/part_quarantine.h
+++ b/src/process/dispatch/part_quarantine.h
@@ -99,6 +99,8 @@
 
     /** @brief Decides on a request that is about to be sent. Makes a claim for a trial, or uses up the one that was made. */
     QuarantineRuling rule(const request::Prompt &prompt, Time now);
+    /** @brief Records that a trial ended before it was sent: the next request with the part may be one. */
+    void returnTrial(std::uint64_t part);
     /** @returns the quarantined part of the prompt; nullopt if there is none. */
     std::optional<std::uint64_t> quarantinedPart(const request::Prompt &prompt) const;
     /** @returns how much longer the part stays quarantined; zero when it isn't. */
--- a/src/process/proxy/proxied_request.cpp
+++ b/src/process/proxy/proxied_request.cpp
@@ -215,7 +215,7 @@
 void ProxiedRequest::admit()
 {
     const Time now = readClock();
-    if (this->isEngineService() && (!this->checkQuarantine(now) || !this->checkPace(now))) {
+    if (this->isEngineService() && (!this->checkQuarantine(now) || !(this->isTrial() || this->checkPace(now)))) {
         return;
     }
     this->proxy.recordServiceDemand(this->service->name, now);
@@ -235,8 +235,8 @@
         this->refuse(RefusalReason::PartQuarantined, ruling.retryAfter, "a part of the prompt ends backend servers");
         return false;
     }
-    this->isTrial = ruling.kind == Kind::Trial;
-    if (this->isTrial) {
+    if (ruling.kind == Kind::Trial) {
+        this->triedPart = ruling.part;
         logEvent("part_trial", {{"request", this->attributes.id}, {"part", Proxy::formatPart(ruling.part)}});
     }
     return true;
@@ -250,7 +250,7 @@
 void ProxiedRequest::giveUpIfQuarantined()
 {
     const Time now = readClock();
-    if (this->isFinished || this->isTrial || !this->currentAttempt || this->isBeingWritten(now)
+    if (this->isFinished || this->isTrial() || !this->currentAttempt || this->isBeingWritten(now)
         || !this->proxy.quarantine().quarantinedPart(this->attributes.prompt)) {
         return;
     }
@@ -407,7 +407,8 @@
         this->waitForUsableBackend(choice, now);
         return;
     }
-    if (this->isEngineService() && !this->checkAdmission(choice, now)) {
+    // A trial decides on all requests with its parts, and there is one at a time.
+    if (this->isEngineService() && !this->isTrial() && !this->checkAdmission(choice, now)) {
         return;
     }
     this->startAttempt(choice, now);
@@ -921,6 +922,9 @@
         return;
     }
     this->isFinished = true;
+    if (this->triedPart && this->attempts == 0) {
+        this->proxy.quarantine().returnTrial(*this->triedPart);
+    }
     this->memory.set(0);
     this->proxy.removeActive(*this);
     this->deadlineTimer.cancel();
--- a/src/process/proxy/proxied_request.h
+++ b/src/process/proxy/proxied_request.h
@@ -12,6 +12,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -63,6 +64,10 @@
     Duration computeRetryAfter(const BackendChoice &choice, Time now) const;
     /** @brief Refuses a request with a quarantined part. @returns false when it was refused, or waits to be sent as a trial. */
     bool checkQuarantine(Time now);
+    bool isTrial() const
+    {
+        return this->triedPart.has_value();
+    }
     /** @brief Places the request unless its prompt or its workspace's pace forbids it. */
     void admit();
     /** @returns whether the current attempt's answer has been written for long enough to show that the prompt's parts are sound. */
@@ -149,7 +154,7 @@
     std::uint32_t lastWaiting = 0; ///< Waiting requests of the same report.
     Duration timeToFirstEvent {0};
     bool hasAnswerStarted = false; ///< A part of the answer has been sent to the caller.
-    bool isTrial = false; ///< It is sent although a part of its prompt is quarantined.
+    std::optional<std::uint64_t> triedPart; ///< Quarantined part of its prompt that it is to show as sound or not.
     bool isFinished = false;
     bool wasCounted = false; ///< The first attempt has been counted for retry budget, shares and costs.
 };
--- a/tests/proxy/test_part_quarantine.cpp
+++ b/tests/proxy/test_part_quarantine.cpp
@@ -558,6 +558,24 @@
     }
 }
 
+// Guards against a trial that is refused for another reason, so that the sound part waits for the next claim.
+TEST_CASE("a trial that ends before it is sent is followed by the next request with the part")
+{
+    PartQuarantine quarantine(ignoreChange, DaemonHandle {1});
+    Backends backends({deadly});
+    Time now = start;
+    quarantineBoth(quarantine, backends, deadly, now);
+    const auto claim = quarantine.rule(promptOfCaller(7, 1), now);
+    now += claim.retryAfter;
+    const auto trial = quarantine.rule(promptOfCaller(7, 1), now);
+    REQUIRE(trial.kind == Kind::Trial);
+    CHECK(quarantine.rule(promptOfCaller(7, 2), now).kind == Kind::Refused);
+    quarantine.returnTrial(trial.part);
+    CHECK(backends.send(quarantine, promptOfCaller(7, 3), now) == Kind::Trial);
+    CHECK(backends.send(quarantine, promptOfCaller(7, 4), now) == Kind::Sent);
+    CHECK(backends.send(quarantine, promptOfCaller(deadly, 5), now) == Kind::Refused);
+}
+
 // Guards against a verdict on hundreds of parts of a system prompt, one of which is bad, that holds the sound ones or loses the bad one.
 TEST_CASE("a system prompt of many parts is cleared by one trial")
 {
--- a/tests/proxy/test_shed_demand.cpp
+++ b/tests/proxy/test_shed_demand.cpp
@@ -146,3 +146,21 @@
     CHECK(answer.body().find("exceeded pace") != std::string::npos);
     CHECK(std::stod(std::string(answer["Retry-After"])) >= 1.0);
 }
+
+// Guards against a sound part that stays quarantined as its workspace is beyond its share, so that each trial is refused.
+TEST_CASE("a trial of quarantined parts is sent although its workspace is beyond its pace")
+{
+    ProxyWithoutBackends world([](proxy::Proxy &proxy) {
+        useUpPace(proxy);
+        const Time now = readClock();
+        for (std::uint32_t loss = 1; loss <= 3; ++loss) {
+            proxy.quarantine().recordLoss(loss, {100, 10, {{1, 50}, {0xdead, 30}, {loss, 20}}}, now - loss * 1s);
+        }
+        proxy.quarantine().update(now);
+        REQUIRE(proxy.quarantine().quarantinedPart({100, 10, {{1, 50}, {0x50a, 30}}}));
+    });
+    const std::string prefix = "X-Eelgrassnotch-Token-Usage: 100,10\r\nX-Eelgrassnotch-Prefix-Hash: 1:50,50a:30,1001:20\r\n";
+    const auto answer
+        = standin::DaemonFixture::sendRawRequest(world.address, standin::DaemonFixture::requestText("/stream/x", "q1", prefix));
+    CHECK(answer.body().starts_with("no_backend"));
+}
