--- a/src/process/dispatch/part_quarantine.cpp
+++ b/src/process/dispatch/part_quarantine.cpp
@@ -1,7 +1,5 @@
 #include "process/dispatch/part_quarantine.h"
 
-#include "process/rendezvous.h"
-
 #include <algorithm>
 #include <iterator>
 #include <utility>
@@ -34,16 +32,6 @@
 constexpr Duration objectionRetention = 2s;
 /** What others tell of a sound part counts when it is newer by this than what is known; more than the delay of a message. */
 constexpr Duration minSoundProgress = 300ms;
-/** A claim may be used when it is this old: by then all daemons know it, and have said so if theirs goes before. */
-constexpr Duration claimTime = 700ms;
-/** A claim ends after this time, with or without a result. */
-constexpr Duration claimRetention = 3s;
-/** Claims made within this time are as old as each other, as their ages include delays of messages. */
-constexpr Duration claimUncertainty = 300ms;
-/** Retry-After of a request that waits for a trial to end. */
-constexpr Duration trialRetryAfter = 1s;
-/** What ends is told for this much shorter than it is kept: delays of messages make it look younger, and it would be told for ever. */
-constexpr Duration toldMargin = 1s;
 /** Bounds of the state, for floods of new parts. */
 constexpr std::size_t maxSuspects = 16384;
 constexpr std::size_t maxLossesPerPart = 16;
@@ -55,7 +43,6 @@
 constexpr std::size_t maxToldSuspicionsOfQuarantined = 96;
 constexpr std::size_t maxToldSound = 64;
 constexpr std::size_t maxToldQuarantined = 64;
-constexpr std::size_t maxToldClaims = 16;
 
 /** @returns the loss that completes as many distinct times as convict a part; the end without one. */
 std::vector<Loss>::const_iterator findConvictingLoss(const std::vector<Loss> &losses)
@@ -151,8 +138,7 @@
     : onChange(std::move(changeHandler))
     , suspects(maxSuspects)
     , quarantined(maxQuarantined)
-    , claims(maxQuarantined)
-    , self(ownDaemon)
+    , claims(ownDaemon, maxQuarantined)
     , soundParts(maxSoundParts)
     , objections(maxObjections)
 {
@@ -268,7 +254,7 @@
     if (const auto convicting = this->convictingPart(prompt)) {
         return {QuarantineRuling::Kind::Refused, *convicting, std::max(this->remaining(*convicting, now), trialRetryAfter)};
     }
-    return this->ruleOnTrial(*first, now);
+    return this->claims.rule(*first, now);
 }
 
 std::optional<std::uint64_t> PartQuarantine::convictingPart(const request::Prompt &prompt) const
@@ -298,50 +284,9 @@
     return convicting == held.end() ? std::nullopt : std::optional((*convicting)->part);
 }
 
-bool PartQuarantine::isBefore(const Claim &claim, const Claim &other)
-{
-    if (claim.daemon == other.daemon) {
-        return claim.since < other.since;
-    }
-    const Duration difference = claim.since - other.since;
-    if (difference > claimUncertainty || difference < -claimUncertainty) {
-        return difference < Duration(0);
-    }
-    return mixBits(claim.part ^ claim.daemon.id) > mixBits(other.part ^ other.daemon.id);
-}
-
-void PartQuarantine::putClaim(const Claim &claim)
-{
-    if (const Claim *known = this->claims.find(claim.part); known == nullptr || isBefore(claim, *known)) {
-        this->claims.put(claim);
-    }
-}
-
-QuarantineRuling PartQuarantine::ruleOnTrial(std::uint64_t part, Time now)
-{
-    using Kind = QuarantineRuling::Kind;
-    const Claim *known = this->claims.find(part);
-    if (known == nullptr || now - known->since > claimRetention) {
-        this->claims.erase(part);
-        this->claims.put({part, now + claimRetention, this->self, now, false});
-        return {Kind::Claim, part, claimTime};
-    }
-    if (known->daemon != this->self || known->isUsed || now - known->since < claimTime) {
-        return {Kind::Refused, part, trialRetryAfter};
-    }
-    Claim used = *known;
-    used.isUsed = true;
-    this->claims.put(used);
-    return {Kind::Trial, part, Duration(0)};
-}
-
 void PartQuarantine::returnTrial(std::uint64_t part)
 {
-    if (const Claim *known = this->claims.find(part); known != nullptr && known->daemon == this->self) {
-        Claim unused = *known;
-        unused.isUsed = false;
-        this->claims.put(unused);
-    }
+    this->claims.returnTrial(part);
 }
 
 std::optional<std::uint64_t> PartQuarantine::quarantinedPart(const request::Prompt &prompt) const
@@ -405,7 +350,7 @@
 {
     this->soundParts.takeDue(now, [this](const SoundPart &due) { this->soundParts.erase(due.part); });
     this->objections.takeDue(now, [this](const Objection &due) { this->objections.erase(due.part); });
-    this->claims.takeDue(now, [this](const Claim &due) { this->claims.erase(due.part); });
+    this->claims.update(now);
     this->quarantined.takeDue(now, [this](const QuarantinedPart &due) {
         this->quarantined.erase(due.part);
         this->onReleased(due, "expired");
@@ -421,7 +366,6 @@
                          [this](const Suspect &suspect) { this->onSuspectErased(suspect); });
     this->quarantined.limit([](const QuarantinedPart &) { return false; },
                             [this](const QuarantinedPart &held) { this->onReleased(held, "too many are quarantined"); });
-    this->claims.limit();
     this->soundParts.limit();
     this->objections.limit();
 }
@@ -454,7 +398,7 @@
         if (told.quarantined.size() == maxToldQuarantined || !hasRoomFor(held.losses, maxToldSuspicionsOfQuarantined)) {
             return false;
         }
-        if (now - held.since < quarantineTime - toldMargin) {
+        if (now - held.since < quarantineTime - exchange::toldMargin) {
             told.quarantined.push_back({held.part, now - held.since});
             tellLosses(held.part, held.losses);
         }
@@ -464,20 +408,12 @@
         if (!hasRoomFor(suspect.losses, maxToldSuspicions)) {
             return false;
         }
-        if (now - suspect.losses.back().at < lossRetention - toldMargin) {
+        if (now - suspect.losses.back().at < lossRetention - exchange::toldMargin) {
             tellLosses(suspect.part, suspect.losses);
         }
         return true;
     });
-    this->claims.takeTurn([&](const Claim &claim) {
-        if (told.trials.size() == maxToldClaims) {
-            return false;
-        }
-        if (now - claim.since < claimRetention - toldMargin) {
-            told.trials.push_back({claim.part, claim.daemon, now - claim.since});
-        }
-        return true;
-    });
+    told.trials = this->claims.evidence(now);
     return told;
 }
 
@@ -504,11 +440,7 @@
         }
         this->addSuspicion(suspicion.part, {suspicion.incarnation, now - suspicion.age}, now);
     }
-    for (const exchange::TrialClaim &claim : evidence.trials) {
-        if (claim.age < claimRetention && claim.daemon != this->self) {
-            this->putClaim({claim.part, now - claim.age + claimRetention, claim.daemon, now - claim.age, false});
-        }
-    }
+    this->claims.merge(evidence.trials, now);
     this->limitState();
 }
 
--- a/src/process/dispatch/part_quarantine.h
+++ b/src/process/dispatch/part_quarantine.h
@@ -4,6 +4,8 @@
 
 #include "eelgrassnotch/types.h"
 #include "process/dispatch/part_table.h"
+#include "process/dispatch/quarantine_ruling.h"
+#include "process/dispatch/trial_claims.h"
 #include "process/exchange/part_evidence.h"
 #include "request/attributes.h"
 
@@ -48,22 +50,6 @@
     std::unordered_map<std::int64_t, int> parts; ///< By span of time.
 };
 
-/** @brief What becomes of a request because of its prompt's parts. */
-struct QuarantineRuling {
-    enum class Kind {
-        Sent, ///< No part of it is quarantined.
-        Trial, ///< Sent, to find out which of several quarantined parts ends backend servers.
-        Claim, ///< Asks again after `retryAfter`, and is a trial then unless another daemon's claim goes before.
-        Refused,
-    };
-
-    Kind kind = Kind::Sent;
-    std::uint64_t part = 0; ///< The quarantined part that decides.
-    Duration retryAfter {0}; ///< When a request that isn't sent may come again.
-
-    bool operator==(const QuarantineRuling &) const = default;
-};
-
 /**
  * @brief Decides from losses of backend servers which prompt parts end them.
  *
@@ -141,14 +127,6 @@
         Losses losses;
     };
 
-    struct Claim {
-        std::uint64_t part = 0;
-        Time dueAt {0}; ///< When it ends.
-        DaemonHandle daemon;
-        Time since {0};
-        bool isUsed = false; ///< By this daemon.
-    };
-
     struct SoundPart {
         std::uint64_t part = 0;
         Time dueAt {0}; ///< When it is forgotten.
@@ -173,19 +151,13 @@
     /** @returns the quarantined part whose losses speak against the request even without the parts that it doesn't have; nullopt if there
      * is none. */
     std::optional<std::uint64_t> convictingPart(const request::Prompt &prompt) const;
-    /** @brief Decides on a request that would show whether the part ends backend servers. */
-    QuarantineRuling ruleOnTrial(std::uint64_t part, Time now);
-    /** @brief Keeps the claim if it goes before the one that is known. */
-    void putClaim(const Claim &claim);
-    static bool isBefore(const Claim &claim, const Claim &other);
     void limitState();
 
     ChangeHandler onChange;
     PartTable<Suspect> suspects;
     PartTable<QuarantinedPart> quarantined;
-    PartTable<Claim> claims; ///< The one that is first, for each part.
+    TrialClaims claims;
     LossCounts lossCounts; ///< Of quarantined parts, and of suspects with several losses.
-    DaemonHandle self;
     PartTable<SoundPart> soundParts;
     PartTable<Objection> objections;
 };
--- a/src/process/exchange/part_evidence.h
+++ b/src/process/exchange/part_evidence.h
@@ -4,12 +4,16 @@
 
 #include "eelgrassnotch/types.h"
 
+#include <chrono>
 #include <cstdint>
 #include <vector>
 
 namespace eelgrassnotch::process::exchange
 {
 
+/** What ends is told for this much shorter than it is kept: delays of messages make it look younger, and it would be told for ever. */
+constexpr Duration toldMargin = std::chrono::seconds(1);
+
 /** @brief A backend server's connection was lost before it began to answer a request with this part. */
 struct Suspicion {
     std::uint64_t part = 0;
