Keep the losses of a part apart from what is decided on them

No change of behaviour. That a part was lost more than once was written out in five places and is isRepeated() now. recordWritten() keeps the bounds with limitState() like its neighbours, and two functions that gave up requests are one.

The tests of test_part_quarantine pass unchanged.

--- a/src/process/dispatch/part_quarantine.cpp
+++ b/src/process/dispatch/part_quarantine.cpp
@@ -12,14 +12,8 @@
 
 using namespace std::chrono_literals;
 
-/** Losses at this many distinct times, of as many incarnations, convict a part. */
-constexpr std::size_t minLossTimes = 3;
-/** Losses closer to each other than this count as one: reports of one event differ by the lag of the daemons that saw it. */
-constexpr Duration lossSeparation = 250ms;
 /** Evidence convicts when it is this old: by then every daemon that knows the part as sound has said so. */
 constexpr Duration objectionTime = 700ms;
-/** Losses in the same span of this length, or in spans next to each other, explain each other. */
-constexpr Duration lossSpan = lossSeparation / 2;
 /** Losses are forgotten after this time. */
 constexpr Duration lossRetention = 60s;
 /** A part is not suspected while answers with it were being written here within this time. */
@@ -34,7 +28,6 @@
 constexpr Duration minSoundProgress = 300ms;
 /** Bounds of the state, for floods of new parts. */
 constexpr std::size_t maxSuspects = 16384;
-constexpr std::size_t maxLossesPerPart = 16;
 constexpr std::size_t maxSoundParts = 16384;
 constexpr std::size_t maxQuarantined = 2048;
 constexpr std::size_t maxObjections = 2048;
@@ -44,94 +37,14 @@
 constexpr std::size_t maxToldSound = 64;
 constexpr std::size_t maxToldQuarantined = 64;
 
-/** @returns the loss that completes as many distinct times as convict a part; the end without one. */
-std::vector<Loss>::const_iterator findConvictingLoss(const std::vector<Loss> &losses)
-{
-    std::size_t times = 0;
-    Time last = Time::min();
-    return std::find_if(losses.begin(), losses.end(), [&times, &last](const Loss &loss) {
-        if (times == 0 || loss.at - last >= lossSeparation) {
-            ++times;
-            last = loss.at;
-        }
-        return times == minLossTimes;
-    });
-}
-
 /** @returns when a part with these losses is convicted, or else the first of them is forgotten. */
-Time dueTime(const std::vector<Loss> &losses)
+Time dueTime(const Losses &losses)
 {
     const Time forgottenAt = losses.front().at + lossRetention;
-    const auto convicting = findConvictingLoss(losses);
-    return convicting == losses.end() ? forgottenAt : std::min(forgottenAt, convicting->at + objectionTime);
+    const auto convictedBy = convictingTime(losses);
+    return convictedBy ? std::min(forgottenAt, *convictedBy + objectionTime) : forgottenAt;
 }
 
-std::int64_t spanOf(const Loss &loss)
-{
-    return loss.at / lossSpan;
-}
-
-/** Removes one of the two losses that are closest in time: it adds least to the count. */
-void joinClosest(std::vector<Loss> &losses)
-{
-    const auto gapBefore = [](const Loss &loss) { return loss.at - std::prev(&loss)->at; };
-    const auto later = std::min_element(std::next(losses.begin()), losses.end(),
-                                        [&gapBefore](const Loss &left, const Loss &right) { return gapBefore(left) < gapBefore(right); });
-    losses.erase(later);
-}
-
-/** Adds a loss in order of time. An incarnation's first loss counts. @returns whether the losses have changed. */
-bool addLoss(std::vector<Loss> &losses, const Loss &loss)
-{
-    const std::vector<Loss> before = losses;
-    const auto known
-        = std::find_if(losses.begin(), losses.end(), [&loss](const Loss &other) { return other.incarnation == loss.incarnation; });
-    if (known != losses.end() && known->at <= loss.at) {
-        return false;
-    }
-    if (known != losses.end()) {
-        losses.erase(known);
-    }
-    losses.insert(
-        std::upper_bound(losses.begin(), losses.end(), loss, [](const Loss &left, const Loss &right) { return left.at < right.at; }), loss);
-    if (losses.size() > maxLossesPerPart) {
-        joinClosest(losses);
-    }
-    return losses != before;
-}
-
-/** @returns whether any loss was removed. */
-bool removeLossesUntil(std::vector<Loss> &losses, Time until)
-{
-    return std::erase_if(losses, [until](const Loss &loss) { return loss.at <= until; }) > 0;
-}
-
-}
-
-void LossCounts::add(const std::vector<Loss> &losses, int change)
-{
-    std::optional<std::int64_t> last;
-    for (const Loss &loss : losses) {
-        if (const std::int64_t span = spanOf(loss); last != span) {
-            last = span;
-            const auto entry = this->parts.try_emplace(span, 0).first;
-            entry->second += change;
-            if (entry->second == 0) {
-                this->parts.erase(entry);
-            }
-        }
-    }
-}
-
-int LossCounts::countAt(const Loss &loss) const
-{
-    const std::int64_t span = spanOf(loss);
-    int count = 0;
-    for (const std::int64_t near : {span - 1, span, span + 1}) {
-        const auto found = this->parts.find(near);
-        count += found == this->parts.end() ? 0 : found->second;
-    }
-    return count;
 }
 
 PartQuarantine::PartQuarantine(ChangeHandler changeHandler, DaemonHandle ownDaemon)
@@ -151,8 +64,7 @@
             this->object(part.id, now);
         }
     }
-    this->soundParts.limit();
-    this->objections.limit();
+    this->limitState();
 }
 
 void PartQuarantine::recordLoss(std::uint32_t incarnation, const request::Prompt &prompt, Time now)
@@ -201,7 +113,7 @@
         this->suspects.erase(part);
         return;
     }
-    if (losses.size() > 1) {
+    if (isRepeated(losses)) {
         this->lossCounts.add(losses, 1);
     }
     this->suspects.put({part, dueTime(losses), losses});
@@ -209,7 +121,7 @@
 
 void PartQuarantine::onSuspectErased(const Suspect &suspect)
 {
-    if (suspect.losses.size() > 1) {
+    if (isRepeated(suspect.losses)) {
         this->lossCounts.add(suspect.losses, -1);
     }
 }
@@ -270,7 +182,7 @@
         if (const QuarantinedPart *found = this->quarantined.find(part)) {
             held.push_back(found);
             ownCounts.add(found->losses, 1);
-        } else if (const Suspect *suspect = this->suspects.find(part); suspect != nullptr && suspect->losses.size() > 1) {
+        } else if (const Suspect *suspect = this->suspects.find(part); suspect != nullptr && isRepeated(suspect->losses)) {
             ownCounts.add(suspect->losses, 1);
         }
     }
@@ -279,7 +191,7 @@
         std::copy_if(part->losses.begin(), part->losses.end(), std::back_inserter(unexplained),
                      [this, &ownCounts](const Loss &loss) { return this->lossCounts.countAt(loss) <= ownCounts.countAt(loss); });
         const bool isLostSince = !unexplained.empty() && unexplained.back().at > part->since;
-        return part->losses.empty() || isLostSince || findConvictingLoss(unexplained) != unexplained.end();
+        return part->losses.empty() || isLostSince || convictingTime(unexplained).has_value();
     });
     return convicting == held.end() ? std::nullopt : std::optional((*convicting)->part);
 }
@@ -308,7 +220,7 @@
     const auto shared = prompt.sharedParts();
     return std::any_of(shared.begin(), shared.end(), [this](const request::PromptPart &part) {
         const Suspect *suspect = this->suspects.find(part.id);
-        return (suspect != nullptr && suspect->losses.size() > 1) || this->quarantined.find(part.id) != nullptr;
+        return (suspect != nullptr && isRepeated(suspect->losses)) || this->quarantined.find(part.id) != nullptr;
     });
 }
 
@@ -340,7 +252,7 @@
         Losses losses = due.losses;
         removeLossesUntil(losses, now - lossRetention);
         this->putSuspect(due.part, losses);
-        if (const auto convicting = findConvictingLoss(losses); convicting != losses.end() && convicting->at <= now - objectionTime) {
+        if (const auto convictedBy = convictingTime(losses); convictedBy && *convictedBy <= now - objectionTime) {
             this->quarantine(due.part, now, "backend servers were lost");
         }
     });
@@ -362,7 +274,7 @@
 void PartQuarantine::limitState()
 {
     // A flood of new parts must not displace one that is suspected again and again.
-    this->suspects.limit([](const Suspect &suspect) { return suspect.losses.size() > 1; },
+    this->suspects.limit([](const Suspect &suspect) { return isRepeated(suspect.losses); },
                          [this](const Suspect &suspect) { this->onSuspectErased(suspect); });
     this->quarantined.limit([](const QuarantinedPart &) { return false; },
                             [this](const QuarantinedPart &held) { this->onReleased(held, "too many are quarantined"); });
--- a/src/process/dispatch/part_quarantine.h
+++ b/src/process/dispatch/part_quarantine.h
@@ -3,6 +3,7 @@
 /** @file Finds prompt parts that end backend servers, and keeps requests with such a part from being sent. */
 
 #include "eelgrassnotch/types.h"
+#include "process/dispatch/part_losses.h"
 #include "process/dispatch/part_table.h"
 #include "process/dispatch/quarantine_ruling.h"
 #include "process/dispatch/trial_claims.h"
@@ -13,8 +14,6 @@
 #include <functional>
 #include <optional>
 #include <string>
-#include <unordered_map>
-#include <vector>
 
 namespace eelgrassnotch::process::dispatch
 {
@@ -29,27 +28,6 @@
     bool operator==(const QuarantineChange &) const = default;
 };
 
-/** @brief Loss of a backend server that had not begun to answer a request. */
-struct Loss {
-    std::uint32_t incarnation = 0; ///< See directory::BackendServer::recordLoss().
-    Time at {0};
-
-    bool operator==(const Loss &) const = default;
-};
-
-/** @brief Counts parts by the times at which backend servers with them were lost. */
-class LossCounts
-{
-public:
-    /** @brief Adds a part's losses, or takes them away again. @param change 1 or -1. */
-    void add(const std::vector<Loss> &losses, int change);
-    /** @returns parts with losses at the same time, once for each neighbouring span of time. */
-    int countAt(const Loss &loss) const;
-
-private:
-    std::unordered_map<std::int64_t, int> parts; ///< By span of time.
-};
-
 /**
  * @brief Decides from losses of backend servers which prompt parts end them.
  *
@@ -111,8 +89,6 @@
     std::uint64_t stepCount() const;
 
 private:
-    using Losses = std::vector<Loss>; ///< In order of time, one for each incarnation.
-
     /** @brief Part that is not quarantined. */
     struct Suspect {
         std::uint64_t part = 0;
--- a/src/process/proxy/proxy.cpp
+++ b/src/process/proxy/proxy.cpp
@@ -172,24 +172,21 @@
                {{"part", formatPart(change.part)}, {"backends", std::to_string(change.backends)}, {"cause", change.cause}});
     // One pass over the requests serves all parts that are quarantined together.
     if (change.isQuarantined && !std::exchange(this->isGivingUp, true)) {
-        boost::asio::post(this->io, [this] { this->giveUpQuarantined(); });
+        boost::asio::post(this->io, [this] {
+            this->isGivingUp = false;
+            this->giveUpQuarantined(lock(this->unanswered));
+        });
     }
 }
 
-void Proxy::giveUpQuarantined()
-{
-    this->isGivingUp = false;
-    this->giveUpQuarantinedOf(lock(this->unanswered));
-}
-
-void Proxy::giveUpQuarantinedOf(std::vector<std::shared_ptr<ProxiedRequest>> left)
+void Proxy::giveUpQuarantined(std::vector<std::shared_ptr<ProxiedRequest>> left)
 {
     for (std::size_t checked = 0; checked < quarantineChecksPerTurn && !left.empty(); ++checked) {
         left.back()->giveUpIfQuarantined();
         left.pop_back();
     }
     if (!left.empty()) {
-        boost::asio::post(this->io, [this, left = std::move(left)]() mutable { this->giveUpQuarantinedOf(std::move(left)); });
+        boost::asio::post(this->io, [this, left = std::move(left)]() mutable { this->giveUpQuarantined(std::move(left)); });
     }
 }
 
--- a/src/process/proxy/proxy.h
+++ b/src/process/proxy/proxy.h
@@ -291,10 +291,8 @@
     void updateShedding(const std::optional<exchange::LoadSummary> &others, Time now);
     const directory::Locality &localityOf(directory::BackendServer &backend) const;
     void onQuarantineChange(const dispatch::QuarantineChange &change);
-    /** @brief Gives up the requests that are not being answered yet and have a quarantined part. */
-    void giveUpQuarantined();
-    /** @brief The same for some requests, a few in each turn of the event loop. */
-    void giveUpQuarantinedOf(std::vector<std::shared_ptr<ProxiedRequest>> left);
+    /** @brief Gives up those requests that are not being answered yet and have a quarantined part, a few in each turn of the event loop. */
+    void giveUpQuarantined(std::vector<std::shared_ptr<ProxiedRequest>> left);
 
     boost::asio::io_context &io;
     EdgeSettings currentSettings;
