Share the fleet of backend servers that end between three tests

The tests on a daemon whose backend servers end with a part of the prompt each set up the same fleet, counted and sent in the same way. CrashingFleet does it for the three. All assertions stay as they were; the one on a kept id now gives its requests a number each, as the others do, and names the backend server i-0.

--- a/tests/proxy/test_part_quarantine.cpp
+++ b/tests/proxy/test_part_quarantine.cpp
@@ -754,37 +754,54 @@
     return true;
 }
 
-std::size_t deadlyRequests(const std::vector<std::unique_ptr<standin::RawServer>> &servers)
+/** A daemon, and backend servers that end with the deadly part. */
+class CrashingFleet
 {
-    std::size_t count = 0;
-    for (const auto &server : servers) {
-        for (const standin::Request &request : server->requests()) {
-            count += request["X-Eelgrassnotch-Prefix-Hash"].find("dead:") != boost::beast::string_view::npos ? 1 : 0;
+public:
+    explicit CrashingFleet(std::size_t serverCount)
+    {
+        nlohmann::json configuration = standin::makeConfiguration(4);
+        configuration["services"][0]["engine"] = {{"slots", 8}, {"kv_capacity", 100000}};
+        this->world.store.put("config", "main", configuration);
+        for (std::size_t index = 0; index < serverCount; ++index) {
+            this->servers.push_back(std::make_unique<standin::RawServer>(crashOnDeadlyPart));
+            this->world.addBackend("i-" + std::to_string(index), *this->servers.back());
         }
+        this->world.start();
     }
-    return count;
-}
+
+    /** Sends a request that has a last part of its own. */
+    auto send(const std::string &path, const char *prefix)
+    {
+        ++this->sent;
+        return this->world.call(path, "q" + std::to_string(this->sent), prefix + std::to_string(1000 + this->sent) + ":20\r\n");
+    }
+
+    std::size_t deadlyRequests() const
+    {
+        std::size_t count = 0;
+        for (const auto &server : this->servers) {
+            for (const standin::Request &request : server->requests()) {
+                count += request["X-Eelgrassnotch-Prefix-Hash"].find("dead:") != boost::beast::string_view::npos ? 1 : 0;
+            }
+        }
+        return count;
+    }
+
+    std::vector<std::unique_ptr<standin::RawServer>> servers;
+    standin::DaemonFixture world;
+
+private:
+    int sent = 0;
+};
 
 }
 
 TEST_CASE("requests with a part that ends backend servers are refused as not run, and sound ones of their caller go on")
 {
     constexpr std::size_t serverCount = 8;
-    std::vector<std::unique_ptr<standin::RawServer>> servers;
-    standin::DaemonFixture world;
-    nlohmann::json configuration = standin::makeConfiguration(4);
-    configuration["services"][0]["engine"] = {{"slots", 8}, {"kv_capacity", 100000}};
-    world.store.put("config", "main", configuration);
-    for (std::size_t index = 0; index < serverCount; ++index) {
-        servers.push_back(std::make_unique<standin::RawServer>(crashOnDeadlyPart));
-        world.addBackend("i-" + std::to_string(index), *servers.back());
-    }
-    world.start();
-    int sent = 0;
-    const auto send = [&world, &sent](const char *prefix) {
-        const std::string id = "q" + std::to_string(++sent);
-        return world.call("/resume/x", id, prefix + std::to_string(1000 + sent) + ":20\r\n");
-    };
+    CrashingFleet fleet(serverCount);
+    const auto send = [&fleet](const char *prefix) { return fleet.send("/resume/x", prefix); };
     unsigned refusedAs = 0;
     for (int round = 0; round < 12 && refusedAs != 503; ++round) {
         CHECK(send(soundPrefix).result_int() == 200);
@@ -794,7 +811,7 @@
         std::this_thread::sleep_for(300ms);
     }
     REQUIRE(refusedAs == 503);
-    const std::size_t before = deadlyRequests(servers);
+    const std::size_t before = fleet.deadlyRequests();
     CHECK(before <= serverCount);
     for (int round = 0; round < 5; ++round) {
         const auto refused = send(deadlyPrefix);
@@ -802,31 +819,22 @@
         CHECK(std::stod(std::string(refused["Retry-After"])) > 1.0);
         CHECK(send(soundPrefix).result_int() == 200);
     }
-    CHECK(deadlyRequests(servers) == before);
+    CHECK(fleet.deadlyRequests() == before);
 }
 
 // Guards against a part that ends the same backend server again and again, which keeps its id (review case 9).
 TEST_CASE("a part that ends a backend server which keeps its id is quarantined")
 {
-    standin::RawServer server(crashOnDeadlyPart);
-    standin::DaemonFixture world;
-    nlohmann::json configuration = standin::makeConfiguration(4);
-    configuration["services"][0]["engine"] = {{"slots", 8}, {"kv_capacity", 100000}};
-    world.store.put("config", "main", configuration);
-    world.addBackend("i-1", server);
-    world.start();
+    CrashingFleet fleet(1);
     constexpr int maxLosses = 5;
     unsigned status = 0;
     int losses = 0;
     for (; losses <= maxLosses && status != 503; ++losses) {
-        world.addBackend("i-1", server, "ready", "a", 2000 + losses);
+        fleet.world.addBackend("i-0", *fleet.servers.front(), "ready", "a", 2000 + losses);
         // A sound request tells when the daemon sends to the new incarnation.
-        const auto send = [&world, losses](const std::string &kind, const char *prefix) {
-            return world.call("/stream/x", kind + std::to_string(losses), prefix + std::to_string(1000 + losses) + ":20\r\n");
-        };
         std::this_thread::sleep_for(1s);
-        CHECK(send("sound", soundPrefix).result_int() == 200);
-        const auto answer = send("deadly", deadlyPrefix);
+        CHECK(fleet.send("/stream/x", soundPrefix).result_int() == 200);
+        const auto answer = fleet.send("/stream/x", deadlyPrefix);
         status = answer.result_int();
         CHECK((status == 502 || answer.body().starts_with("part_quarantined")));
     }
@@ -836,34 +844,21 @@
 // Guards against callers that get nothing for ten minutes, as a part of theirs came only beside the bad one for a while (review case 10).
 TEST_CASE("a caller whose first part came only beside the bad one is served again within seconds, while the store is away")
 {
-    std::vector<std::unique_ptr<standin::RawServer>> servers;
-    standin::DaemonFixture world;
-    nlohmann::json configuration = standin::makeConfiguration(4);
-    configuration["services"][0]["engine"] = {{"slots", 8}, {"kv_capacity", 100000}};
-    world.store.put("config", "main", configuration);
-    for (std::size_t index = 0; index < 8; ++index) {
-        servers.push_back(std::make_unique<standin::RawServer>(crashOnDeadlyPart));
-        world.addBackend("i-" + std::to_string(index), *servers.back());
-    }
-    world.start();
-    world.store.refusesAll = true;
-    int sent = 0;
-    const auto send = [&world, &sent](const char *prefix) {
-        const std::string id = "q" + std::to_string(++sent);
-        return world.call("/stream/x", id, prefix + std::to_string(1000 + sent) + ":20\r\n");
-    };
+    CrashingFleet fleet(8);
+    fleet.world.store.refusesAll = true;
+    const auto send = [&fleet](const char *prefix) { return fleet.send("/stream/x", prefix); };
     for (int round = 0; round < 3; ++round) {
         CHECK(send(deadlyPrefix).result_int() == 502);
         std::this_thread::sleep_for(400ms);
     }
     std::this_thread::sleep_for(2s);
     REQUIRE(send(deadlyPrefix).result_int() == 503);
-    const std::size_t before = deadlyRequests(servers);
+    const std::size_t before = fleet.deadlyRequests();
     // The first sound one waits until no other daemon can be trying one, too.
     for (int round = 0; round < 20; ++round) {
         CHECK(send(soundPrefix).result_int() == 200);
         CHECK(send(deadlyPrefix).result_int() == 503);
     }
-    CHECK(deadlyRequests(servers) == before);
+    CHECK(fleet.deadlyRequests() == before);
     CHECK(before == 3);
 }
