Give the stand-in store pages, and let it refuse what no store would take

The stand-in told each list in one answer and took a target's bytes as they came, so that no test could show a fault in how lists go on, or in how names are written into targets. It now tells lists in pages that go on after a name, decodes path and query, and answers 400 to bytes that no target may have, escapes that are none, and parameters that are unknown or told twice. Tests can spoil the answers to list calls.

--- a/tests/standin/object_store.cpp
+++ b/tests/standin/object_store.cpp
@@ -1,6 +1,11 @@
 #include "standin/object_store.h"
 
+#include <algorithm>
+#include <cctype>
 #include <chrono>
+#include <set>
+#include <sstream>
+#include <string_view>
 
 namespace standin
 {
@@ -13,14 +18,46 @@
 
 constexpr const char *prefix = "/-/objects/";
 
-std::string queryValue(const std::string &target, const std::string &key)
+/** What the path and the query of a target may hold, beside escapes (RFC 3986). */
+constexpr std::string_view allowedMarks = "-._~!$&'()*+,;=:@/?";
+
+bool isTargetText(const std::string &text)
 {
-    const std::size_t start = target.find(key + "=");
-    if (start == std::string::npos) {
-        return "";
+    return std::all_of(text.begin(), text.end(), [](char character) {
+        return std::isalnum(static_cast<unsigned char>(character)) != 0 || character == '%'
+            || allowedMarks.find(character) != std::string_view::npos;
+    });
+}
+
+/** @returns the text without its escapes; nothing when one of them is none. */
+std::optional<std::string> decode(const std::string &text, bool isQuery)
+{
+    constexpr std::size_t escapeLength = 3;
+    constexpr int hexadecimal = 16;
+    std::string decoded;
+    for (std::size_t at = 0; at < text.size(); ++at) {
+        if (text[at] != '%') {
+            decoded += isQuery && text[at] == '+' ? ' ' : text[at];
+            continue;
+        }
+        const std::string digits = text.substr(at + 1, escapeLength - 1);
+        if (digits.size() + 1 < escapeLength || digits.find_first_not_of("0123456789abcdefABCDEF") != std::string::npos) {
+            return std::nullopt;
+        }
+        decoded += static_cast<char>(std::stoi(digits, nullptr, hexadecimal));
+        at += digits.size();
     }
-    const std::size_t from = start + key.size() + 1;
-    return target.substr(from, target.find('&', from) - from);
+    return decoded;
+}
+
+std::vector<std::string> split(const std::string &text, char separator)
+{
+    std::vector<std::string> parts;
+    std::istringstream stream(text);
+    for (std::string part; std::getline(stream, part, separator);) {
+        parts.push_back(part);
+    }
+    return parts;
 }
 
 std::string httpAnswer(unsigned status, const std::string &body, std::uint64_t era)
@@ -93,6 +130,12 @@
     this->changed.notify_all();
 }
 
+void ObjectStore::setListFault(ListFault fault)
+{
+    const std::lock_guard lock(this->mutex);
+    this->listFault = std::move(fault);
+}
+
 json ObjectStore::statusOf(const std::string &kind, const std::string &name) const
 {
     const std::lock_guard lock(this->mutex);
@@ -131,15 +174,48 @@
     return this->era;
 }
 
-json ObjectStore::list(const std::string &kind) const
+std::optional<ObjectStore::Target> ObjectStore::readTarget(const std::string &text)
+{
+    static const std::set<std::string> known {"after_rev", "serializable", "watch", "wait_ms", "revision"};
+    if (!isTargetText(text) || !text.starts_with(prefix)) {
+        return std::nullopt;
+    }
+    const std::size_t pathEnd = std::min(text.find('?'), text.size());
+    const std::vector<std::string> path = split(text.substr(std::string(prefix).size(), pathEnd - std::string(prefix).size()), '/');
+    constexpr std::size_t withStatus = 3;
+    if (path.empty() || path.size() > withStatus || (path.size() == withStatus && path.back() != "status")) {
+        return std::nullopt;
+    }
+    const auto kind = decode(path[0], false);
+    const auto name = path.size() > 1 ? decode(path[1], false) : std::optional<std::string>("");
+    if (!kind || !name) {
+        return std::nullopt;
+    }
+    Target target {*kind, *name, path.size() == withStatus, {}};
+    for (const std::string &parameter : split(text.substr(std::min(pathEnd + 1, text.size())), '&')) {
+        const std::size_t equals = std::min(parameter.find('='), parameter.size());
+        const auto value = decode(parameter.substr(std::min(equals + 1, parameter.size())), true);
+        const std::string key = parameter.substr(0, equals);
+        if (!value || !known.contains(key) || !target.query.emplace(key, *value).second) {
+            return std::nullopt;
+        }
+    }
+    return target;
+}
+
+json ObjectStore::list(const std::string &kind, const std::string &afterName) const
 {
     json items = json::array();
+    bool hasMore = false;
     if (const auto found = this->objects.find(kind); found != this->objects.end()) {
-        for (const auto &[name, object] : found->second) {
-            items.push_back(object);
+        for (auto entry = found->second.upper_bound(afterName); entry != found->second.end() && !hasMore; ++entry) {
+            hasMore = items.size() == this->pageLength;
+            if (!hasMore) {
+                items.push_back(entry->second);
+            }
         }
     }
-    return {{"items", items}, {"more", false}, {"at", this->revision}};
+    return {{"items", items}, {"more", hasMore}, {"at", this->revision}};
 }
 
 std::string ObjectStore::watch(const std::string &kind, std::uint64_t from, int waitMs, unsigned &status)
@@ -164,26 +240,29 @@
     return json {{"events", events}, {"at", this->revision}}.dump();
 }
 
-bool ObjectStore::answer(Socket &socket, const Request &request)
+std::string ObjectStore::carryOut(const Request &request, const Target &target, unsigned &status)
 {
-    ++this->calls;
-    std::this_thread::sleep_for(std::chrono::milliseconds(this->delayMs));
-    if (this->refusesAll) {
-        sendBytes(socket, httpAnswer(503, "{}", this->currentEra()));
-        return true;
+    const auto &[kind, name, isStatus, query] = target;
+    if (request.method() == verb::get && query.contains("watch")) {
+        return this->watch(kind, std::stoull(query.at("watch")), std::stoi(query.at("wait_ms")), status);
     }
-    const std::string target(request.target().data(), request.target().size());
-    const std::string path = target.substr(std::string(prefix).size(), target.find('?') - std::string(prefix).size());
-    const std::string kind = path.substr(0, path.find('/'));
-    const std::string name = path.size() > kind.size() ? path.substr(kind.size() + 1) : "";
-    unsigned status = 200;
-    std::string body;
-    if (request.method() == verb::get && !queryValue(target, "watch").empty()) {
-        body = this->watch(kind, std::stoull(queryValue(target, "watch")), std::stoi(queryValue(target, "wait_ms")), status);
-    } else if (request.method() == verb::get) {
+    if (request.method() == verb::get && !name.empty()) {
+        const std::lock_guard lock(this->mutex);
+        const auto &ofKind = this->objects[kind];
+        const auto found = ofKind.find(name);
+        status = found == ofKind.end() ? 404 : 200;
+        return found == ofKind.end() ? "{}" : found->second.dump();
+    }
+    if (request.method() == verb::get) {
+        const std::string afterName = query.contains("after_rev") ? query.at("after_rev") : "";
         const std::lock_guard lock(this->mutex);
-        body = this->list(kind).dump();
-    } else if (request.method() == verb::post) {
+        std::string body = this->list(kind, afterName).dump();
+        if (this->listFault) {
+            this->listFault(kind, afterName, status, body);
+        }
+        return body;
+    }
+    if (request.method() == verb::post) {
         const json object = json::parse(request.body());
         const std::string created = object.at("metadata").at("name").get<std::string>();
         const std::lock_guard lock(this->mutex);
@@ -191,11 +270,33 @@
         if (status == 200) {
             this->note(kind, created, object.at("spec"), false);
         }
-        body = this->objects[kind][created].dump();
-    } else if (request.method() == verb::put) {
-        body = this->writeStatus(kind, name.substr(0, name.find('/')), json::parse(request.body()), status).dump();
-    } else if (request.method() == verb::delete_) {
+        return this->objects[kind][created].dump();
+    }
+    if (request.method() == verb::put && isStatus) {
+        return this->writeStatus(kind, name, json::parse(request.body()), status).dump();
+    }
+    if (request.method() == verb::delete_ && !name.empty()) {
         this->remove(kind, name);
+        return "";
+    }
+    status = 400;
+    return "";
+}
+
+bool ObjectStore::answer(Socket &socket, const Request &request)
+{
+    ++this->calls;
+    std::this_thread::sleep_for(std::chrono::milliseconds(this->delayMs));
+    if (this->refusesAll) {
+        sendBytes(socket, httpAnswer(503, "{}", this->currentEra()));
+        return true;
+    }
+    unsigned status = 200;
+    std::string body;
+    if (const auto target = readTarget(std::string(request.target().data(), request.target().size()))) {
+        body = this->carryOut(request, *target, status);
+    } else {
+        status = 400;
     }
     const bool isWrite = request.method() != verb::get;
     if (isWrite && this->losesNextWrite.exchange(false)) {
--- a/tests/standin/object_store.h
+++ b/tests/standin/object_store.h
@@ -8,7 +8,9 @@
 
 #include <atomic>
 #include <condition_variable>
+#include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -34,6 +36,10 @@
     void restore(const Copy &older);
     /** @brief Drops the history, so that watches from an older revision get 410. */
     void compact();
+    /** Changes the answer to a list call: its status and its body. */
+    using ListFault = std::function<void(const std::string &kind, const std::string &afterName, unsigned &status, std::string &body)>;
+    /** @brief Lets a function spoil the answers to list calls from now on. */
+    void setListFault(ListFault fault);
     /** @returns the status that was written to an object; null when there is none. */
     nlohmann::json statusOf(const std::string &kind, const std::string &name) const;
     bool has(const std::string &kind, const std::string &name) const;
@@ -42,6 +48,7 @@
         return this->server.address();
     }
 
+    std::atomic<std::size_t> pageLength {500}; ///< Objects in one answer to a list call.
     std::atomic<bool> refusesAll {false}; ///< All calls get 503.
     std::atomic<int> delayMs {0}; ///< Of all answers.
     std::atomic<bool> losesNextWrite {false}; ///< One write is done and its connection reset.
@@ -55,11 +62,24 @@
         nlohmann::json event;
     };
 
+    /** @brief What a call names, with its query decoded as a form. */
+    struct Target {
+        std::string kind;
+        std::string name;
+        bool isStatus = false;
+        std::map<std::string, std::string> query;
+    };
+
+    /** @returns nothing for bytes that no target may have, an escape that is none, a parameter that the store doesn't know, or one told
+     * twice. */
+    static std::optional<Target> readTarget(const std::string &text);
     bool answer(Socket &socket, const Request &request);
+    std::string carryOut(const Request &request, const Target &target, unsigned &status);
     std::uint64_t currentEra() const;
     /** @brief Writes a status under the object's revision. @returns the object as it is then; another revision leaves it as it is. */
     nlohmann::json writeStatus(const std::string &kind, const std::string &name, const nlohmann::json &written, unsigned &status);
-    nlohmann::json list(const std::string &kind) const;
+    /** @brief One page: the objects whose names follow another one. */
+    nlohmann::json list(const std::string &kind, const std::string &afterName) const;
     std::string watch(const std::string &kind, std::uint64_t revision, int waitMs, unsigned &status);
     void note(const std::string &kind, const std::string &name, const nlohmann::json &spec, bool isRemoved);
 
@@ -70,6 +90,7 @@
     std::uint64_t era = 1;
     std::map<std::string, std::map<std::string, nlohmann::json>> objects;
     std::vector<Change> history;
+    ListFault listFault;
     bool stopping = false;
     RawServer server; ///< Last: its threads use the rest.
 };
