Use what can be read of a list that has no readable end

Callers saw, in the same report: almost no request was served while one entry made a list unreadable.

Cause: a cursor that stands still, a page that can't be read and a refused call were repeated without end. Each answer was kept, so that memory grew, and nothing of the list was used. A page without any readable name ended the list as if it were whole. An answer that can't be read counted as a lost store, which stopped the watches of all other collections.

A list now ends as incomplete when a page brings nothing new, when two calls in a row fail, or beyond 200 pages or 20,000 objects. What was read is used, changes are followed from there, and the list is read again after 2 s. An incomplete list removes nothing and confirms nothing: keys lapse, and a relay doesn't pass it on. The name after which a list goes on is read by itself, so that an entry of which nothing else can be read is passed over. After 410s in a row the pauses before lists double.

--- a/src/process/directory/backend_directory.cpp
+++ b/src/process/directory/backend_directory.cpp
@@ -87,12 +87,10 @@
     const bool isRestored = std::exchange(this->isNextListRestored, false);
     std::set<std::string> listed;
     for (const BackendRecord &record : records) {
-        if (isRestored && isFormer(this->removedIncarnations, record)) {
-            logEvent("backend_entry_ignored", {{"backend", record.id}, {"cause", "its removal is known, and the store came back older"}});
-            continue;
+        if (!this->isOutdated(record, isRestored)) {
+            listed.insert(record.id);
+            this->apply(record, now);
         }
-        listed.insert(record.id);
-        this->apply(record, now);
     }
     std::vector<std::string> missing;
     for (const auto &[id, backend] : this->backends) {
@@ -105,6 +103,24 @@
     }
 }
 
+void BackendDirectory::applyPart(const std::vector<BackendRecord> &records, Time now)
+{
+    for (const BackendRecord &record : records) {
+        if (!this->isOutdated(record, this->isNextListRestored)) {
+            this->apply(record, now);
+        }
+    }
+}
+
+bool BackendDirectory::isOutdated(const BackendRecord &record, bool isRestored) const
+{
+    if (!isRestored || !isFormer(this->removedIncarnations, record)) {
+        return false;
+    }
+    logEvent("backend_entry_ignored", {{"backend", record.id}, {"cause", "its removal is known, and the store came back older"}});
+    return true;
+}
+
 void BackendDirectory::onUnreadableEntry(const std::string &id, Time)
 {
     if (const auto known = this->backends.find(id); known != this->backends.end()) {
--- a/src/process/directory/backend_directory.h
+++ b/src/process/directory/backend_directory.h
@@ -46,6 +46,8 @@
     void remove(const std::string &id, Time now);
     /** @brief Replaces all entries, after changes have been missed. */
     void replaceAll(const std::vector<BackendRecord> &records, Time now);
+    /** @brief Applies entries of a list that is not known to its end: nothing is removed. */
+    void applyPart(const std::vector<BackendRecord> &records, Time now);
     /** @brief Removes the backend server whose entry can't be parsed. */
     void onUnreadableEntry(const std::string &id, Time now);
     void onStoreUnavailable();
@@ -95,6 +97,8 @@
 
     static void recordFormer(FormerIncarnations &former, const BackendRecord &record, Time now);
     static bool isFormer(const FormerIncarnations &former, const BackendRecord &record);
+    /** @returns whether an entry of a list is to be ignored, as it is older than its removal. */
+    bool isOutdated(const BackendRecord &record, bool isRestored) const;
     void setAvailability(BackendServer &backend, Availability availability, const std::string &cause);
     void removeBackend(const std::string &id, const std::string &cause);
     /** @brief Removes a backend server that is not followed by a newer incarnation. */
--- a/src/process/edge_knowledge.cpp
+++ b/src/process/edge_knowledge.cpp
@@ -130,6 +130,9 @@
     if (!hooks.onEraChange) {
         hooks.onEraChange = [] {};
     }
+    if (!hooks.onIncomplete) {
+        hooks.onIncomplete = [] {};
+    }
     if (!hooks.onReachability) {
         hooks.onReachability = [](bool, const std::string &) {};
     }
@@ -157,6 +160,11 @@
             this->applyConfiguration(object);
         }
     };
+    hooks.onPart = [this](const std::vector<store::StoredObject> &objects) {
+        for (const auto &object : objects) {
+            this->applyConfiguration(object);
+        }
+    };
     hooks.onChange = [this](const store::ObjectChange &change) {
         if (!change.isRemoved) {
             this->applyConfiguration(change.object);
@@ -187,22 +195,32 @@
     logWarning("backend_entry_unreadable", {{"backend", object.name}, {"revision", std::to_string(object.revision)}});
 }
 
+std::vector<directory::BackendRecord> EdgeKnowledge::readBackends(const std::vector<store::StoredObject> &objects)
+{
+    std::vector<directory::BackendRecord> records;
+    for (const auto &object : objects) {
+        if (auto record = this->dialect->readBackend(object)) {
+            records.push_back(std::move(*record));
+        } else {
+            this->logUnreadableBackend(object);
+        }
+    }
+    return records;
+}
+
 store::WatcherHooks EdgeKnowledge::backendHooks()
 {
     store::WatcherHooks hooks;
     hooks.onList = [this](const std::vector<store::StoredObject> &objects) {
-        std::vector<directory::BackendRecord> records;
-        for (const auto &object : objects) {
-            if (auto record = this->dialect->readBackend(object)) {
-                records.push_back(std::move(*record));
-            } else {
-                this->logUnreadableBackend(object);
-            }
-        }
-        this->proxy.backends().replaceAll(records, readClock());
+        this->proxy.backends().replaceAll(this->readBackends(objects), readClock());
         this->proxy.updateVersions();
         this->hasBackends = true;
     };
+    hooks.onPart = [this](const std::vector<store::StoredObject> &objects) {
+        this->proxy.backends().applyPart(this->readBackends(objects), readClock());
+        this->proxy.updateVersions();
+    };
+    hooks.onIncomplete = [this] { this->hasBackends = true; };
     hooks.onChange = [this](const store::ObjectChange &change) {
         const Time now = readClock();
         if (change.isRemoved) {
@@ -259,6 +277,13 @@
         this->hasTakenOut = true;
         this->applyTakenOut();
     };
+    hooks.onPart = [this](const std::vector<store::StoredObject> &objects) {
+        for (const auto &object : objects) {
+            this->takenOut.insert(object.name);
+        }
+        this->applyTakenOut();
+    };
+    hooks.onIncomplete = [this] { this->hasTakenOut = true; };
     hooks.onEraChange = [this] { this->isTakenOutRestored = true; };
     hooks.onChange = [this](const store::ObjectChange &change) {
         if (change.isRemoved) {
@@ -280,7 +305,7 @@
         [this] { this->proxy.daemons().recordOwnEntry(readClock()); });
 }
 
-void EdgeKnowledge::applyDaemons(const std::vector<DaemonRecord> &daemons)
+void EdgeKnowledge::applyDaemons(const std::vector<DaemonRecord> &daemons, bool isWhole)
 {
     const Time now = readClock();
     std::vector<DaemonHandle> handles;
@@ -292,7 +317,7 @@
     }
     dispatch::ActiveDaemons &activeDaemons = this->proxy.daemons();
     activeDaemons.recordDaemonList(handles, now);
-    if (activeDaemons.isOwnEntryMissing(now) && !this->proxy.isStopping()) {
+    if (isWhole && activeDaemons.isOwnEntryMissing(now) && !this->proxy.isStopping()) {
         logWarning("own_entry_lost", {{"listed", std::to_string(handles.size())}});
         this->writeOwnEntry();
     }
@@ -336,24 +361,47 @@
     this->source.setRegion(hashName(ownRegion), std::move(possible));
 }
 
+std::map<std::string, DaemonRecord> EdgeKnowledge::readDaemons(const std::vector<store::StoredObject> &objects) const
+{
+    std::map<std::string, DaemonRecord> daemons;
+    for (const auto &object : objects) {
+        if (auto daemon = this->dialect->readDaemon(object)) {
+            daemons.insert_or_assign(object.name, std::move(*daemon));
+        } else {
+            logWarning("daemon_entry_unreadable", {{"name", object.name}, {"revision", std::to_string(object.revision)}});
+        }
+    }
+    return daemons;
+}
+
+void EdgeKnowledge::takeDaemonList(bool isWhole)
+{
+    if (this->hasDaemons) {
+        this->daemonsWatcher.setPace(daemonsPace);
+    }
+    this->hasDaemons = true;
+    std::vector<DaemonRecord> daemons;
+    daemons.reserve(this->listedDaemons.size());
+    for (const auto &[name, daemon] : this->listedDaemons) {
+        daemons.push_back(daemon);
+    }
+    this->applyDaemons(daemons, isWhole);
+}
+
 store::WatcherHooks EdgeKnowledge::daemonHooks()
 {
     store::WatcherHooks hooks;
     hooks.onList = [this](const std::vector<store::StoredObject> &objects) {
-        std::vector<DaemonRecord> daemons;
-        for (const auto &object : objects) {
-            if (auto daemon = this->dialect->readDaemon(object)) {
-                daemons.push_back(std::move(*daemon));
-            } else {
-                logWarning("daemon_entry_unreadable", {{"name", object.name}, {"revision", std::to_string(object.revision)}});
-            }
-        }
-        if (this->hasDaemons) {
-            this->daemonsWatcher.setPace(daemonsPace);
+        this->listedDaemons = this->readDaemons(objects);
+        this->takeDaemonList(true);
+    };
+    hooks.onPart = [this](const std::vector<store::StoredObject> &objects) {
+        // Those that an earlier list told may stand where this one can't be read.
+        for (auto &[name, daemon] : this->readDaemons(objects)) {
+            this->listedDaemons.insert_or_assign(name, std::move(daemon));
         }
-        this->hasDaemons = true;
-        this->applyDaemons(daemons);
     };
+    hooks.onIncomplete = [this] { this->takeDaemonList(false); };
     return hooks;
 }
 
--- a/src/process/edge_knowledge.h
+++ b/src/process/edge_knowledge.h
@@ -10,7 +10,10 @@
 #include "process/rollout_knowledge.h"
 #include "process/store/object_writer.h"
 
+#include <map>
 #include <set>
+#include <string>
+#include <vector>
 
 namespace eelgrassnotch::process
 {
@@ -47,9 +50,14 @@
     /** @returns whether the store has the newest configuration that is known; if it has an older one, keys that it holds may be revoked. */
     bool isStoredConfigurationCurrent();
     void logUnreadableBackend(const store::StoredObject &object);
+    std::vector<directory::BackendRecord> readBackends(const std::vector<store::StoredObject> &objects);
+    /** @returns the daemons whose entries can be read, by name. */
+    std::map<std::string, DaemonRecord> readDaemons(const std::vector<store::StoredObject> &objects) const;
+    void takeDaemonList(bool isWhole);
     void applyTakenOut();
     void writeOwnEntry();
-    void applyDaemons(const std::vector<DaemonRecord> &daemons);
+    /** @param isWhole Whether the list was read to its end, so that a name that it lacks is missing in the store. */
+    void applyDaemons(const std::vector<DaemonRecord> &daemons, bool isWhole);
     void startSource();
     void tellNeighbours(const std::vector<DaemonRecord> &daemons) const;
     /** @brief Tells the source which daemons of the region may be followed. */
@@ -66,6 +74,7 @@
     bool isTakenOutRestored = false; ///< The next list is the first one after the store came back older.
     std::optional<std::uint64_t> storedVersion; ///< Of the configuration that the store has.
     bool wasStoredConfigurationCurrent = true;
+    std::map<std::string, DaemonRecord> listedDaemons; ///< As the last list told, with what an incomplete one added.
     std::map<DaemonHandle, DaemonRecord> records; ///< Of all daemons that were ever listed.
     std::vector<exchange::Peer> peers; ///< As last listed.
     std::function<void(const std::vector<std::string> &)> onNeighbours;
--- a/src/process/mirror/collection_source.cpp
+++ b/src/process/mirror/collection_source.cpp
@@ -48,10 +48,23 @@
         std::transform(objects.begin(), objects.end(), std::back_inserter(mirrored),
                        [](const store::StoredObject &object) { return toMirrored(object, false); });
         this->server.mirror(collection).replaceAll(std::move(mirrored));
+        this->incomplete.erase(collection);
         consumer.onList(objects);
     };
+    // What is passed on stays at the last state that was known as a whole, which soon is too old for followers.
+    watcher.onPart = [this, collection, &consumer](const std::vector<store::StoredObject> &objects) {
+        this->incomplete.insert(collection);
+        consumer.onPart(objects);
+    };
+    watcher.onIncomplete = [this, collection, &consumer] {
+        this->incomplete.insert(collection);
+        consumer.onIncomplete();
+        this->startWatchers();
+    };
     watcher.onChange = [this, collection, &consumer](const store::ObjectChange &change) {
-        this->server.mirror(collection).apply(toMirrored(change.object, change.isRemoved));
+        if (!this->incomplete.contains(collection)) {
+            this->server.mirror(collection).apply(toMirrored(change.object, change.isRemoved));
+        }
         consumer.onChange(change);
     };
     watcher.onEraChange = consumer.onEraChange;
@@ -295,6 +308,7 @@
     for (const auto &[collection, watcher] : this->watchers) {
         if (const auto known = this->positions.find(collection); known != this->positions.end()) {
             watcher->skipTo(known->second);
+            this->incomplete.erase(collection);
         }
     }
     // Whether the store answers is asked by one watch; the others begin when it does.
--- a/src/process/mirror/collection_source.h
+++ b/src/process/mirror/collection_source.h
@@ -9,6 +9,7 @@
 
 #include <map>
 #include <memory>
+#include <set>
 
 namespace eelgrassnotch::process::mirror
 {
@@ -82,6 +83,7 @@
     bool hasReplied = false; ///< The relay that is asked.
     std::map<DaemonHandle, std::uint32_t> outagesOf; ///< As each relay told last.
     std::optional<Time> startedAt;
+    std::set<store::Collection> incomplete; ///< Collections whose list could not be read to its end.
     std::map<store::Collection, Time> asOf; ///< When each collection was the newest, as far as known.
     Time actsUntil {0}; ///< A substitute that took over goes on for a while, so that its followers need not move again soon.
     bool isStoreLost = false; ///< As the watches found, or a relay told.
--- a/src/process/rollout_knowledge.cpp
+++ b/src/process/rollout_knowledge.cpp
@@ -77,6 +77,12 @@
         this->rollouts.replaceAll(orders, readClock());
         this->hasList = true;
     };
+    hooks.onPart = [this](const std::vector<store::StoredObject> &objects) {
+        for (const store::StoredObject &object : objects) {
+            this->apply(object);
+        }
+    };
+    hooks.onIncomplete = [this] { this->hasList = true; };
     hooks.onChange = [this](const store::ObjectChange &change) {
         if (change.isRemoved) {
             this->rollouts.remove(change.object.name);
--- a/src/process/store/collection_watcher.cpp
+++ b/src/process/store/collection_watcher.cpp
@@ -22,11 +22,33 @@
 constexpr Duration firstPause = 50ms;
 constexpr Duration longestPause = 800ms;
 constexpr std::uint32_t mostDoublings = 4;
-/** Failures in a row after which the store counts as lost. */
+/** Failures in a row after which the store counts as lost, or the rest of a list as unreadable. */
 constexpr std::uint32_t failuresUntilLost = 2;
+/** Pause before a list that could not be read to its end is read again. */
+constexpr Duration incompleteListPause = 2s;
+/** Objects and pages of one list: many times the daemons and backend servers of the largest deployment. */
+constexpr std::size_t maxListedObjects = 20'000;
+constexpr std::size_t maxPages = 200;
 
 constexpr unsigned statusOk = 200;
+constexpr unsigned firstCallerErrorStatus = 400;
+constexpr unsigned statusRequestTimeout = 408;
 constexpr unsigned statusGone = 410;
+constexpr unsigned statusTooManyRequests = 429;
+constexpr unsigned firstServerErrorStatus = 500;
+
+/** @returns whether the store would refuse the same call again. */
+bool isFinalRefusal(unsigned status)
+{
+    return status >= firstCallerErrorStatus && status < firstServerErrorStatus && status != statusRequestTimeout
+        && status != statusTooManyRequests;
+}
+
+Duration pauseAfter(std::uint32_t failures)
+{
+    const std::uint32_t doublings = std::min(failures - 1, mostDoublings);
+    return std::min(firstPause * (1 << doublings), longestPause);
+}
 
 }
 
@@ -76,12 +98,17 @@
     this->isStopped = true;
     this->timer.cancel();
     this->client.cancel();
-    this->listed.clear();
+    this->listing.reset();
 }
 
 void CollectionWatcher::skipTo(const Position &knownPosition)
 {
-    this->position = std::max(this->position.value_or(Position {}), knownPosition);
+    // What is known from elsewhere is whole, also where it is older than an incomplete list.
+    const bool isWholeInstead = this->isIncomplete && this->position && knownPosition.era >= this->position->era;
+    if (!this->position || isWholeInstead || knownPosition >= *this->position) {
+        this->position = knownPosition;
+        this->isIncomplete = false;
+    }
     this->era = this->position->era;
 }
 
@@ -95,40 +122,54 @@
     if (this->isStopped) {
         return;
     }
-    const bool isWatch = this->position.has_value();
+    const Time sentAt = readClock();
+    const bool isWatch = !this->isListDue(sentAt);
     // After a failure the question is whether the store is back, and the answer must not wait for a change.
     const Duration wait = this->failures > 0 ? Duration(0) : this->pace.longestWait;
-    const std::string after = this->listed.empty() ? "" : this->listed.back().name;
+    const std::string after = this->listing ? this->listing->cursor : "";
     const auto target = isWatch ? this->dialect->watchTarget(this->collection, this->position->revision, wait)
                                 : this->dialect->listTarget(this->collection, after, this->isPolling());
-    const Time sentAt = readClock();
     const http::CallTimeouts timeouts {connectTimeout, (isWatch ? wait : Duration(0)) + answerTimeout};
-    this->client.call(http::Request(boost::beast::http::verb::get, target, 11), timeouts, [this, sentAt](const http::CallResult &result) {
-        this->hooks.onCall(result.status);
-        if (result.status != 0) {
-            this->onAnswer(result, sentAt);
-        } else {
-            this->onFailure(result.failure);
-        }
-    });
+    this->client.call(http::Request(boost::beast::http::verb::get, target, 11), timeouts,
+                      [this, isWatch, sentAt](const http::CallResult &result) {
+                          this->hooks.onCall(result.status);
+                          if (result.status != 0) {
+                              this->onAnswer(result, isWatch, sentAt);
+                          } else {
+                              this->onFailure(result.failure);
+                          }
+                      });
+}
+
+bool CollectionWatcher::isListDue(Time now) const
+{
+    return this->listing || !this->position || (this->isIncomplete && now >= this->listAgainAt);
 }
 
 void CollectionWatcher::listAgain()
 {
     this->position.reset();
-    this->listed.clear();
-    this->again(Duration(0));
+    this->listing.reset();
+    // A store that keeps no history, or names another era in each answer, would be asked without a pause.
+    const Duration pause = this->restarts == 0 ? Duration(0) : pauseAfter(this->restarts);
+    this->again(this->isIncomplete ? std::max(pause, this->listAgainAt - readClock()) : pause);
+    ++this->restarts;
 }
 
-void CollectionWatcher::onAnswer(const http::CallResult &result, Time sentAt)
+void CollectionWatcher::onAnswer(const http::CallResult &result, bool isWatch, Time sentAt)
 {
-    if (result.status == statusGone && this->position) {
+    if (result.status == statusGone && isWatch) {
         // The store dropped the changes since our position.
         this->listAgain();
         return;
     }
     if (result.status != statusOk) {
-        this->onFailure("status " + std::to_string(result.status));
+        const std::string cause = "status " + std::to_string(result.status);
+        if (isFinalRefusal(result.status)) {
+            this->onUnusableAnswer(cause, isWatch);
+        } else {
+            this->onFailure(cause);
+        }
         return;
     }
     const std::uint64_t answerEra = this->dialect->readEra(*result.header).value_or(this->era.value_or(0));
@@ -136,80 +177,158 @@
         this->onFailure("answer of an earlier era");
         return;
     }
-    const std::uint64_t expectedEra = this->position ? this->position->era : (this->listed.empty() ? answerEra : this->listedEra);
+    const std::uint64_t expectedEra = this->listing ? this->listing->era : (this->position ? this->position->era : answerEra);
     if (answerEra != expectedEra) {
         // Revisions of different eras can't be compared, whether the store has ours again or not.
         this->listAgain();
         return;
     }
     try {
-        if (this->position) {
+        if (isWatch) {
             this->takeChanges(result.body, sentAt);
         } else {
             this->takePage(result.body, answerEra, sentAt);
         }
     } catch (const std::exception &error) {
-        this->onFailure(error.what());
+        this->onUnusableAnswer(error.what(), isWatch);
     }
 }
 
 void CollectionWatcher::takePage(const std::string &body, std::uint64_t answerEra, Time sentAt)
 {
     const ObjectPage page = this->dialect->readPage(body);
-    if (this->listed.empty()) {
-        this->listBegun = sentAt;
-    }
-    this->listedEra = answerEra;
-    this->listed.insert(this->listed.end(), page.objects.begin(), page.objects.end());
     this->noteReachable();
-    if (page.hasMore && !page.objects.empty()) {
+    this->unusableAnswers = 0;
+    if (!this->listing) {
+        this->listing = Listing {{}, "", answerEra, page.revision, sentAt};
+        if (page.hasMore) {
+            this->tellEra(answerEra, page.revision);
+        }
+    }
+    this->listing->revision = page.revision;
+    const std::size_t countBefore = this->listing->objects.size();
+    for (const StoredObject &object : page.objects) {
+        this->listing->objects.insert_or_assign(object.name, object);
+    }
+    if (!page.hasMore) {
+        this->finishList();
+        return;
+    }
+    this->hooks.onPart(page.objects);
+    if (page.lastName.empty() || this->listing->objects.size() == countBefore) {
+        this->endIncompleteList("the page after \"" + this->listing->cursor + "\" brings nothing new");
+    } else if (++this->listing->pages >= maxPages || this->listing->objects.size() > maxListedObjects) {
+        this->endIncompleteList("the list is too long");
+    } else {
+        this->listing->cursor = page.lastName;
         this->again(Duration(0));
+    }
+}
+
+void CollectionWatcher::tellEra(std::uint64_t listedEra, std::uint64_t revision)
+{
+    if (this->isPolling() || !this->era || listedEra <= *this->era) {
         return;
     }
-    const auto objects = std::exchange(this->listed, {});
+    logEvent("store_came_back_older",
+             {{"collection", nameOf(this->collection)},
+              {"era", std::to_string(listedEra)},
+              {"era_before", std::to_string(*this->era)},
+              {"revision", std::to_string(revision)}});
+    this->era = listedEra;
+    this->hooks.onEraChange();
+}
+
+void CollectionWatcher::finishList()
+{
+    const Listing ended = *std::exchange(this->listing, std::nullopt);
+    std::vector<StoredObject> objects;
+    objects.reserve(ended.objects.size());
+    for (const auto &[name, object] : ended.objects) {
+        objects.push_back(object);
+    }
+    this->isIncomplete = false;
     if (this->isPolling()) {
         this->hooks.onList(objects);
         this->again(this->pace.pause);
         return;
     }
-    if (this->era && answerEra > *this->era) {
-        logEvent("store_came_back_older",
-                 {{"collection", nameOf(this->collection)},
-                  {"era", std::to_string(answerEra)},
-                  {"era_before", std::to_string(*this->era)},
-                  {"revision", std::to_string(page.revision)}});
-        this->hooks.onEraChange();
-    }
+    this->tellEra(ended.era, ended.revision);
     this->hooks.onList(objects);
-    this->era = answerEra;
-    this->position = Position {answerEra, page.revision};
-    this->hooks.onConfirmed(this->listBegun, *this->position);
+    this->era = ended.era;
+    this->position = Position {ended.era, ended.revision};
+    this->hooks.onConfirmed(ended.begun, *this->position);
     this->again(Duration(0));
 }
 
+void CollectionWatcher::endIncompleteList(const std::string &cause)
+{
+    const auto ended = std::exchange(this->listing, std::nullopt);
+    logWarning(
+        "list_incomplete",
+        {{"collection", nameOf(this->collection)}, {"cause", cause}, {"objects", std::to_string(ended ? ended->objects.size() : 0)}});
+    this->isIncomplete = true;
+    this->listAgainAt = readClock() + incompleteListPause;
+    this->hooks.onIncomplete();
+    if (this->isPolling()) {
+        this->again(std::max(this->pace.pause, incompleteListPause));
+        return;
+    }
+    if (ended && !this->position) {
+        this->position = Position {ended->era, ended->revision};
+        this->era = ended->era;
+    }
+    this->again(this->position ? Duration(0) : incompleteListPause);
+}
+
 void CollectionWatcher::takeChanges(const std::string &body, Time sentAt)
 {
     const ChangePage page = this->dialect->readChanges(body);
     this->noteReachable();
+    this->unusableAnswers = 0;
+    this->restarts = 0;
     for (const ObjectChange &change : page.changes) {
         this->hooks.onChange(change);
     }
+    const bool isFutile = page.changes.empty() && page.revision <= this->position->revision && readClock() - sentAt < firstPause;
     this->position->revision = std::max(this->position->revision, page.revision);
-    this->hooks.onConfirmed(sentAt, *this->position);
-    this->again(page.changes.empty() ? Duration(0) : this->pace.pause);
+    if (!this->isIncomplete) {
+        this->hooks.onConfirmed(sentAt, *this->position);
+    }
+    this->again(isFutile ? firstPause : (page.changes.empty() ? Duration(0) : this->pace.pause));
 }
 
 void CollectionWatcher::onFailure(const std::string &cause)
 {
     ++this->failures;
+    if (this->failures >= failuresUntilLost && this->listing) {
+        this->endIncompleteList(cause);
+        return;
+    }
     if (this->failures >= failuresUntilLost && this->isReachable) {
         this->isReachable = false;
         this->hooks.onReachability(false, cause);
     }
-    const std::uint32_t doublings = std::min(this->failures - 1, mostDoublings);
-    const Duration pause = std::min(firstPause * (1 << doublings), longestPause);
     const Duration least = this->isPolling() ? this->pace.pause : (this->isReachable ? Duration(0) : this->pace.searchPause);
-    this->again(std::max(pause, least));
+    this->again(std::max(pauseAfter(this->failures), least));
+}
+
+void CollectionWatcher::onUnusableAnswer(const std::string &cause, bool isWatch)
+{
+    this->noteReachable();
+    ++this->unusableAnswers;
+    if (this->unusableAnswers < failuresUntilLost) {
+        this->again(std::max(pauseAfter(this->unusableAnswers), this->isPolling() ? this->pace.pause : Duration(0)));
+        return;
+    }
+    this->unusableAnswers = 0;
+    if (isWatch) {
+        // A list brings the state after the changes that can't be read.
+        logWarning("changes_unreadable", {{"collection", nameOf(this->collection)}, {"cause", cause}});
+        this->listAgain();
+    } else {
+        this->endIncompleteList(cause);
+    }
 }
 
 bool CollectionWatcher::isPolling() const
@@ -222,6 +341,7 @@
     this->failures = 0;
     if (!this->isReachable) {
         this->isReachable = true;
+        this->listAgainAt = Time(0);
         this->hooks.onReachability(true, "answered");
     }
 }
--- a/src/process/store/collection_watcher.h
+++ b/src/process/store/collection_watcher.h
@@ -8,6 +8,7 @@
 #include <boost/asio/io_context.hpp>
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -44,10 +45,15 @@
 struct WatcherHooks {
     /** All objects of the collection; earlier knowledge is replaced. */
     std::function<void(const std::vector<StoredObject> &)> onList;
+    /** Objects of a list whose end is not read yet. What is known of others stays as it is. */
+    std::function<void(const std::vector<StoredObject> &)> onPart;
+    /** The end of the list can't be read for now: what onPart told, and the changes that follow, are all that can be known. */
+    std::function<void()> onIncomplete;
     std::function<void(const ObjectChange &)> onChange;
     /** The store came back from an older copy. The next list may lack what is known, or hold what has been replaced. */
     std::function<void()> onEraChange;
-    /** All changes that the store had accepted at this time are known; later ones follow this position. */
+    /** All changes that the store had accepted at this time are known; later ones follow this position. Not told after onIncomplete, until
+     * a list was read to its end. */
     std::function<void(Time asOf, const Position &reached)> onConfirmed;
     /** The store stopped answering, or answers again. */
     std::function<void(bool isReachable, const std::string &cause)> onReachability;
@@ -64,7 +70,11 @@
     bool operator==(const WatchPace &) const = default;
 };
 
-/** @brief One kept connection to the store, with one call at a time. */
+/**
+ * @brief One kept connection to the store, with one call at a time.
+ * @remarks A list that can't be read to its end is read again from its beginning after a pause. In the meantime, changes are followed from
+ * where its first pages were read.
+ */
 class CollectionWatcher
 {
 public:
@@ -81,11 +91,29 @@
 
 private:
     void call();
-    void onAnswer(const connection::http::CallResult &result, Time sentAt);
+    void onAnswer(const connection::http::CallResult &result, bool isWatch, Time sentAt);
+    /** A list that is being read, page by page. */
+    struct Listing {
+        std::map<std::string, StoredObject> objects; ///< By name, so that a page that comes again adds nothing.
+        std::string cursor; ///< The next page follows this name.
+        std::uint64_t era = 0;
+        std::uint64_t revision = 0;
+        Time begun {0};
+        std::size_t pages = 0;
+    };
+
+    bool isListDue(Time now) const;
+    /** @brief The store did not answer, or refused a call that it may accept later. */
     void onFailure(const std::string &cause);
+    /** @brief The store answered, but what it told can't be read, or it doesn't accept such a call. */
+    void onUnusableAnswer(const std::string &cause, bool isWatch);
     void listAgain();
     /** @param answerEra As the answer names it; the last one known, where it names none. */
     void takePage(const std::string &body, std::uint64_t answerEra, Time sentAt);
+    void finishList();
+    /** @brief Goes on without the rest of the list. */
+    void endIncompleteList(const std::string &cause);
+    void tellEra(std::uint64_t listedEra, std::uint64_t revision);
     void takeChanges(const std::string &body, Time sentAt);
     bool isPolling() const;
     void noteReachable();
@@ -99,10 +127,12 @@
     connection::OneShotTimer timer;
     std::optional<Position> position; ///< Watch from here; list first without it.
     std::optional<std::uint64_t> era; ///< Of the last position.
-    std::vector<StoredObject> listed; ///< Objects of the pages read so far.
-    std::uint64_t listedEra = 0; ///< Of these pages.
-    Time listBegun {0};
-    std::uint32_t failures = 0;
+    std::optional<Listing> listing;
+    bool isIncomplete = false; ///< The last list was not read to its end.
+    Time listAgainAt {0}; ///< After an incomplete list.
+    std::uint32_t restarts = 0; ///< Lists that were begun since changes were read.
+    std::uint32_t failures = 0; ///< In a row.
+    std::uint32_t unusableAnswers = 0; ///< In a row.
     bool isReachable = true;
     bool isStopped = true;
 };
--- a/src/process/store/objects.h
+++ b/src/process/store/objects.h
@@ -49,7 +49,8 @@
 /** @brief Part of a list of objects. */
 struct ObjectPage {
     std::vector<StoredObject> objects;
-    bool hasMore = false; ///< Continue after the last name.
+    std::string lastName; ///< Continue after this name; empty when no entry's name can be read.
+    bool hasMore = false;
     std::uint64_t revision = 0; ///< Store revision of the list.
 
     bool operator==(const ObjectPage &) const = default;
