Take no name from the store that no header can hold

The id of a backend server goes to it in a header, as do its address, for a copy of prompt parts, and the name of the workspace. They were taken from entries as they are, so that an entry of another writer with a line break in its name could have added fields to requests, such as those that only daemons may set. Not reported; found while looking for the class of the entry whose name was no cursor.

--- a/tests/proxy/test_platform.cpp
+++ b/tests/proxy/test_platform.cpp
@@ -197,3 +197,17 @@
     call.prefixSourceAddress = "10.0.0.9:8080";
     CHECK(dialect.toBackendRequest(request, call)["Kv-Fetch"] == "10.0.0.9:8080");
 }
+
+TEST_CASE("a name that no header can hold names no backend server and no workspace")
+{
+    const platform::Dialect dialect;
+    for (const std::string name : {"", " i", "i ", "i\r\nKv-From: x", "i\n", "\xc3\xa9", "\x7f"}) {
+        CAPTURE(name);
+        CHECK_FALSE(dialect.readBackend({name, 5, goodEntry}));
+        const json configuration = {
+            {"version", 3}, {"routes", json::array()}, {"services", json::array()}, {"tenants", {{{"name", name}, {"api_keys", {"k"}}}}}};
+        CHECK(dialect.readConfiguration({"main", 5, configuration}).workspaces.empty());
+    }
+    CHECK_FALSE(dialect.readBackend({"i-1", 5, withMember("address", "fe80::1%a\r\nKv-From: x:80")}));
+    CHECK(dialect.readBackend({"i-1", 5, goodEntry}));
+}
