Keep log lines whole and bounded, whatever a value holds

Values of log lines come from entries of the store, callers and backend servers. A carriage return or an escape went through as it was, so that a name could write a line of its own, and a name of 100 kB made a line of 100 kB. Control characters are now blanks, and a value ends after 512 bytes.

--- a/src/process/event_log.cpp
+++ b/src/process/event_log.cpp
@@ -9,6 +9,7 @@
 #include <algorithm>
 #include <chrono>
 #include <mutex>
+#include <string_view>
 
 namespace eelgrassnotch::process
 {
@@ -23,6 +24,8 @@
 /** Batches of collected lines that wait for the writer; the newest is dropped, and its lines are counted, when there are more. */
 constexpr std::size_t queuedBatches = 64;
 constexpr std::size_t maxBatchBytes = 32u << 10;
+/** Longer values are cut: some come from callers, backend servers or entries of the store. */
+constexpr std::size_t maxValueBytes = 512;
 /** A line after a pause of this length is not collected. */
 constexpr auto quietPeriod = std::chrono::milliseconds(50);
 constexpr const char *linePattern = "time=%Y-%m-%dT%H:%M:%S.%e level=%L %v";
@@ -44,20 +47,29 @@
     return instance;
 }
 
-std::string quote(const std::string &value)
+bool isControl(char character)
 {
-    const bool plain = !value.empty() && value.find_first_of(" \"=\n\t") == std::string::npos;
-    if (plain) {
-        return value;
+    constexpr unsigned char firstPrintable = 0x20;
+    constexpr unsigned char deleted = 0x7F;
+    const auto byte = static_cast<unsigned char>(character);
+    return byte < firstPrintable || byte == deleted;
+}
+
+std::string quote(std::string_view value)
+{
+    const bool isPlain = !value.empty() && value.size() <= maxValueBytes && value.find_first_of(" \"=") == std::string_view::npos
+        && std::none_of(value.begin(), value.end(), isControl);
+    if (isPlain) {
+        return std::string(value);
     }
     std::string quoted = "\"";
-    for (const char character : value) {
+    for (const char character : value.substr(0, maxValueBytes)) {
         if (character == '"' || character == '\\') {
             quoted += '\\';
         }
-        quoted += character == '\n' ? ' ' : character;
+        quoted += isControl(character) ? ' ' : character;
     }
-    return quoted + "\"";
+    return quoted + (value.size() > maxValueBytes ? "...\"" : "\"");
 }
 
 std::string &daemonName()
--- a/tests/proxy/test_platform.cpp
+++ b/tests/proxy/test_platform.cpp
@@ -2,6 +2,7 @@
 
 #include "platform/dialect.h"
 #include "platform/settings.h"
+#include "process/event_log.h"
 
 #include <doctest/doctest.h>
 
@@ -211,3 +212,16 @@
     CHECK_FALSE(dialect.readBackend({"i-1", 5, withMember("address", "fe80::1%a\r\nKv-From: x:80")}));
     CHECK(dialect.readBackend({"i-1", 5, goodEntry}));
 }
+
+TEST_CASE("a log line stays one line of bounded length, whatever a name holds")
+{
+    const std::string line = process::formatEvent("backend_entry_unreadable", {{"backend", "a\r\nlevel=error event=forged\x1b[2J"}});
+    CHECK(line.find_first_of("\r\n\x1b") == std::string::npos);
+    CHECK(line.find("backend=\"a  level=error") != std::string::npos);
+    const std::string longName(100'000, 'x');
+    CHECK(process::formatEvent("backend_entry_unreadable", {{"backend", longName}}).size() < 1000);
+    const platform::Dialect target;
+    CHECK(target.statusTarget(Collection::Rollouts, "a/b?c") == "/-/objects/rollouts/a%2Fb%3Fc/status");
+    CHECK(target.listTarget(Collection::Daemons, "a&b+c#d%e f", true)
+          == "/-/objects/eelgrassnotch-daemons?after_rev=a%26b%2Bc%23d%25e%20f&serializable=1");
+}
