Follow changes from the first page of a list on

A change that the store accepted between two pages of a list, and that concerns an object of a page that had been read already, was lost: watches began at the revision of the last page. A backend server that left in between stayed in use, and an entry that came was unknown, until the next list. Not reported; found in the trace of lists of more than a page. The reported changes that were not in force in time can't be explained by it, since the configuration is a single object on a single page.

Watches now begin at the revision of the first page. Changes that later pages hold already come once more, which changes nothing. The test "a change between two pages of a list is not lost" failed before: neither the removal nor the new entry was known after 20 s.

The stand-in store lets a test write while a list is read, and can delay and cut watches.

--- a/src/process/store/collection_watcher.cpp
+++ b/src/process/store/collection_watcher.cpp
@@ -205,7 +205,6 @@
             this->tellEra(answerEra, page.revision);
         }
     }
-    this->listing->revision = page.revision;
     const std::size_t countBefore = this->listing->objects.size();
     for (const StoredObject &object : page.objects) {
         this->listing->objects.insert_or_assign(object.name, object);
--- a/src/process/store/collection_watcher.h
+++ b/src/process/store/collection_watcher.h
@@ -97,7 +97,7 @@
         std::map<std::string, StoredObject> objects; ///< By name, so that a page that comes again adds nothing.
         std::string cursor; ///< The next page follows this name.
         std::uint64_t era = 0;
-        std::uint64_t revision = 0;
+        std::uint64_t revision = 0; ///< Of the first page: changes after it may concern pages that were read before.
         Time begun {0};
         std::size_t pages = 0;
     };
--- a/tests/proxy/test_store_lists.cpp
+++ b/tests/proxy/test_store_lists.cpp
@@ -237,6 +237,22 @@
     }
 }
 
+TEST_CASE("a change between two pages of a list is not lost, whichever page it concerns")
+{
+    ObjectStore store;
+    fill(store);
+    std::atomic<bool> isChanged {false};
+    store.setListFault([&](const std::string &, const std::string &afterName, unsigned &, std::string &) {
+        if (afterName == "i-2" && !isChanged.exchange(true)) {
+            store.remove("servers", "i-1");
+            store.put("servers", "i-0", odd);
+        }
+    });
+    const Follower follower(store);
+    CHECK(eventually([&] { return follower.knows("i-0") && !follower.knows("i-1"); }));
+    CHECK(follower.lists > 0);
+}
+
 TEST_CASE("a collection that can't be read at all does not stop the others")
 {
     const RawServer server(answerOk);
--- a/tests/standin/object_store.cpp
+++ b/tests/standin/object_store.cpp
@@ -255,10 +255,15 @@
     }
     if (request.method() == verb::get) {
         const std::string afterName = query.contains("after_rev") ? query.at("after_rev") : "";
-        const std::lock_guard lock(this->mutex);
-        std::string body = this->list(kind, afterName).dump();
-        if (this->listFault) {
-            this->listFault(kind, afterName, status, body);
+        std::string body;
+        ListFault fault;
+        {
+            const std::lock_guard lock(this->mutex);
+            body = this->list(kind, afterName).dump();
+            fault = this->listFault;
+        }
+        if (fault) {
+            fault(kind, afterName, status, body);
         }
         return body;
     }
@@ -298,6 +303,14 @@
     } else {
         status = 400;
     }
+    const bool isWatch = request.target().find("watch=") != boost::beast::string_view::npos;
+    if (isWatch) {
+        std::this_thread::sleep_for(std::chrono::milliseconds(this->watchDelayMs));
+    }
+    if (isWatch && this->cutsWatches) {
+        sendReset(socket);
+        return false;
+    }
     const bool isWrite = request.method() != verb::get;
     if (isWrite && this->losesNextWrite.exchange(false)) {
         sendReset(socket);
--- a/tests/standin/object_store.h
+++ b/tests/standin/object_store.h
@@ -51,6 +51,8 @@
     std::atomic<std::size_t> pageLength {500}; ///< Objects in one answer to a list call.
     std::atomic<bool> refusesAll {false}; ///< All calls get 503.
     std::atomic<int> delayMs {0}; ///< Of all answers.
+    std::atomic<int> watchDelayMs {0}; ///< Of the answers to watches, beside the delay of all.
+    std::atomic<bool> cutsWatches {false}; ///< Connections with a watch are reset.
     std::atomic<bool> losesNextWrite {false}; ///< One write is done and its connection reset.
     std::atomic<std::size_t> calls {0};
     std::atomic<int> firstWaitMs {-1}; ///< Of the first watch since a test set it to -1.
