--- a/tests/hostile/edge_process.cpp
+++ b/tests/hostile/edge_process.cpp
@@ -59,16 +59,37 @@
 
 }
 
-EdgeProcess::EdgeProcess(const ProcessLimits &limits, const std::string &storeAddress)
-    : ip(ownAddress())
+EdgeProcess::EdgeProcess(const ProcessLimits &limits, const std::string &storeAddress, ProcessPlace processPlace)
+    : place(std::move(processPlace))
     , callersPort(standin::findFreePort())
     , readyPort(standin::findFreePort())
     , folder(makeFolder())
 {
-    const std::string path = this->folder + "/settings.json";
-    std::ofstream(path) << this->makeSettings(limits, storeAddress).dump();
+    if (this->place.ip.empty()) {
+        this->place.ip = ownAddress();
+    }
+    if (this->place.internalPorts.empty()) {
+        this->place.internalPorts = {standin::findFreePort()};
+    }
+    std::ofstream(this->folder + "/settings.json") << this->makeSettings(limits, storeAddress).dump();
+    this->start();
+}
+
+EdgeProcess::~EdgeProcess()
+{
+    this->stopping = true;
+    if (this->sampler.joinable()) {
+        this->sampler.join();
+    }
+    this->kill();
+    std::error_code ignored; // The folder is temporary.
+    std::filesystem::remove_all(this->folder, ignored);
+}
+
+void EdgeProcess::start()
+{
     const std::string log = this->folder + "/log";
-    const std::string variable = "EELGRASSNOTCH_SETTINGS=" + path;
+    const std::string variable = "EELGRASSNOTCH_SETTINGS=" + this->folder + "/settings.json";
     this->process = ::fork();
     if (this->process == 0) {
         ::prctl(PR_SET_PDEATHSIG, SIGKILL);
@@ -84,31 +105,40 @@
     }
 }
 
-EdgeProcess::~EdgeProcess()
+void EdgeProcess::kill()
 {
-    this->stopping = true;
-    if (this->sampler.joinable()) {
-        this->sampler.join();
-    }
     if (this->process > 0) {
         ::kill(this->process, SIGKILL);
         ::waitpid(this->process, nullptr, 0);
+        this->process = -1;
+    }
+}
+
+void EdgeProcess::restart()
+{
+    this->kill();
+    this->start();
+}
+
+void EdgeProcess::sendSignal(int signal) const
+{
+    if (this->process > 0) {
+        ::kill(this->process, signal);
     }
-    std::error_code ignored; // The folder is temporary.
-    std::filesystem::remove_all(this->folder, ignored);
 }
 
 json EdgeProcess::makeSettings(const ProcessLimits &limits, const std::string &storeAddress) const
 {
-    const json bounds = {{"grace_s", 8},      {"revoke_ms", 60000},    {"retry_budget_ratio", 0.2},
-                         {"budget_slack", 5}, {"cold_overshoot", 1.5}, {"cold_slack", 5}};
-    return {{"node_name", "edge-1"},
-            {"ip", this->ip},
+    const json bounds
+        = {{"grace_s", 8},   {"revoke_ms", this->place.revokeMs}, {"retry_budget_ratio", 0.2}, {"budget_slack", 5}, {"cold_overshoot", 1.5},
+           {"cold_slack", 5}};
+    return {{"node_name", this->place.name},
+            {"ip", this->place.ip},
             {"zone", "a"},
             {"zones", {{"a", "ra"}}},
             {"listen", {{"front", this->callersAddress()}, {"ready", this->readyAddress()}}},
-            {"internal_ports", {standin::findFreePort()}},
-            {"bootstrap", true},
+            {"internal_ports", this->place.internalPorts},
+            {"bootstrap", this->place.isFirstStart},
             {"limits", {{"cpu_share", 1.0}, {"cores", 1}, {"memory_mb", limits.memoryMegabytes}, {"max_fds", limits.descriptors}}},
             {"bounds", bounds},
             {"platform", {{"address", storeAddress}}}};
--- a/tests/hostile/edge_process.h
+++ b/tests/hostile/edge_process.h
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <string>
 #include <thread>
+#include <vector>
 
 namespace hostile
 {
@@ -20,17 +21,32 @@
     bool operator==(const ProcessLimits &) const = default;
 };
 
+/** @brief Where a daemon runs, and what its operators bound. */
+struct ProcessPlace {
+    std::string name = "edge-1";
+    std::string ip; ///< Loopback address of its own; one that this test program has for itself where it is empty.
+    std::vector<std::uint16_t>
+        internalPorts; ///< First and last; the same for all daemons of a fleet. A single free one where there are none.
+    std::uint32_t revokeMs = 60000; ///< Time after which a key that was taken away must be refused.
+    bool isFirstStart = true;
+
+    bool operator==(const ProcessPlace &) const = default;
+};
+
 /** @brief Starts the daemon, samples its memory and descriptors, and kills it at the end. */
 class EdgeProcess
 {
 public:
-    EdgeProcess(const ProcessLimits &limits, const std::string &storeAddress);
+    EdgeProcess(const ProcessLimits &limits, const std::string &storeAddress, ProcessPlace processPlace = {});
     ~EdgeProcess();
     EdgeProcess(const EdgeProcess &) = delete;
     EdgeProcess &operator=(const EdgeProcess &) = delete;
 
     /** @returns whether the process has not ended. */
     bool isAlive();
+    void sendSignal(int signal) const;
+    /** @brief Kills the process if it still runs, and starts it again. */
+    void restart();
     /** @returns the most resident bytes that any sample found. */
     std::size_t peakResidentBytes() const
     {
@@ -48,19 +64,21 @@
 
     std::string callersAddress() const
     {
-        return this->ip + ":" + std::to_string(this->callersPort);
+        return this->place.ip + ":" + std::to_string(this->callersPort);
     }
     std::string readyAddress() const
     {
-        return this->ip + ":" + std::to_string(this->readyPort);
+        return this->place.ip + ":" + std::to_string(this->readyPort);
     }
 
 private:
+    void start();
+    void kill();
     nlohmann::json makeSettings(const ProcessLimits &limits, const std::string &storeAddress) const;
     std::size_t openDescriptors() const;
     void sample();
 
-    std::string ip;
+    ProcessPlace place;
     std::uint16_t callersPort;
     std::uint16_t readyPort;
     std::string folder;
