Let streams go on only at the version that began them

Cause: a daemon that went on with a stream chose any backend server, and no daemon knew the version of a stream that another one had begun.

The daemon that passes on a stream's first event notes its version and tells up to four keepers, chosen by the attempt's id; one to which a caller comes back asks them. Known: the stream goes on at backend servers of that version alone, also when the answer breaks off again. Unknown or contradictory: 503, not run. An entry's version counts only while nothing speaks for a restart under its id.

--- a/include/eelgrassnotch/verdict.h
+++ b/include/eelgrassnotch/verdict.h
@@ -43,6 +43,7 @@
     Overloaded, ///< The backend servers can't begin with the request in time.
     DaemonOverloaded, ///< This daemon can't; others may.
     PartQuarantined, ///< A part of the prompt ends the backend servers that begin to answer it.
+    StreamUnknown, ///< Which version of the backend servers began the stream that the caller takes up can't be found out.
     count,
 };
 
--- a/scripts/check-generated.sh
+++ b/scripts/check-generated.sh
@@ -11,3 +11,4 @@
 compare connection/wire frame
 compare process/exchange/wire load
 compare process/handover/wire handover
+compare process/streams/wire streams
--- a/scripts/generate.sh
+++ b/scripts/generate.sh
@@ -9,3 +9,4 @@
 generate process/exchange/wire load.fbs
 generate process/handover/wire handover.fbs
 generate process/mirror/wire mirror.fbs
+generate process/streams/wire streams.fbs
--- a/src/connection/http/client_connection.cpp
+++ b/src/connection/http/client_connection.cpp
@@ -39,8 +39,9 @@
 
 }
 
-ClientConnection::ClientConnection(const boost::asio::any_io_executor &executor, Endpoint serverEndpoint)
+ClientConnection::ClientConnection(const boost::asio::any_io_executor &executor, Endpoint serverEndpoint, Time createdAt)
     : server(std::move(serverEndpoint))
+    , creationTime(createdAt)
     , socket(executor)
     , connectTimer(executor)
     , buffer(maxUnparsedBytes)
--- a/src/connection/http/client_connection.h
+++ b/src/connection/http/client_connection.h
@@ -54,7 +54,8 @@
 class ClientConnection : public std::enable_shared_from_this<ClientConnection>
 {
 public:
-    ClientConnection(const boost::asio::any_io_executor &executor, Endpoint server);
+    /** @param createdAt For the owner. */
+    ClientConnection(const boost::asio::any_io_executor &executor, Endpoint server, Time createdAt = Time(0));
 
     /** @brief Sends a request, over a new connection if none is open. @param connectTimeout For the connection alone. */
     void send(std::shared_ptr<const Request> request, Duration connectTimeout, ExchangeHooks hooks);
@@ -69,6 +70,11 @@
     {
         return this->socket.get_executor();
     }
+    /** @returns when the connection was created, which is before it was opened. */
+    Time createdAt() const
+    {
+        return this->creationTime;
+    }
     /** @returns whether a request has gone over this connection before. */
     bool wasUsed() const
     {
@@ -94,6 +100,7 @@
     using Parser = boost::beast::http::response_parser<boost::beast::http::buffer_body>;
 
     Endpoint server;
+    Time creationTime;
     Socket socket;
     OneShotTimer connectTimer;
     boost::beast::flat_buffer buffer;
--- a/src/process/directory/backend_directory.cpp
+++ b/src/process/directory/backend_directory.cpp
@@ -39,12 +39,13 @@
 {
     const auto known = this->backends.find(record.id);
     const bool isSameIncarnation = known != this->backends.end() && known->second->record.startedAt == record.startedAt
-        && known->second->record.address == record.address && known->second->record.service == record.service;
+        && known->second->record.address == record.address && known->second->record.service == record.service
+        && known->second->record.version == record.version;
     if (known != this->backends.end() && !isSameIncarnation) {
         if (record.startedAt < known->second->record.startedAt) {
             return; // Late entry of an earlier incarnation.
         }
-        this->removeBackend(record.id, "restarted");
+        this->removeBackend(record.id, "restarted", true);
     }
     if (!isSameIncarnation) {
         this->add(std::make_shared<BackendServer>(record, this->cacheSize(record.service)));
@@ -128,6 +129,15 @@
     }
 }
 
+void BackendDirectory::confirm(Time asOf, Duration entryLifetime)
+{
+    for (const auto &[id, backend] : this->backends) {
+        if (backend->availability != Availability::Unconfirmed) {
+            backend->versionCertainty.recordConfirmed(asOf, entryLifetime);
+        }
+    }
+}
+
 void BackendDirectory::onStoreUnavailable()
 {
     this->isStoreUnavailable = true;
@@ -144,6 +154,10 @@
         if (backend->availability == Availability::Unconfirmed) {
             backend->unconfirmedUntil = this->graceUntil;
         }
+        if (!backend->versionCertainty.isCertain()) {
+            // Entries did not lapse while the store was away.
+            backend->versionCertainty.recordSuspicion(now);
+        }
     }
 }
 
@@ -232,13 +246,13 @@
     }
 }
 
-void BackendDirectory::setAvailability(BackendServer &backend, Availability availability, const std::string &cause)
+void BackendDirectory::setAvailability(BackendServer &backend, Availability availability, const std::string &cause, bool isRestart)
 {
     if (backend.availability == availability && cause != "new") {
         return;
     }
     backend.availability = availability;
-    this->onChange({backend.record.id, availability, cause});
+    this->onChange({backend.record.id, availability, cause, isRestart});
 }
 
 void BackendDirectory::removeEntry(const std::string &id, const std::string &cause, Time now)
@@ -247,11 +261,11 @@
     this->removeBackend(id, cause);
 }
 
-void BackendDirectory::removeBackend(const std::string &id, const std::string &cause)
+void BackendDirectory::removeBackend(const std::string &id, const std::string &cause, bool isRestart)
 {
     const auto known = this->backends.find(id);
     const BackendServerPtr backend = known->second;
-    this->setAvailability(*backend, Availability::Gone, cause);
+    this->setAvailability(*backend, Availability::Gone, cause, isRestart);
     for (const IdleConnection &idle : backend->idleConnections) {
         idle.connection->cancel();
     }
--- a/src/process/directory/backend_directory.h
+++ b/src/process/directory/backend_directory.h
@@ -19,6 +19,7 @@
     std::string id;
     Availability availability = Availability::Ready;
     std::string cause; ///< For logs.
+    bool isRestart = false; ///< It has started again, and its former incarnation is gone.
 
     bool operator==(const BackendChange &) const = default;
 };
@@ -48,6 +49,8 @@
     void replaceAll(const std::vector<BackendRecord> &records, Time now);
     /** @brief Applies entries of a list that is not known to its end: nothing is removed. */
     void applyPart(const std::vector<BackendRecord> &records, Time now);
+    /** @brief Records that the entries were the newest at this time. @param entryLifetime See EdgeSettings. */
+    void confirm(Time asOf, Duration entryLifetime);
     /** @brief Removes the backend server whose entry can't be parsed. */
     void onUnreadableEntry(const std::string &id, Time now);
     void onStoreUnavailable();
@@ -99,8 +102,8 @@
     static bool isFormer(const FormerIncarnations &former, const BackendRecord &record);
     /** @returns whether an entry of a list is to be ignored, as it is older than its removal. */
     bool isOutdated(const BackendRecord &record, bool isRestored) const;
-    void setAvailability(BackendServer &backend, Availability availability, const std::string &cause);
-    void removeBackend(const std::string &id, const std::string &cause);
+    void setAvailability(BackendServer &backend, Availability availability, const std::string &cause, bool isRestart = false);
+    void removeBackend(const std::string &id, const std::string &cause, bool isRestart = false);
     /** @brief Removes a backend server that is not followed by a newer incarnation. */
     void removeEntry(const std::string &id, const std::string &cause, Time now);
     void add(const BackendServerPtr &backend);
--- a/src/process/directory/backend_server.cpp
+++ b/src/process/directory/backend_server.cpp
@@ -51,6 +51,7 @@
     : record(std::move(firstRecord))
     , handle(hashName(this->record.id))
     , incarnation(hashName(this->record.id + '@' + std::to_string(this->record.startedAt)))
+    , version(streams::versionKey(this->record.version))
     , excessDelay(delayWeight, delayHalfLife)
     , firstEventCount(delayHalfLife)
     , serviceTime(serviceTimeWeight, serviceTimeHalfLife)
@@ -91,6 +92,7 @@
 void BackendServer::recordFailure(Time sentAt, Time now)
 {
     this->failureRate.add(1.0, now);
+    this->versionCertainty.recordSuspicion(now);
     if (sentAt < this->lastCountedFailureAt) {
         return;
     }
--- a/src/process/directory/backend_server.h
+++ b/src/process/directory/backend_server.h
@@ -4,6 +4,7 @@
 
 #include "connection/http/client_connection.h"
 #include "process/directory/backend_record.h"
+#include "process/directory/version_certainty.h"
 #include "process/dispatch/announced_limit.h"
 #include "process/dispatch/decaying_average.h"
 #include "process/dispatch/prefix_cache_model.h"
@@ -11,6 +12,7 @@
 #include "process/engine/committed_memory.h"
 #include "process/engine/reported_slowness.h"
 #include "process/exchange/load_summary.h"
+#include "process/streams/stream_notes.h"
 
 #include <deque>
 #include <memory>
@@ -77,6 +79,13 @@
 
     /** @returns whether a request may be sent: it is responsive and has no recent failures, or the next probe request is due. */
     bool isRequestAllowed(Time now) const;
+    /** @returns whether it certainly has this version, so that a stream that the version began may go on there. */
+    bool isCertainlyOf(streams::VersionKey wanted) const
+    {
+        // One that has been replaced or removed may have started again already.
+        return this->version == wanted && wanted != streams::uncertainVersion && this->versionCertainty.isCertain()
+            && this->availability != Availability::Gone;
+    }
     /** @returns whether it is cold, as far as this daemon knows. */
     bool isCold(Time now) const
     {
@@ -144,6 +153,8 @@
     Time coldUntil {0};
     std::uint32_t handle; ///< Hash of the id.
     std::uint32_t incarnation; ///< Hash of the id and the start time.
+    streams::VersionKey version; ///< Of the version that its entry names.
+    VersionCertainty versionCertainty;
     std::uint32_t inFlight = 0; ///< This daemon's requests in progress there.
     std::uint32_t openConnections = 0; ///< This daemon's connections to it, idle ones included.
     double pendingPrefillTokens = 0; ///< Uncached prompt tokens of this daemon's requests whose first event has not arrived yet.
--- a/src/process/edge_daemon.cpp
+++ b/src/process/edge_daemon.cpp
@@ -12,6 +12,7 @@
 #include "process/handover/receiver.h"
 #include "process/handover/sender.h"
 #include "process/proxy/proxy.h"
+#include "process/streams/stream_socket.h"
 #include "process/timer_service.h"
 
 #include <boost/asio/post.hpp>
@@ -103,6 +104,7 @@
     void run()
     {
         this->startHandover();
+        this->startStreams();
         if (::mallopt(M_MMAP_THRESHOLD, mappedBlockBytes) == 0) {
             logWarning("allocator_not_set", {{"mapped_block_bytes", std::to_string(mappedBlockBytes)}});
         }
@@ -183,6 +185,34 @@
         });
     }
 
+    void startStreams()
+    {
+        if (this->settings.streamsPort == 0) {
+            return;
+        }
+        try {
+            this->streamSocket
+                = std::make_unique<streams::StreamSocket>(this->context, this->settings.ip, this->settings.streamsPort,
+                                                          [this](const streams::StreamMessage &message, const std::string &from) {
+                                                              this->proxy.streamVersions().receive(message, from, readClock());
+                                                          });
+        } catch (const boost::system::system_error &error) {
+            // Streams that this daemon has begun itself can still be taken up here.
+            logWarning("streams_not_told", {{"port", std::to_string(this->settings.streamsPort)}, {"cause", error.what()}});
+            return;
+        }
+        this->proxy.setStreamSender(
+            [this](const std::string &to, const streams::StreamMessage &message) { this->streamSocket->send(to, message); });
+        this->knowledge.setPeersHook([this](const std::vector<exchange::Peer> &others) {
+            std::vector<streams::Keeper> keepers;
+            keepers.reserve(others.size());
+            for (const exchange::Peer &peer : others) {
+                keepers.push_back({peer.daemon, peer.dataCentre, peer.address});
+            }
+            this->proxy.streamVersions().setDaemons(keepers);
+        });
+    }
+
     /** Lets connections count in the budget of the process, and logs those that it closes: one line for all of one look. */
     void addBudget(http::SessionHooks &hooks, const char *listener)
     {
@@ -268,6 +298,8 @@
         this->subscriptions.push_back(
             this->timers.subscribe([] { return tickPeriod; }, [this](Time now) { this->proxy.backends().expireUnconfirmed(now); }));
         this->subscriptions.push_back(this->timers.subscribe([] { return tickPeriod; }, [](Time) { flushLog(); }));
+        this->subscriptions.push_back(
+            this->timers.subscribe([] { return tickPeriod; }, [this](Time now) { this->proxy.streamVersions().tick(now); }));
         this->subscriptions.push_back(this->timers.subscribe([] { return tickPeriod; }, [this](Time now) { this->continueStop(now); }));
         this->subscriptions.push_back(this->timers.subscribe(
             [] { return tickPeriod; }, [this](Time now) { this->proxy.updateLoadFromOthers(this->exchange.loadOfOthers(now), now); }));
@@ -429,6 +461,7 @@
     http::Listener callers;
     handover::Sender handoverSender;
     std::unique_ptr<handover::Receiver> handoverReceiver; ///< Null where the settings name no port for it.
+    std::unique_ptr<streams::StreamSocket> streamSocket; ///< Null where the settings name no port for it.
     http::Listener probes;
     http::Listener metricsListener;
     Reported reported;
--- a/src/process/edge_knowledge.cpp
+++ b/src/process/edge_knowledge.cpp
@@ -236,7 +236,7 @@
             this->proxy.backends().onUnreadableEntry(change.object.name, now);
         }
     };
-    hooks.onConfirmed = [](Time, const store::Position &) {};
+    hooks.onConfirmed = [this](Time asOf, const store::Position &) { this->proxy.backends().confirm(asOf, this->settings.entryLifetime); };
     hooks.onEraChange = [this] { this->proxy.backends().onStoreRestored(readClock()); };
     hooks.onReachability = [this](bool isReachable, const std::string &) {
         if (isReachable) {
@@ -329,6 +329,11 @@
     logEvent("daemons_changed", {{"listed", std::to_string(handles.size())}, {"counted", std::to_string(activeDaemons.count())}});
     this->peers = listed;
     this->tellNeighbours(daemons);
+    if (this->onPeers) {
+        std::vector<exchange::Peer> others = listed;
+        std::erase_if(others, [this](const exchange::Peer &peer) { return peer.daemon == handleOf<DaemonHandle>(this->settings.name); });
+        this->onPeers(others);
+    }
     this->exchange.setPeers(std::move(listed));
 }
 
--- a/src/process/edge_knowledge.h
+++ b/src/process/edge_knowledge.h
@@ -36,6 +36,11 @@
     {
         this->onNeighbours = std::move(onChange);
     }
+    /** @brief Sets what is called with the other daemons of the fleet, whenever the list of daemons changes. */
+    void setPeersHook(std::function<void(const std::vector<exchange::Peer> &)> onChange)
+    {
+        this->onPeers = std::move(onChange);
+    }
     /** @returns whether each collection has been read once. */
     bool isComplete(Time now) const;
 
@@ -78,6 +83,7 @@
     std::map<DaemonHandle, DaemonRecord> records; ///< Of all daemons that were ever listed.
     std::vector<exchange::Peer> peers; ///< As last listed.
     std::function<void(const std::vector<std::string> &)> onNeighbours;
+    std::function<void(const std::vector<exchange::Peer> &)> onPeers;
     bool hasBackends = false;
     bool hasTakenOut = false;
     bool hasDaemons = false;
--- a/src/process/edge_settings.h
+++ b/src/process/edge_settings.h
@@ -38,6 +38,10 @@
     std::string storeAddress; ///< IP:PORT of the platform's store.
     std::uint16_t loadPort = 0; ///< UDP port on which daemons tell each other their load; the same for all.
     std::uint16_t handoverPort = 0; ///< TCP port on which daemons serve requests of busy neighbours; the same for all, zero for none.
+    std::uint16_t streamsPort
+        = 0; ///< UDP port on which daemons tell each other which versions began streams; the same for all, zero for none.
+    Duration entryLifetime
+        = std::chrono::milliseconds(3600); ///< The store removes a backend server's entry after this long without a heartbeat.
     std::uint32_t maxDescriptors = 1024;
     std::uint64_t memoryBytes = 0; ///< Memory limit of the process; zero where the settings name none.
     bool isFirstStart = false; ///< All daemons of the fleet start now, for the first time.
--- a/src/process/proxy/backend_connection_pool.cpp
+++ b/src/process/proxy/backend_connection_pool.cpp
@@ -1,5 +1,7 @@
 #include "process/proxy/backend_connection_pool.h"
 
+#include "process/clock.h"
+
 #include <algorithm>
 
 namespace eelgrassnotch::process::proxy
@@ -41,7 +43,7 @@
         return connection;
     }
     ++backend->openConnections;
-    return std::make_shared<ClientConnection>(this->context.get_executor(), connection::http::parseEndpoint(backend->record.address));
+    return std::make_shared<ClientConnection>(this->context.get_executor(), connection::http::parseEndpoint(backend->record.address), now);
 }
 
 void BackendConnectionPool::release(const BackendServerPtr &backend, const std::shared_ptr<ClientConnection> &connection, Time now)
@@ -54,6 +56,8 @@
     backend->idleConnections.push_back({connection, now});
     connection->watchIdle([weak = std::weak_ptr<BackendServer>(backend), closed = connection.get()] {
         if (const auto server = weak.lock()) {
+            // It may be idle for too long, or its process has ended.
+            server->versionCertainty.recordSuspicion(readClock());
             removeIdleConnection(*server, closed);
         }
     });
--- a/src/process/proxy/proxied_request.cpp
+++ b/src/process/proxy/proxied_request.cpp
@@ -44,6 +44,8 @@
 constexpr std::uint32_t maxAttemptsPerRequest = 4;
 /** For requests without a deadline. */
 constexpr Duration defaultTimeLimit = 30s;
+/** Callers come back until their deadlines, as they measure them. */
+constexpr Duration streamNoteMargin = 2s;
 /** A request that arrives before the first configuration waits for it this long: a daemon that has just started receives it shortly. */
 constexpr Duration maxConfigurationWait = 100ms;
 /** Retry-after time when the configuration, confirmed keys or usable backend servers are missing. */
@@ -156,7 +158,8 @@
 
 void ProxiedRequest::findService()
 {
-    const std::string &serviceName = this->route->serviceFor(hashName(this->attributes.id));
+    // A stream that is taken up goes on at the service that began it.
+    const std::string &serviceName = this->route->serviceFor(hashName(this->isTakenUp() ? this->attributes.resumes : this->attributes.id));
     this->service = this->table->service(serviceName);
     if (this->service == nullptr) {
         this->undeclaredService.name = serviceName;
@@ -209,9 +212,100 @@
         }
     });
     this->deadlineTimer.start(this->deadline - now, [self = this->shared_from_this()] { self->onDeadline(); });
+    if (this->canBeTakenUp() && this->attributes.lastEventId) {
+        this->findStreamVersion(now);
+        return;
+    }
+    this->admit();
+}
+
+bool ProxiedRequest::canBeTakenUp() const
+{
+    return this->isStream() && this->route->isResumable;
+}
+
+bool ProxiedRequest::isTakenUp() const
+{
+    return this->canBeTakenUp() && this->attributes.lastEventId && !this->attributes.resumes.empty();
+}
+
+streams::StreamKey ProxiedRequest::streamKey() const
+{
+    return streams::streamKey(this->isTakenUp() ? this->attributes.resumes : this->attributes.id, this->service->name,
+                              this->workspaceName());
+}
+
+void ProxiedRequest::findStreamVersion(Time now)
+{
+    if (!this->isTakenUp()) {
+        this->onStreamFound({});
+        return;
+    }
+    this->proxy.streamVersions().find(
+        this->streamKey(), this->shared_from_this(), [this](const streams::StreamFinding &finding) { this->onStreamFound(finding); }, now);
+}
+
+void ProxiedRequest::onStreamFound(const streams::StreamFinding &finding)
+{
+    if (this->isFinished) {
+        return;
+    }
+    const bool isKnown = finding.version && *finding.version != streams::uncertainVersion;
+    this->proxy.metrics().countTakenUp(isKnown ? "known" : (finding.version ? "uncertain" : "unknown"));
+    if (!isKnown) {
+        const bool mayBeFound = finding.silent > 0;
+        this->refuse(RefusalReason::StreamUnknown, mayBeFound ? missingStateRetryAfter : Duration(0),
+                     "the version that began stream " + this->attributes.resumes + " is " + (finding.version ? "uncertain" : "unknown")
+                         + " silent_keepers " + std::to_string(finding.silent));
+        return;
+    }
+    logEvent("stream_taken_up",
+             {{"request", this->attributes.id}, {"resumes", this->attributes.resumes}, {"silent_keepers", std::to_string(finding.silent)}});
+    this->streamVersion = finding.version;
     this->admit();
 }
 
+void ProxiedRequest::recordStreamVersion(Time now)
+{
+    if (!this->canBeTakenUp()) {
+        return;
+    }
+    if (!this->streamVersion) {
+        const directory::BackendServer &backend = *this->currentAttempt->backend;
+        this->streamVersion = backend.isCertainlyOf(backend.version) ? backend.version : streams::uncertainVersion;
+        if (*this->streamVersion == streams::uncertainVersion) {
+            logEvent("stream_version_uncertain", {{"request", this->attributes.id}, {"backend", backend.record.id}});
+        }
+    }
+    const Duration callerTimeLeft = this->attributes.callerTimeout.value_or(defaultTimeLimit) - (now - this->receivedAt);
+    this->proxy.streamVersions().record({this->streamKey(), *this->streamVersion, callerTimeLeft + streamNoteMargin}, now);
+}
+
+void ProxiedRequest::onBackendRestarted(const std::string &backendId)
+{
+    if (this->isFinished || !this->streamVersion || !this->currentAttempt || !this->currentAttempt->hasFirstEvent
+        || this->currentAttempt->backend->record.id != backendId) {
+        return;
+    }
+    this->streamVersion = streams::uncertainVersion;
+    this->recordStreamVersion(readClock());
+}
+
+void ProxiedRequest::leaveDoubtfulBackend(Time now)
+{
+    ++this->possibleExecutions;
+    this->verdict = std::max(this->verdict, Verdict::MayHaveRun);
+    if (this->possibleExecutions < this->route->maxAttempts && this->retry(RetryReason::InvalidAnswer, Verdict::MayHaveRun, now)) {
+        return;
+    }
+    this->endAttempt(now, true);
+    if (this->hasAnswerStarted) {
+        this->abortStream("the version of the backend server is in doubt");
+        return;
+    }
+    this->refuse(RefusalReason::BackendFailed, Duration(0), "the version of the backend server is in doubt");
+}
+
 void ProxiedRequest::admit()
 {
     const Time now = readClock();
@@ -395,7 +489,7 @@
 BackendChoice ProxiedRequest::chooseBackend(Time now)
 {
     return this->proxy.chooseBackend({this->route, this->service, this->workspace, &this->attributes.prompt, this->request.body().size(),
-                                      hashName(this->attributes.id), &this->triedBackends, this->expectedOutput()},
+                                      hashName(this->attributes.id), &this->triedBackends, this->expectedOutput(), this->streamVersion},
                                      now);
 }
 
@@ -548,6 +642,7 @@
         return false;
     }
     const Time now = readClock();
+    attempt.backend->versionCertainty.recordBytes(attempt.connection->createdAt() + connectTimeout, now);
     attempt.onHeader(header, answer, now);
     this->recordAvailability(answer, now);
     this->attemptTimer.cancel();
@@ -586,9 +681,15 @@
         }
         return;
     }
+    const Time now = readClock();
+    attempt.backend->versionCertainty.recordBytes(attempt.connection->createdAt() + connectTimeout, now);
+    if (this->streamVersion && !attempt.hasFirstEvent && !attempt.backend->isCertainlyOf(*this->streamVersion)) {
+        this->leaveDoubtfulBackend(now);
+        return;
+    }
     const std::string_view events = this->splitter.add(part);
     if (!events.empty()) {
-        this->forwardEvents(events, readClock());
+        this->forwardEvents(events, now);
     } else if (this->splitter.partialEventBytes() > maxEventBytes) {
         attempt.connection->cancel();
         this->onFailedAttempt({EndKind::Malformed, "event is too large"}, readClock());
@@ -601,6 +702,9 @@
     if (!attempt.hasFirstEvent) {
         attempt.onFirstEvent(now);
         this->proxy.metrics().observePredictionError(this->route->name, now - attempt.startedAt - attempt.prediction.firstEventDelay);
+        if (!events.empty()) {
+            this->recordStreamVersion(now);
+        }
     }
     if (!this->hasAnswerStarted) {
         this->hasAnswerStarted = true;
--- a/src/process/proxy/proxied_request.h
+++ b/src/process/proxy/proxied_request.h
@@ -31,6 +31,8 @@
     void start();
     /** @brief Ends an attempt that has not begun to be answered if a part of the prompt is quarantined. */
     void giveUpIfQuarantined();
+    /** @brief Notes that the stream may have begun at the new incarnation of a backend server, whose version isn't known. */
+    void onBackendRestarted(const std::string &backendId);
     /** @brief Answers the request, or breaks its stream off, since the process is about to end. */
     void endForStop();
 
@@ -49,6 +51,18 @@
     /** @brief Finds the route, checks the key, sets the time limits and places the request; repeated until a configuration is known. */
     void prepare();
     void waitForConfiguration(Time now);
+    /** @returns whether the caller takes up a stream that another attempt has begun. */
+    bool isTakenUp() const;
+    /** @returns whether callers may take the stream up later. */
+    bool canBeTakenUp() const;
+    streams::StreamKey streamKey() const;
+    /** @brief Finds the version that began the stream, and goes on with admission. */
+    void findStreamVersion(Time now);
+    void onStreamFound(const streams::StreamFinding &finding);
+    /** @brief Notes which version begins the stream, before the caller has anything of it. */
+    void recordStreamVersion(Time now);
+    /** @brief Leaves a backend server whose version is in doubt before anything of its answer is passed on. */
+    void leaveDoubtfulBackend(Time now);
     /** @returns false when no route matches and the request was refused. */
     bool findRoute();
     /** @returns false when the API key is not accepted and the request was refused. */
@@ -145,6 +159,7 @@
     process::budget::MemoryBudget::Holding memory; ///< Of the head, the body and the copy that an attempt sends.
     request::EventSplitter splitter;
     Verdict verdict = Verdict::NotRun; ///< Whether any attempt so far has run or may have run.
+    std::optional<streams::VersionKey> streamVersion; ///< Of the backend servers that began the stream, once it has begun.
     rollout::VersionChoice versionChoice; ///< Of the current attempt.
     bool isOutcomeRecorded = false; ///< Of the current attempt.
     std::uint32_t attempts = 0;
--- a/src/process/proxy/proxy.cpp
+++ b/src/process/proxy/proxy.cpp
@@ -87,14 +87,18 @@
                   ? static_cast<std::uint64_t>(static_cast<double>(declared->engine->cacheTokens) * usableCacheFraction)
                   : 0;
           },
-          [](const directory::BackendChange &change) {
-              logEvent("backend_changed", {{"backend", change.id}, {"availability", nameOf(change.availability)}, {"cause", change.cause}});
-          })
+          [this](const directory::BackendChange &change) { this->onBackendChange(change); })
     , partQuarantine([this](const dispatch::QuarantineChange &change) { this->onQuarantineChange(change); },
                      handleOf<DaemonHandle>(this->currentSettings.name))
     , backendPool(ioContext)
     , activeDaemons(handleOf<DaemonHandle>(this->currentSettings.name),
                     {this->currentSettings.bounds.stopGrace + drainMargin, daemonListPropagationDelay})
+    , versionsOfStreams(handleOf<DataCentreHandle>(this->currentSettings.dataCentre),
+                        [this](const std::string &to, const streams::StreamMessage &message) {
+                            if (this->sendToKeeper) {
+                                this->sendToKeeper(to, message);
+                            }
+                        })
     , versionRollouts(handleOf<DaemonHandle>(this->currentSettings.name), this->currentSettings.bounds.rollout,
                       [](const std::string &event, const rollout::Rollouts::Fields &fields) { logEvent(event, fields); })
 {
@@ -166,6 +170,16 @@
     return text.str();
 }
 
+void Proxy::onBackendChange(const directory::BackendChange &change)
+{
+    logEvent("backend_changed", {{"backend", change.id}, {"availability", nameOf(change.availability)}, {"cause", change.cause}});
+    if (change.isRestart) {
+        for (const auto &request : lock(this->active)) {
+            request->onBackendRestarted(change.id);
+        }
+    }
+}
+
 void Proxy::onQuarantineChange(const dispatch::QuarantineChange &change)
 {
     logWarning(change.isQuarantined ? "part_quarantined" : "part_released",
@@ -404,7 +418,8 @@
     for (const BackendServerPtr &backend : backends) {
         const Time opening = std::max(backend->backoffUntil(), now + backend->announcedLimit.delay(now));
         const bool isPaused = backend->availability == Availability::Ready && opening > now
-            && !this->directory.isTakenOut(backend->record.dataCentre) && this->isAllowedRegion(*backend, query);
+            && !this->directory.isTakenOut(backend->record.dataCentre) && this->isAllowedRegion(*backend, query)
+            && isOfStreamVersion(*backend, query);
         if (isPaused) {
             earliest = std::min(earliest.value_or(opening), opening);
         }
@@ -427,7 +442,8 @@
         dispatch::Candidate candidate = this->makeCandidate(*backend, query, belief.usedSince, now);
         const bool isTried = std::find(query.triedBackends->begin(), query.triedBackends->end(), backend) != query.triedBackends->end();
         access.push_back(this->versionRollouts.access(query.service->name, backend->record.version, choice.version));
-        candidate.isEligible = !isTried && access.back() != rollout::VersionAccess::Forbidden && this->isEligible(*backend, query, now);
+        candidate.isEligible = !isTried && isOfStreamVersion(*backend, query) && access.back() != rollout::VersionAccess::Forbidden
+            && this->isEligible(*backend, query, now);
         candidate.isUsable = candidate.isEligible && this->hasCapacity(*backend, query, now);
         isPreferredUsable = isPreferredUsable || (candidate.isUsable && access.back() == rollout::VersionAccess::Preferred);
         candidates.push_back(candidate);
--- a/src/process/proxy/proxy.h
+++ b/src/process/proxy/proxy.h
@@ -22,6 +22,7 @@
 #include "process/proxy_dialect.h"
 #include "process/published.h"
 #include "process/rollout/rollouts.h"
+#include "process/streams/stream_versions.h"
 #include "request/retry_budget.h"
 
 #include <boost/asio/io_context.hpp>
@@ -47,6 +48,7 @@
     std::uint64_t requestHash = 0; ///< Hash of the request's id, for decisions that are spread over requests.
     const std::vector<directory::BackendServerPtr> *triedBackends = nullptr; ///< Excluded, as the request was attempted there.
     double expectedOutputTokens = 0; ///< For a model engine.
+    std::optional<streams::VersionKey> streamVersion {}; ///< The only version at which the request's stream may go on.
 };
 
 /** @brief Result of choosing a backend server for a request. */
@@ -222,6 +224,16 @@
     {
         return this->prefixValues[service];
     }
+    /** @returns which versions began the streams that callers may take up. */
+    streams::StreamVersions &streamVersions()
+    {
+        return this->versionsOfStreams;
+    }
+    /** @brief Sets how messages about streams reach other daemons; none are sent without. */
+    void setStreamSender(streams::StreamVersions::Send sender)
+    {
+        this->sendToKeeper = std::move(sender);
+    }
     engine::OutputLengths &outputLengths()
     {
         return this->lengthsOfOutput;
@@ -258,6 +270,11 @@
     dispatch::PrefixBelief prefixBelief(const PlacementQuery &query, std::size_t backendCount, Time now);
     /** @returns whether the backend server is available and in a region that is allowed to receive the request. */
     bool isEligible(directory::BackendServer &backend, const PlacementQuery &query, Time now) const;
+    /** @returns whether the request's stream may go on there, where it has begun already. */
+    static bool isOfStreamVersion(const directory::BackendServer &backend, const PlacementQuery &query)
+    {
+        return !query.streamVersion || backend.isCertainlyOf(*query.streamVersion);
+    }
     /** @returns whether the homes of the request's route and workspace allow the backend server's region. */
     bool isAllowedRegion(directory::BackendServer &backend, const PlacementQuery &query) const;
     /** @returns whether the limits on cold starts and on connections, and an announced rate limit, allow another request. */
@@ -290,6 +307,7 @@
     void updateRollouts(const std::optional<exchange::LoadSummary> &others, Time now);
     void updateShedding(const std::optional<exchange::LoadSummary> &others, Time now);
     const directory::Locality &localityOf(directory::BackendServer &backend) const;
+    void onBackendChange(const directory::BackendChange &change);
     void onQuarantineChange(const dispatch::QuarantineChange &change);
     /** @brief Gives up those requests that are not being answered yet and have a quarantined part, a few in each turn of the event loop. */
     void giveUpQuarantined(std::vector<std::shared_ptr<ProxiedRequest>> left);
@@ -319,6 +337,8 @@
     std::map<std::string, dispatch::PrefixValue> prefixValues; ///< By service.
     engine::OutputLengths lengthsOfOutput;
     dispatch::ActiveDaemons activeDaemons;
+    streams::StreamVersions::Send sendToKeeper;
+    streams::StreamVersions versionsOfStreams;
     rollout::Rollouts versionRollouts;
     Time nextRolloutUpdate {0};
     Time configurationConfirmedAt = Time::min();
--- a/src/process/proxy/proxy_metrics.cpp
+++ b/src/process/proxy/proxy_metrics.cpp
@@ -43,6 +43,11 @@
                                                                    .Name("eelgrassnotch_retries_withheld_total")
                                                                    .Help("Retries not sent, as the service's retry budget was used up")
                                                                    .Register(this->registry);
+    prometheus::Family<prometheus::Counter> &streamsTakenUp
+        = prometheus::BuildCounter()
+              .Name("eelgrassnotch_streams_taken_up_total")
+              .Help("Streams that callers take up, by whether the version that began them is known")
+              .Register(this->registry);
     prometheus::Family<prometheus::Gauge> &retryBudgets
         = prometheus::BuildGauge().Name("eelgrassnotch_retry_budget").Help("Retry budgets of services").Register(this->registry);
     prometheus::Family<prometheus::Counter> &storeCalls
@@ -156,6 +161,11 @@
     this->families->withheldRetries.Add({{"service", service}, {"reason", std::string(nameOf(reason))}}).Increment();
 }
 
+void ProxyMetrics::countTakenUp(const std::string &finding)
+{
+    this->families->streamsTakenUp.Add({{"finding", finding}}).Increment();
+}
+
 void ProxyMetrics::countStoreCall(const std::string &collection, unsigned status)
 {
     this->families->storeCalls.Add({{"collection", collection}, {"status", std::to_string(status)}}).Increment();
--- a/src/process/proxy/proxy_metrics.h
+++ b/src/process/proxy/proxy_metrics.h
@@ -51,6 +51,8 @@
     void countRetry(RetryReason reason);
     /** @brief Counts a retry that was not sent, since the service's budget was used up. */
     void countWithheldRetry(const std::string &service, RetryReason reason);
+    /** @brief Counts a stream that a caller takes up. @param finding Whether the version that began it is known, uncertain or unknown. */
+    void countTakenUp(const std::string &finding);
     void countStoreCall(const std::string &collection, unsigned status);
     void observeFirstEvent(const std::string &route, Duration time);
     void observeAnswer(const std::string &route, Duration time);
--- a/src/request/attributes.h
+++ b/src/request/attributes.h
@@ -43,6 +43,8 @@
     std::string apiKey; ///< API key; empty without one.
     std::optional<Duration> callerTimeout; ///< How long the caller waits for the answer.
     std::optional<std::uint64_t> lastEventId; ///< Last event that the caller received, if it resumes a stream.
+    std::string
+        resumes; ///< Id of the attempt that brought the first event of the stream that is resumed; empty where the caller names none.
     Prompt prompt;
 
     bool operator==(const RequestAttributes &) const = default;
--- a/src/request/verdict.cpp
+++ b/src/request/verdict.cpp
@@ -22,6 +22,7 @@
     {"backend_failed", 502},       {"answer_invalid", 502},    {"caller_gone", 499},
     {"unknown_route", 404},        {"unknown_key", 401},       {"keys_unconfirmed", 503},
     {"overloaded", 503},           {"daemon_overloaded", 503}, {"part_quarantined", 503},
+    {"stream_unknown", 503},
 }};
 
 constexpr std::array<std::string_view, static_cast<std::size_t>(RetryReason::count)> retryNames {
