--- a/tests/standin/object_store.cpp
+++ b/tests/standin/object_store.cpp
@@ -86,6 +86,7 @@
     const json object = {{"metadata", {{"name", name}, {"revision", this->revision}}}, {"spec", spec}, {"status", nullptr}};
     if (isRemoved) {
         this->objects[kind].erase(name);
+        this->texts[kind].erase(name);
     } else {
         this->objects[kind][name] = object;
     }
@@ -105,6 +106,13 @@
     this->note(kind, name, nullptr, true);
 }
 
+void ObjectStore::putText(const std::string &kind, const std::string &name, const std::string &text)
+{
+    const std::lock_guard lock(this->mutex);
+    this->texts[kind][name] = text;
+    this->note(kind, name, nullptr, false);
+}
+
 ObjectStore::Copy ObjectStore::copy() const
 {
     const std::lock_guard lock(this->mutex);
@@ -203,19 +211,31 @@
     return target;
 }
 
-json ObjectStore::list(const std::string &kind, const std::string &afterName) const
+std::string ObjectStore::textOf(const std::string &kind, const json &object) const
+{
+    if (const auto ofKind = this->texts.find(kind); ofKind != this->texts.end()) {
+        if (const auto text = ofKind->second.find(object.at("metadata").at("name").get<std::string>()); text != ofKind->second.end()) {
+            return text->second;
+        }
+    }
+    return object.dump();
+}
+
+std::string ObjectStore::list(const std::string &kind, const std::string &afterName) const
 {
-    json items = json::array();
+    std::string items;
+    std::size_t count = 0;
     bool hasMore = false;
     if (const auto found = this->objects.find(kind); found != this->objects.end()) {
         for (auto entry = found->second.upper_bound(afterName); entry != found->second.end() && !hasMore; ++entry) {
-            hasMore = items.size() == this->pageLength;
+            const std::string text = this->textOf(kind, entry->second);
+            hasMore = count == this->pageLength || (count > 0 && items.size() + text.size() > this->pageBytes);
             if (!hasMore) {
-                items.push_back(entry->second);
+                items += (count++ == 0 ? "" : ",") + text;
             }
         }
     }
-    return {{"items", items}, {"more", hasMore}, {"at", this->revision}};
+    return R"({"at":)" + std::to_string(this->revision) + R"(,"items":[)" + items + R"(],"more":)" + (hasMore ? "true" : "false") + "}";
 }
 
 std::string ObjectStore::watch(const std::string &kind, std::uint64_t from, int waitMs, unsigned &status)
@@ -223,13 +243,14 @@
     int unset = -1;
     this->firstWaitMs.compare_exchange_strong(unset, waitMs);
     std::unique_lock lock(this->mutex);
-    json events = json::array();
+    std::string events;
     const std::uint64_t eraAtBegin = this->era;
     const auto collect = [&] {
         events.clear();
         for (const Change &change : this->history) {
             if (change.revision > from && change.kind == kind) {
-                events.push_back(change.event);
+                events += (events.empty() ? "" : ",") + (R"({"object":)" + this->textOf(kind, change.event.at("object"))) + R"(,"removed":)"
+                    + (change.event.at("removed").get<bool>() ? "true" : "false") + "}";
             }
         }
         return !events.empty() || from < this->oldest || from > this->revision || this->era != eraAtBegin || this->stopping;
@@ -237,7 +258,7 @@
     this->changed.wait_for(lock, std::chrono::milliseconds(waitMs), collect);
     // Watches that wait are cut off by the return of the store; here they end with what the new era has.
     status = from < this->oldest || from > this->revision ? 410 : 200;
-    return json {{"events", events}, {"at", this->revision}}.dump();
+    return R"({"at":)" + std::to_string(this->revision) + R"(,"events":[)" + events + "]}";
 }
 
 std::string ObjectStore::carryOut(const Request &request, const Target &target, unsigned &status)
@@ -259,7 +280,7 @@
         ListFault fault;
         {
             const std::lock_guard lock(this->mutex);
-            body = this->list(kind, afterName).dump();
+            body = this->list(kind, afterName);
             fault = this->listFault;
         }
         if (fault) {
--- a/tests/standin/object_store.h
+++ b/tests/standin/object_store.h
@@ -9,6 +9,7 @@
 #include <atomic>
 #include <condition_variable>
 #include <functional>
+#include <limits>
 #include <map>
 #include <optional>
 #include <string>
@@ -26,6 +27,8 @@
 
     void put(const std::string &kind, const std::string &name, const nlohmann::json &spec);
     void remove(const std::string &kind, const std::string &name);
+    /** @brief Stores an object whose JSON text is told as it is, also where it is none. */
+    void putText(const std::string &kind, const std::string &name, const std::string &text);
     /** @brief What a store held at a time. */
     struct Copy {
         std::uint64_t revision = 0;
@@ -49,6 +52,7 @@
     }
 
     std::atomic<std::size_t> pageLength {500}; ///< Objects in one answer to a list call.
+    std::atomic<std::size_t> pageBytes {std::numeric_limits<std::size_t>::max()}; ///< After which an answer to a list call ends.
     std::atomic<bool> refusesAll {false}; ///< All calls get 503.
     std::atomic<int> delayMs {0}; ///< Of all answers.
     std::atomic<int> watchDelayMs {0}; ///< Of the answers to watches, beside the delay of all.
@@ -80,8 +84,10 @@
     std::uint64_t currentEra() const;
     /** @brief Writes a status under the object's revision. @returns the object as it is then; another revision leaves it as it is. */
     nlohmann::json writeStatus(const std::string &kind, const std::string &name, const nlohmann::json &written, unsigned &status);
+    /** @returns the object as it is told. */
+    std::string textOf(const std::string &kind, const nlohmann::json &object) const;
     /** @brief One page: the objects whose names follow another one. */
-    nlohmann::json list(const std::string &kind, const std::string &afterName) const;
+    std::string list(const std::string &kind, const std::string &afterName) const;
     std::string watch(const std::string &kind, std::uint64_t revision, int waitMs, unsigned &status);
     void note(const std::string &kind, const std::string &name, const nlohmann::json &spec, bool isRemoved);
 
@@ -91,6 +97,7 @@
     std::uint64_t oldest = 100;
     std::uint64_t era = 1;
     std::map<std::string, std::map<std::string, nlohmann::json>> objects;
+    std::map<std::string, std::map<std::string, std::string>> texts; ///< Of objects that are told otherwise than they are.
     std::vector<Change> history;
     ListFault listFault;
     bool stopping = false;
