Read the store's answers while they arrive, in bounded memory

Callers saw: with twenty entries of another writer of 900 KB each in a list that the store tells as one page, daemons that start are never ready and serve no request.

Cause: an answer was kept whole and then read. Beyond 8 MB it was given up as "answer is too large", which counts as a lost store: a list of backend servers or configurations was never read, and a lost store stops the watches of all other collections. Below that limit, what the entries hold was kept, parsed and passed on to followers, though no daemon has a use for it.

An answer is now split into its entries while it arrives. Of an entry, name, revision, spec and status are kept; a value beyond its limit becomes null, so the entry is named and names nothing to use. Objects that are no backend server, daemon, order or the configuration keep their name only. Objects of an answer are bounded by count and bytes. A long answer is given time as long as it goes on.

Evidence: "large entries of another writer*" in fleet-tests. The unit tests read answers byte by byte, spoilt ones too, and check the reader's bound on text.

--- a/src/connection/http/call_client.cpp
+++ b/src/connection/http/call_client.cpp
@@ -1,5 +1,9 @@
 #include "connection/http/call_client.h"
 
+#include "process/clock.h"
+
+#include <algorithm>
+
 namespace eelgrassnotch::connection::http
 {
 
@@ -17,6 +21,11 @@
 }
 
 void CallClient::call(Request request, const CallTimeouts &timeouts, const OnDone &onDone)
+{
+    this->call(std::move(request), timeouts, nullptr, onDone);
+}
+
+void CallClient::call(Request request, const CallTimeouts &timeouts, const OnBody &onBody, const OnDone &onDone)
 {
     if (!this->link) {
         this->link = std::make_shared<ClientConnection>(this->context.get_executor(), this->server);
@@ -24,37 +33,58 @@
     request.set(boost::beast::http::field::host, this->server.address().to_string());
     request.prepare_payload();
     const std::uint64_t number = ++this->callNumber;
-    const auto result = std::make_shared<CallResult>();
+    const auto exchange = std::make_shared<Exchange>(Exchange {timeouts, onBody, onDone, process::readClock() + timeouts.whole, {}});
 
-    ExchangeHooks exchange;
-    exchange.onHeader = [result](const AnswerHeader &header) {
-        result->status = header.result_int();
-        result->header = std::make_shared<const AnswerHeader>(header);
+    ExchangeHooks hooks;
+    hooks.onHeader = [exchange](const AnswerHeader &header) {
+        exchange->result.status = header.result_int();
+        exchange->result.header = std::make_shared<const AnswerHeader>(header);
         return true;
     };
-    exchange.onBody = [this, result, onDone](std::string_view part) {
-        result->body += part;
-        if (result->body.size() > maxCallAnswerBytes) {
-            const OnDone done = onDone; // Cancelling destroys this hook.
-            this->cancel();
-            done({0, "", "answer is too large", nullptr});
-        }
-    };
-    exchange.onEnd = [this, number, result, onDone](const ExchangeEnd &end) {
+    hooks.onBody = [this, exchange](std::string_view part) { this->takePart(exchange, part); };
+    hooks.onEnd = [this, number, exchange](const ExchangeEnd &end) {
         if (number != this->callNumber) {
             return;
         }
         this->timer.cancel();
         if (end.kind != EndKind::Complete) {
-            *result = {0, "", end.detail, nullptr};
+            exchange->result = failureOf(*exchange, end.detail);
         }
-        onDone(*result);
+        exchange->onDone(exchange->result);
     };
-    this->timer.start(timeouts.whole, [this, onDone] {
-        this->cancel();
-        onDone({0, "", "no answer in time", nullptr});
-    });
-    this->link->send(std::make_shared<const Request>(std::move(request)), timeouts.connect, std::move(exchange));
+    this->setTimer(exchange, timeouts.begin);
+    this->link->send(std::make_shared<const Request>(std::move(request)), timeouts.connect, std::move(hooks));
+}
+
+CallResult CallClient::failureOf(const Exchange &exchange, const std::string &cause)
+{
+    return {0, "", cause, exchange.onBody ? exchange.result.header : nullptr};
+}
+
+void CallClient::takePart(const std::shared_ptr<Exchange> &exchange, std::string_view part)
+{
+    if (exchange->onBody) {
+        exchange->onBody(*exchange->result.header, part);
+        this->setTimer(exchange, exchange->timeouts.pause);
+        return;
+    }
+    exchange->result.body += part;
+    if (exchange->result.body.size() > maxCallAnswerBytes) {
+        this->giveUp(exchange, "answer is too large");
+    }
+}
+
+void CallClient::setTimer(const std::shared_ptr<Exchange> &exchange, Duration longest)
+{
+    this->timer.start(std::min(longest, exchange->until - process::readClock()),
+                      [this, exchange] { this->giveUp(exchange, "no answer in time"); });
+}
+
+void CallClient::giveUp(const std::shared_ptr<Exchange> &exchange, const std::string &cause)
+{
+    const auto given = exchange; // Cancelling destroys the hooks that hold it.
+    this->cancel();
+    given->onDone(failureOf(*given, cause));
 }
 
 void CallClient::cancel()
--- a/src/process/store/collection_watcher.cpp
+++ b/src/process/store/collection_watcher.cpp
@@ -17,6 +17,8 @@
 
 /** Time for an answer beyond the time that the store may hold the call: many times its usual few milliseconds. */
 constexpr Duration answerTimeout = 900ms;
+/** Time for a whole answer, beyond the time that the store may hold the call: large ones take a small VM seconds to read. */
+constexpr Duration longestAnswer = 10s;
 constexpr Duration connectTimeout = 500ms;
 /** Pauses after failed calls, doubling: calls to a store that refuses them cost as much as others. */
 constexpr Duration firstPause = 50ms;
@@ -129,16 +131,34 @@
     const std::string after = this->listing ? this->listing->cursor : "";
     const auto target = isWatch ? this->dialect->watchTarget(this->collection, this->position->revision, wait)
                                 : this->dialect->listTarget(this->collection, after, this->isPolling());
-    const http::CallTimeouts timeouts {connectTimeout, (isWatch ? wait : Duration(0)) + answerTimeout};
-    this->client.call(http::Request(boost::beast::http::verb::get, target, 11), timeouts,
-                      [this, isWatch, sentAt](const http::CallResult &result) {
-                          this->hooks.onCall(result.status);
-                          if (result.status != 0) {
-                              this->onAnswer(result, isWatch, sentAt);
-                          } else {
-                              this->onFailure(result.failure);
-                          }
-                      });
+    const Duration held = isWatch ? wait : Duration(0);
+    const http::CallTimeouts timeouts {connectTimeout, held + longestAnswer, held + answerTimeout, answerTimeout};
+    this->changesReader = isWatch ? this->dialect->changesReader(this->collection) : nullptr;
+    this->pageReader = isWatch ? nullptr : this->dialect->pageReader(this->collection);
+    this->client.call(
+        http::Request(boost::beast::http::verb::get, target, 11), timeouts,
+        [this](const http::AnswerHeader &header, std::string_view part) {
+            if (header.result_int() == statusOk) {
+                this->takePart(part);
+            }
+        },
+        [this, isWatch, sentAt](const http::CallResult &result) {
+            this->hooks.onCall(result.status);
+            if (result.status != 0) {
+                this->onAnswer(result, isWatch, sentAt);
+            } else {
+                this->onFailure(result.failure);
+            }
+        });
+}
+
+void CollectionWatcher::takePart(std::string_view part)
+{
+    if (this->changesReader) {
+        this->changesReader->take(part);
+    } else {
+        this->pageReader->take(part);
+    }
 }
 
 bool CollectionWatcher::isListDue(Time now) const
@@ -183,20 +203,23 @@
         this->listAgain();
         return;
     }
-    try {
-        if (isWatch) {
-            this->takeChanges(result.body, sentAt);
+    if (isWatch) {
+        if (const ChangePage changes = this->changesReader->finish(); changes.isWhole()) {
+            this->takeChanges(changes, sentAt);
+        } else {
+            this->onUnusableAnswer(changes.failure, isWatch);
+        }
+    } else {
+        if (const ObjectPage page = this->pageReader->finish(); page.isWhole()) {
+            this->takePage(page, answerEra, sentAt);
         } else {
-            this->takePage(result.body, answerEra, sentAt);
+            this->onUnusableAnswer(page.failure, isWatch);
         }
-    } catch (const std::exception &error) {
-        this->onUnusableAnswer(error.what(), isWatch);
     }
 }
 
-void CollectionWatcher::takePage(const std::string &body, std::uint64_t answerEra, Time sentAt)
+void CollectionWatcher::takePage(const ObjectPage &page, std::uint64_t answerEra, Time sentAt)
 {
-    const ObjectPage page = this->dialect->readPage(body);
     this->noteReachable();
     this->unusableAnswers = 0;
     if (!this->listing) {
@@ -280,9 +303,8 @@
     this->again(this->position ? Duration(0) : incompleteListPause);
 }
 
-void CollectionWatcher::takeChanges(const std::string &body, Time sentAt)
+void CollectionWatcher::takeChanges(const ChangePage &page, Time sentAt)
 {
-    const ChangePage page = this->dialect->readChanges(body);
     this->noteReachable();
     this->unusableAnswers = 0;
     this->restarts = 0;
--- a/src/process/store/collection_watcher.h
+++ b/src/process/store/collection_watcher.h
@@ -12,11 +12,24 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace eelgrassnotch::process::store
 {
 
+/** @brief Reads one answer while it arrives, in bounded memory: contents that are of no use to the daemon are not kept. */
+template <class Result>
+class AnswerReader
+{
+public:
+    virtual ~AnswerReader() = default;
+
+    virtual void take(std::string_view part) = 0;
+    /** @returns what was read; called once, when nothing more comes. */
+    virtual Result finish() = 0;
+};
+
 /** @brief The store's language; implemented where the platform is spoken. */
 class StoreDialect
 {
@@ -27,10 +40,8 @@
     virtual std::string listTarget(Collection collection, const std::string &afterName, bool mayBeStale) const = 0;
     virtual std::string watchTarget(Collection collection, std::uint64_t revision, Duration wait) const = 0;
     virtual std::string objectTarget(Collection collection, const std::string &name) const = 0;
-    /** @throws std::exception when the body is none. */
-    virtual ObjectPage readPage(const std::string &body) const = 0;
-    /** @throws std::exception when the body is none. */
-    virtual ChangePage readChanges(const std::string &body) const = 0;
+    virtual std::unique_ptr<AnswerReader<ObjectPage>> pageReader(Collection collection) const = 0;
+    virtual std::unique_ptr<AnswerReader<ChangePage>> changesReader(Collection collection) const = 0;
     /** @returns the era that an answer of the store names; nullopt when it names none. */
     virtual std::optional<std::uint64_t> readEra(const connection::http::AnswerHeader &answer) const = 0;
     virtual std::string statusTarget(Collection collection, const std::string &name) const = 0;
@@ -91,6 +102,7 @@
 
 private:
     void call();
+    void takePart(std::string_view part);
     void onAnswer(const connection::http::CallResult &result, bool isWatch, Time sentAt);
     /** A list that is being read, page by page. */
     struct Listing {
@@ -109,12 +121,12 @@
     void onUnusableAnswer(const std::string &cause, bool isWatch);
     void listAgain();
     /** @param answerEra As the answer names it; the last one known, where it names none. */
-    void takePage(const std::string &body, std::uint64_t answerEra, Time sentAt);
+    void takePage(const ObjectPage &page, std::uint64_t answerEra, Time sentAt);
     void finishList();
     /** @brief Goes on without the rest of the list. */
     void endIncompleteList(const std::string &cause);
     void tellEra(std::uint64_t listedEra, std::uint64_t revision);
-    void takeChanges(const std::string &body, Time sentAt);
+    void takeChanges(const ChangePage &page, Time sentAt);
     bool isPolling() const;
     void noteReachable();
     void again(Duration pause);
@@ -128,6 +140,8 @@
     std::optional<Position> position; ///< Watch from here; list first without it.
     std::optional<std::uint64_t> era; ///< Of the last position.
     std::optional<Listing> listing;
+    std::unique_ptr<AnswerReader<ObjectPage>> pageReader; ///< Of the list call in progress.
+    std::unique_ptr<AnswerReader<ChangePage>> changesReader; ///< Of the watch in progress.
     bool isIncomplete = false; ///< The last list was not read to its end.
     Time listAgainAt {0}; ///< After an incomplete list.
     std::uint32_t restarts = 0; ///< Lists that were begun since changes were read.
--- a/src/process/store/objects.h
+++ b/src/process/store/objects.h
@@ -50,8 +50,14 @@
 struct ObjectPage {
     std::vector<StoredObject> objects;
     std::string lastName; ///< Continue after this name; empty when no entry's name can be read.
-    bool hasMore = false;
+    bool hasMore = false; ///< Unknown unless the page is whole, as is the revision.
     std::uint64_t revision = 0; ///< Store revision of the list.
+    std::string failure; ///< Why the page was not read to its end; empty for a whole one.
+
+    bool isWhole() const
+    {
+        return this->failure.empty();
+    }
 
     bool operator==(const ObjectPage &) const = default;
 };
@@ -67,7 +73,13 @@
 /** @brief Changes after a revision. */
 struct ChangePage {
     std::vector<ObjectChange> changes;
-    std::uint64_t revision = 0; ///< Continue from here.
+    std::uint64_t revision = 0; ///< Continue from here; unknown unless the changes are whole.
+    std::string failure; ///< Why they were not read to their end; empty for whole ones.
+
+    bool isWhole() const
+    {
+        return this->failure.empty();
+    }
 
     bool operator==(const ChangePage &) const = default;
 };
--- a/tests/fleet/test_odd_entries.cpp
+++ b/tests/fleet/test_odd_entries.cpp
@@ -200,3 +200,22 @@
         }
     }
 }
+
+TEST_CASE("large entries of another writer hide nothing, and are read in bounded memory")
+{
+    constexpr std::size_t entryBytes = 900'000;
+    constexpr std::size_t entryCount = 20;
+    for (const std::size_t pageBytes : {std::size_t {1'000'000}, std::size_t {100'000'000}}) {
+        for (const std::string kind : {"servers", "config", "evacuations", "eelgrassnotch-daemons", "rollouts"}) {
+            CAPTURE(pageBytes);
+            CAPTURE(kind);
+            Fleet fleet(watchingDaemons);
+            fleet.store.pageLength = 500;
+            fleet.store.pageBytes = pageBytes;
+            for (std::size_t index = 0; index < entryCount; ++index) {
+                fleet.store.put(kind, "a-" + std::to_string(index), {{"not", std::string(entryBytes, 'x')}});
+            }
+            fleet.checkStarts();
+        }
+    }
+}
--- a/tests/proxy/test_platform.cpp
+++ b/tests/proxy/test_platform.cpp
@@ -21,6 +21,20 @@
 const json goodEntry = {{"service", "svc"}, {"address", "10.0.0.9:8080"}, {"zone", "a"}, {"version", "v1"},      {"slots", 128},
                         {"state", "ready"}, {"cold_left_ms", 1500},       {"seq", 4},    {"born", 1769000000000}};
 
+process::store::ObjectPage readPage(const std::string &body)
+{
+    const auto reader = platform::Dialect().pageReader(Collection::Backends);
+    reader->take(body);
+    return reader->finish();
+}
+
+process::store::ChangePage readChanges(const std::string &body)
+{
+    const auto reader = platform::Dialect().changesReader(Collection::Backends);
+    reader->take(body);
+    return reader->finish();
+}
+
 json withMember(const char *key, const json &value)
 {
     json entry = goodEntry;
@@ -64,7 +78,7 @@
     const platform::Dialect dialect;
     const std::string page
         = json {{"items", {{{"metadata", {{"name", "i-1"}, {"revision", 7}}}, {"spec", goodEntry}}}}, {"more", false}, {"at", 9}}.dump();
-    CHECK(dialect.readPage(page).objects.size() == 1);
+    CHECK(readPage(page).objects.size() == 1);
     std::mt19937 random(1);
     constexpr int rounds = 20000;
     for (int round = 0; round < rounds; ++round) {
@@ -73,14 +87,10 @@
         for (std::size_t change = 0; change < changes; ++change) {
             spoiled[random() % spoiled.size()] = static_cast<char>(random());
         }
-        try {
-            for (const StoredObject &object : dialect.readPage(spoiled).objects) {
-                if (const auto record = dialect.readBackend(object)) {
-                    CHECK_FALSE(record->address.empty());
-                }
+        for (const StoredObject &object : readPage(spoiled).objects) {
+            if (const auto record = dialect.readBackend(object)) {
+                CHECK_FALSE(record->address.empty());
             }
-        } catch (const std::exception &) {
-            continue; // Refused as a whole; the watcher asks again.
         }
     }
 }
@@ -144,8 +154,8 @@
         pageText.append(good).append(",").append(odd).append(",").append(good).append(R"(],"more":false,"at":9})");
         std::string changesText = R"({"events":[{"object":)";
         changesText.append(odd).append(R"(,"removed":false},)").append(goodChange);
-        const auto page = dialect.readPage(pageText);
-        const auto changes = dialect.readChanges(changesText);
+        const auto page = readPage(pageText);
+        const auto changes = readChanges(changesText);
         std::size_t usable = 0;
         for (const StoredObject &object : page.objects) {
             const StoredObject copy = object;
@@ -163,8 +173,8 @@
 TEST_CASE("an entry that was readable and is odd now is still named, so that it is not used any more")
 {
     const platform::Dialect dialect;
-    const auto changes = dialect.readChanges(
-        R"({"events":[{"object":{"metadata":{"name":"i-1","revision":8},"spec":{"slots":1e999}},"removed":false}],"at":9})");
+    const auto changes
+        = readChanges(R"({"events":[{"object":{"metadata":{"name":"i-1","revision":8},"spec":{"slots":1e999}},"removed":false}],"at":9})");
     REQUIRE(changes.changes.size() == 1);
     CHECK(changes.changes.front().object.name == "i-1");
     CHECK_FALSE(dialect.readBackend(changes.changes.front().object));
