Go on behind what can't be read of a list

Callers saw: with a page of entries without a readable name, or an entry at which the store's answers break off, daemons that start are ready and know only the backend servers that stand before it; an entry at which answers break off before the configuration keeps them from being ready at all, as do lists of data centres taken out or daemons that always break off.

Cause: a page that could not be read ended the list, and a page that broke off was dropped with all that had come of it. An answer that broke off counted as no answer, so as a lost store, which stops the watches of other collections.

An answer that breaks off after its header counts as one that can't be read. What came before the break is used, and the list goes on after the last name. Where there is none, CursorSearch looks for a cursor behind: the end of the list, starts of the stuck cursor, then character by character, with bounded calls, and on with the next list. The configuration is confirmed when "main" was read, as nothing else of its collection is of use.

--- a/src/connection/http/call_client.cpp
+++ b/src/connection/http/call_client.cpp
@@ -82,9 +82,10 @@
 
 void CallClient::giveUp(const std::shared_ptr<Exchange> &exchange, const std::string &cause)
 {
-    const auto given = exchange; // Cancelling destroys the hooks that hold it.
+    const OnDone done = exchange->onDone; // Cancelling destroys the hooks that hold it.
+    const CallResult result = failureOf(*exchange, cause);
     this->cancel();
-    given->onDone(failureOf(*given, cause));
+    done(result);
 }
 
 void CallClient::cancel()
--- a/src/process/store/collection_watcher.cpp
+++ b/src/process/store/collection_watcher.cpp
@@ -31,6 +31,15 @@
 /** Objects and pages of one list: many times the daemons and backend servers of the largest deployment. */
 constexpr std::size_t maxListedObjects = 20'000;
 constexpr std::size_t maxPages = 200;
+/** Calls that search for a cursor behind what can't be read: of one list, while it has told nothing; of one that has told something; at one
+ * cursor; and at one whose search goes on from an earlier list. */
+constexpr std::size_t maxBlindSearchCalls = 64;
+constexpr std::size_t maxSearchCalls = 24;
+constexpr std::size_t maxSearchCallsHere = 8;
+constexpr std::size_t maxRefiningCalls = 2;
+constexpr Duration longestSearch = 3s;
+/** Cursors whose searches are kept for the next list. */
+constexpr std::size_t maxSearches = 64;
 
 constexpr unsigned statusOk = 200;
 constexpr unsigned firstCallerErrorStatus = 400;
@@ -128,7 +137,7 @@
     const bool isWatch = !this->isListDue(sentAt);
     // After a failure the question is whether the store is back, and the answer must not wait for a change.
     const Duration wait = this->failures > 0 ? Duration(0) : this->pace.longestWait;
-    const std::string after = this->listing ? this->listing->cursor : "";
+    const std::string after = this->listing ? this->listing->probe.value_or(this->listing->cursor) : "";
     const auto target = isWatch ? this->dialect->watchTarget(this->collection, this->position->revision, wait)
                                 : this->dialect->listTarget(this->collection, after, this->isPolling());
     const Duration held = isWatch ? wait : Duration(0);
@@ -144,7 +153,8 @@
         },
         [this, isWatch, sentAt](const http::CallResult &result) {
             this->hooks.onCall(result.status);
-            if (result.status != 0) {
+            // An answer that breaks off after its header tells what came before, and that the store answers.
+            if (result.status != 0 || (result.header && result.header->result_int() == statusOk)) {
                 this->onAnswer(result, isWatch, sentAt);
             } else {
                 this->onFailure(result.failure);
@@ -183,38 +193,48 @@
         this->listAgain();
         return;
     }
-    if (result.status != statusOk) {
-        const std::string cause = "status " + std::to_string(result.status);
-        if (isFinalRefusal(result.status)) {
-            this->onUnusableAnswer(cause, isWatch);
-        } else {
-            this->onFailure(cause);
-        }
+    const bool isFinal = isFinalRefusal(result.status);
+    if (result.status != 0 && result.status != statusOk && !isFinal) {
+        this->onFailure("status " + std::to_string(result.status));
         return;
     }
     const std::uint64_t answerEra = this->dialect->readEra(*result.header).value_or(this->era.value_or(0));
-    if (this->era && answerEra < *this->era) {
+    if (!isFinal && this->era && answerEra < *this->era) {
         this->onFailure("answer of an earlier era");
         return;
     }
     const std::uint64_t expectedEra = this->listing ? this->listing->era : (this->position ? this->position->era : answerEra);
-    if (answerEra != expectedEra) {
+    if (!isFinal && answerEra != expectedEra) {
         // Revisions of different eras can't be compared, whether the store has ours again or not.
         this->listAgain();
         return;
     }
+    const std::string failure = isFinal ? "status " + std::to_string(result.status) : result.failure;
     if (isWatch) {
-        if (const ChangePage changes = this->changesReader->finish(); changes.isWhole()) {
+        const ChangePage changes = this->changesReader->finish();
+        if (failure.empty() && changes.isWhole()) {
             this->takeChanges(changes, sentAt);
         } else {
-            this->onUnusableAnswer(changes.failure, isWatch);
+            this->onUnusableChanges(failure.empty() ? changes.failure : failure);
         }
+        return;
+    }
+    ObjectPage page = this->pageReader->finish();
+    page.failure = failure.empty() ? page.failure : failure;
+    if (page.isWhole()) {
+        this->takePage(page, answerEra, sentAt);
     } else {
-        if (const ObjectPage page = this->pageReader->finish(); page.isWhole()) {
-            this->takePage(page, answerEra, sentAt);
-        } else {
-            this->onUnusableAnswer(page.failure, isWatch);
-        }
+        this->onUnusablePage(page, isFinal ? expectedEra : answerEra, sentAt);
+    }
+}
+
+void CollectionWatcher::beginList(std::uint64_t listedEra, Time begun)
+{
+    if (!this->listing) {
+        Listing listed;
+        listed.era = listedEra;
+        listed.begun = begun;
+        this->listing = std::move(listed);
     }
 }
 
@@ -222,31 +242,132 @@
 {
     this->noteReachable();
     this->unusableAnswers = 0;
-    if (!this->listing) {
-        this->listing = Listing {{}, "", answerEra, page.revision, sentAt};
+    this->beginList(answerEra, sentAt);
+    if (!this->listing->revision) {
+        this->listing->revision = page.revision;
         if (page.hasMore) {
             this->tellEra(answerEra, page.revision);
         }
     }
-    const std::size_t countBefore = this->listing->objects.size();
-    for (const StoredObject &object : page.objects) {
-        this->listing->objects.insert_or_assign(object.name, object);
+    if (this->listing->probe) {
+        this->takeSearchAnswer(page);
+        return;
     }
-    if (!page.hasMore) {
+    if (!page.hasMore && this->listing->spoiltBy.empty()) {
+        this->addObjects(page);
+        this->searches.clear();
         this->finishList();
         return;
     }
-    this->hooks.onPart(page.objects);
-    if (page.lastName.empty() || this->listing->objects.size() == countBefore) {
-        this->endIncompleteList("the page after \"" + this->listing->cursor + "\" brings nothing new");
-    } else if (++this->listing->pages >= maxPages || this->listing->objects.size() > maxListedObjects) {
+    this->takeObjects(page);
+    if (!page.hasMore) {
+        this->endIncompleteList(std::string(this->listing->spoiltBy));
+    } else if (this->leadsOn(page)) {
+        this->searches.erase(this->listing->cursor);
+        this->goOnAfter(page.lastName);
+    } else {
+        this->skipUnreadable("the page after \"" + this->listing->cursor + "\" brings nothing new");
+    }
+}
+
+void CollectionWatcher::onUnusablePage(const ObjectPage &page, std::uint64_t answerEra, Time sentAt)
+{
+    this->noteReachable();
+    this->beginList(answerEra, sentAt);
+    if (this->listing->probe) {
+        this->takeSearchAnswer(page);
+        return;
+    }
+    if (!this->searches.contains(this->listing->cursor) && ++this->unusableAnswers < failuresUntilLost) {
+        this->again(std::max(pauseAfter(this->unusableAnswers), this->isPolling() ? this->pace.pause : Duration(0)));
+        return;
+    }
+    this->unusableAnswers = 0;
+    this->takeObjects(page);
+    if (this->leadsOn(page)) {
+        this->listing->spoiltBy = page.failure;
+        this->goOnAfter(page.lastName);
+    } else {
+        this->skipUnreadable(page.failure);
+    }
+}
+
+void CollectionWatcher::addObjects(const ObjectPage &page)
+{
+    for (const StoredObject &object : page.objects) {
+        this->listing->objects.insert_or_assign(object.name, object);
+    }
+}
+
+void CollectionWatcher::takeObjects(const ObjectPage &page)
+{
+    this->addObjects(page);
+    if (!page.objects.empty()) {
+        this->hooks.onPart(page.objects);
+    }
+}
+
+bool CollectionWatcher::leadsOn(const ObjectPage &page) const
+{
+    return !page.lastName.empty() && page.lastName != this->listing->cursor && !this->listing->passed.contains(page.lastName);
+}
+
+void CollectionWatcher::goOnAfter(const std::string &name)
+{
+    this->listing->passed.insert(std::exchange(this->listing->cursor, name));
+    this->listing->searchCallsHere = 0;
+    if (++this->listing->pages >= maxPages || this->listing->objects.size() > maxListedObjects) {
         this->endIncompleteList("the list is too long");
     } else {
-        this->listing->cursor = page.lastName;
         this->again(Duration(0));
     }
 }
 
+void CollectionWatcher::skipUnreadable(const std::string &cause)
+{
+    this->listing->spoiltBy = cause;
+    const std::string &cursor = this->listing->cursor;
+    if (!this->listing->probe) {
+        if (this->searches.size() >= maxSearches) {
+            this->searches.clear();
+        }
+        const auto [search, isNew] = this->searches.try_emplace(cursor, cursor);
+        this->listing->searchCallsHere = isNew || !search->second.found() ? 0 : maxSearchCallsHere - maxRefiningCalls;
+        if (this->listing->searchCalls == 0) {
+            this->listing->searchUntil = readClock() + longestSearch;
+        }
+    }
+    this->listing->probe = this->nextProbe();
+    if (this->listing->probe) {
+        ++this->listing->searchCalls;
+        ++this->listing->searchCallsHere;
+        this->again(Duration(0));
+        return;
+    }
+    const auto found = this->searches.at(cursor).found();
+    if (found && !this->listing->passed.contains(*found)) {
+        this->goOnAfter(*found);
+    } else {
+        this->endIncompleteList(cause);
+    }
+}
+
+std::optional<std::string> CollectionWatcher::nextProbe() const
+{
+    const bool isBlind = this->listing->objects.empty();
+    const bool isAllowed = isBlind ? this->listing->searchCalls < maxBlindSearchCalls
+                                   : this->listing->searchCalls < maxSearchCalls && this->listing->searchCallsHere < maxSearchCallsHere;
+    return isAllowed && readClock() < this->listing->searchUntil ? this->searches.at(this->listing->cursor).next() : std::nullopt;
+}
+
+void CollectionWatcher::takeSearchAnswer(const ObjectPage &page)
+{
+    const bool isReadable = page.isWhole() && (!page.hasMore || !page.lastName.empty());
+    this->searches.at(this->listing->cursor).note(isReadable, page.lastName);
+    this->takeObjects(page);
+    this->skipUnreadable(std::string(this->listing->spoiltBy));
+}
+
 void CollectionWatcher::tellEra(std::uint64_t listedEra, std::uint64_t revision)
 {
     if (this->isPolling() || !this->era || listedEra <= *this->era) {
@@ -275,29 +396,41 @@
         this->again(this->pace.pause);
         return;
     }
-    this->tellEra(ended.era, ended.revision);
+    this->tellEra(ended.era, *ended.revision);
     this->hooks.onList(objects);
     this->era = ended.era;
-    this->position = Position {ended.era, ended.revision};
+    this->position = Position {ended.era, *ended.revision};
     this->hooks.onConfirmed(ended.begun, *this->position);
     this->again(Duration(0));
 }
 
+bool CollectionWatcher::isAllOfUseListed() const
+{
+    const auto only = this->dialect->onlyObject(this->collection);
+    return only && this->listing && this->listing->revision && this->listing->objects.contains(*only);
+}
+
 void CollectionWatcher::endIncompleteList(const std::string &cause)
 {
-    const auto ended = std::exchange(this->listing, std::nullopt);
-    logWarning(
-        "list_incomplete",
-        {{"collection", nameOf(this->collection)}, {"cause", cause}, {"objects", std::to_string(ended ? ended->objects.size() : 0)}});
+    const std::size_t count = this->listing ? this->listing->objects.size() : 0;
+    logWarning("list_incomplete", {{"collection", nameOf(this->collection)}, {"cause", cause}, {"objects", std::to_string(count)}});
+    const bool isAllOfUse = this->isAllOfUseListed();
+    if (isAllOfUse) {
+        this->finishList();
+    }
     this->isIncomplete = true;
     this->listAgainAt = readClock() + incompleteListPause;
+    if (isAllOfUse) {
+        return;
+    }
+    const auto ended = std::exchange(this->listing, std::nullopt);
     this->hooks.onIncomplete();
     if (this->isPolling()) {
         this->again(std::max(this->pace.pause, incompleteListPause));
         return;
     }
-    if (ended && !this->position) {
-        this->position = Position {ended->era, ended->revision};
+    if (ended && ended->revision && !this->position) {
+        this->position = Position {ended->era, *ended->revision};
         this->era = ended->era;
     }
     this->again(this->position ? Duration(0) : incompleteListPause);
@@ -323,8 +456,11 @@
 {
     ++this->failures;
     if (this->failures >= failuresUntilLost && this->listing) {
-        this->endIncompleteList(cause);
-        return;
+        if (this->listing->revision || !this->listing->objects.empty()) {
+            this->endIncompleteList(cause);
+            return;
+        }
+        this->listing.reset();
     }
     if (this->failures >= failuresUntilLost && this->isReachable) {
         this->isReachable = false;
@@ -334,22 +470,17 @@
     this->again(std::max(pauseAfter(this->failures), least));
 }
 
-void CollectionWatcher::onUnusableAnswer(const std::string &cause, bool isWatch)
+void CollectionWatcher::onUnusableChanges(const std::string &cause)
 {
     this->noteReachable();
-    ++this->unusableAnswers;
-    if (this->unusableAnswers < failuresUntilLost) {
-        this->again(std::max(pauseAfter(this->unusableAnswers), this->isPolling() ? this->pace.pause : Duration(0)));
+    if (++this->unusableAnswers < failuresUntilLost) {
+        this->again(pauseAfter(this->unusableAnswers));
         return;
     }
     this->unusableAnswers = 0;
-    if (isWatch) {
-        // A list brings the state after the changes that can't be read.
-        logWarning("changes_unreadable", {{"collection", nameOf(this->collection)}, {"cause", cause}});
-        this->listAgain();
-    } else {
-        this->endIncompleteList(cause);
-    }
+    // A list brings the state after the changes that can't be read.
+    logWarning("changes_unreadable", {{"collection", nameOf(this->collection)}, {"cause", cause}});
+    this->listAgain();
 }
 
 bool CollectionWatcher::isPolling() const
--- a/src/process/store/collection_watcher.h
+++ b/src/process/store/collection_watcher.h
@@ -3,6 +3,7 @@
 /** @file Follows one collection of the store: a list, then watches from its revision on. */
 
 #include "connection/http/call_client.h"
+#include "process/store/cursor_search.h"
 #include "process/store/objects.h"
 
 #include <boost/asio/io_context.hpp>
@@ -11,6 +12,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -40,6 +42,8 @@
     virtual std::string listTarget(Collection collection, const std::string &afterName, bool mayBeStale) const = 0;
     virtual std::string watchTarget(Collection collection, std::uint64_t revision, Duration wait) const = 0;
     virtual std::string objectTarget(Collection collection, const std::string &name) const = 0;
+    /** @returns the name of the only object of the collection that is of use; nullopt where all are. */
+    virtual std::optional<std::string> onlyObject(Collection collection) const = 0;
     virtual std::unique_ptr<AnswerReader<ObjectPage>> pageReader(Collection collection) const = 0;
     virtual std::unique_ptr<AnswerReader<ChangePage>> changesReader(Collection collection) const = 0;
     /** @returns the era that an answer of the store names; nullopt when it names none. */
@@ -58,7 +62,7 @@
     std::function<void(const std::vector<StoredObject> &)> onList;
     /** Objects of a list whose end is not read yet. What is known of others stays as it is. */
     std::function<void(const std::vector<StoredObject> &)> onPart;
-    /** The end of the list can't be read for now: what onPart told, and the changes that follow, are all that can be known. */
+    /** The list can't be read as a whole for now: what onPart told, and the changes that follow, are all that can be known. */
     std::function<void()> onIncomplete;
     std::function<void(const ObjectChange &)> onChange;
     /** The store came back from an older copy. The next list may lack what is known, or hold what has been replaced. */
@@ -83,8 +87,8 @@
 
 /**
  * @brief One kept connection to the store, with one call at a time.
- * @remarks A list that can't be read to its end is read again from its beginning after a pause. In the meantime, changes are followed from
- * where its first pages were read.
+ * @remarks A list goes on behind what can't be read of it, and is read again from its beginning after a pause. In the meantime, changes are
+ * followed from where its first pages were read.
  */
 class CollectionWatcher
 {
@@ -106,23 +110,47 @@
     void onAnswer(const connection::http::CallResult &result, bool isWatch, Time sentAt);
     /** A list that is being read, page by page. */
     struct Listing {
-        std::map<std::string, StoredObject> objects; ///< By name, so that a page that comes again adds nothing.
-        std::string cursor; ///< The next page follows this name.
         std::uint64_t era = 0;
-        std::uint64_t revision = 0; ///< Of the first page: changes after it may concern pages that were read before.
         Time begun {0};
+        std::map<std::string, StoredObject> objects; ///< By name, so that a page that comes again adds nothing.
+        std::string cursor; ///< The next page follows this name.
+        std::set<std::string> passed; ///< Cursors of the pages before.
+        std::optional<std::uint64_t>
+            revision; ///< Of the first page that was whole: changes after it may concern pages that were read before.
         std::size_t pages = 0;
+        std::string spoiltBy; ///< Why a part could not be read; empty while all could.
+        std::optional<std::string> probe; ///< Cursor that is asked for instead, in a search.
+        std::size_t searchCalls = 0;
+        std::size_t searchCallsHere = 0; ///< At the present cursor.
+        Time searchUntil {0};
     };
 
     bool isListDue(Time now) const;
     /** @brief The store did not answer, or refused a call that it may accept later. */
     void onFailure(const std::string &cause);
-    /** @brief The store answered, but what it told can't be read, or it doesn't accept such a call. */
-    void onUnusableAnswer(const std::string &cause, bool isWatch);
+    /** @brief The store answered a watch, but what it told can't be read, or it doesn't accept such a call. */
+    void onUnusableChanges(const std::string &cause);
+    /** @brief The same of a list. @param page What was read of it. @param answerEra As the answer names it; the last one known, where it
+     * names none. */
+    void onUnusablePage(const ObjectPage &page, std::uint64_t answerEra, Time sentAt);
     void listAgain();
-    /** @param answerEra As the answer names it; the last one known, where it names none. */
+    /** @brief Begins a list, unless one is being read. */
+    void beginList(std::uint64_t listedEra, Time begun);
     void takePage(const ObjectPage &page, std::uint64_t answerEra, Time sentAt);
+    void addObjects(const ObjectPage &page);
+    /** @brief Adds the objects of a page, or of a part of one, and tells them as a part of the list. */
+    void takeObjects(const ObjectPage &page);
+    /** @returns whether the list goes on after the last name of the page. */
+    bool leadsOn(const ObjectPage &page) const;
+    void goOnAfter(const std::string &name);
+    /** @brief Searches for a cursor behind what can't be read, and goes on after the best one that is known. */
+    void skipUnreadable(const std::string &cause);
+    /** @returns the cursor that the search asks for next; nullopt when it is over, or has made its calls. */
+    std::optional<std::string> nextProbe() const;
+    void takeSearchAnswer(const ObjectPage &page);
     void finishList();
+    /** @returns whether the collection has a single object of use, and the list has told it. */
+    bool isAllOfUseListed() const;
     /** @brief Goes on without the rest of the list. */
     void endIncompleteList(const std::string &cause);
     void tellEra(std::uint64_t listedEra, std::uint64_t revision);
@@ -140,6 +168,7 @@
     std::optional<Position> position; ///< Watch from here; list first without it.
     std::optional<std::uint64_t> era; ///< Of the last position.
     std::optional<Listing> listing;
+    std::map<std::string, CursorSearch> searches; ///< By the cursor behind which pages can't be read.
     std::unique_ptr<AnswerReader<ObjectPage>> pageReader; ///< Of the list call in progress.
     std::unique_ptr<AnswerReader<ChangePage>> changesReader; ///< Of the watch in progress.
     bool isIncomplete = false; ///< The last list was not read to its end.
--- a/tests/fleet/test_odd_entries.cpp
+++ b/tests/fleet/test_odd_entries.cpp
@@ -170,13 +170,13 @@
 {
     for (const std::size_t daemonCount : {watchingDaemons, followingDaemons}) {
         for (const std::string mark : {"&", "+", "#", "%", " "}) {
-            for (const auto &[place, before] : places) {
+            for (const Place &place : places) {
                 CAPTURE(daemonCount);
                 CAPTURE(mark);
-                CAPTURE(place);
+                CAPTURE(place.name);
                 Fleet fleet(daemonCount);
                 REQUIRE(fleet.restartAll());
-                fleet.store.put("servers", before + mark + "x", odd);
+                fleet.store.put("servers", place.before + mark + "x", odd);
                 // A backend server that comes later shows that the change was read.
                 fleet.store.remove("servers", Fleet::nameOf(4));
                 fleet.putBackend(4);
@@ -191,11 +191,11 @@
 TEST_CASE("an entry of another writer, written before daemons start, hides nothing from them")
 {
     for (const std::string mark : {"&", "+", "#", "%", " "}) {
-        for (const auto &[place, before] : places) {
+        for (const Place &place : places) {
             CAPTURE(mark);
-            CAPTURE(place);
+            CAPTURE(place.name);
             Fleet fleet(watchingDaemons);
-            fleet.store.put("servers", before + mark + "x", odd);
+            fleet.store.put("servers", place.before + mark + "x", odd);
             fleet.checkStarts();
         }
     }
@@ -219,3 +219,54 @@
         }
     }
 }
+
+TEST_CASE("entries without a readable name hide nothing")
+{
+    for (const std::string text : {R"({"metadata":{},"spec":{}})", R"({"metadata":{"name":7}})", "null"}) {
+        for (const std::string before : {"a-", "i-0", "i-11", "i-12", "z-"}) {
+            CAPTURE(text);
+            CAPTURE(before);
+            Fleet fleet(watchingDaemons);
+            for (std::size_t index = 0; index < 2 * pageLength; ++index) {
+                fleet.store.putText("servers", before + "x" + std::to_string(index), text);
+            }
+            fleet.checkStarts();
+        }
+    }
+}
+
+TEST_CASE("entries that break answers off hide nothing")
+{
+    const std::string brokenText = R"({"metadata":{"name":"bro)";
+    for (const std::string kind : {"servers", "config"}) {
+        for (const std::string name : {"a-odd", "i-10x", "i-11x", "i-12x", "i-17x", "z-odd"}) {
+            for (const bool isClosed : {true, false}) {
+                CAPTURE(kind);
+                CAPTURE(name);
+                CAPTURE(isClosed);
+                Fleet fleet(watchingDaemons);
+                if (isClosed) {
+                    fleet.store.put(kind, name, odd);
+                    fleet.store.breakListsAt(kind, "\"" + name + "\"");
+                } else {
+                    fleet.store.putText(kind, name, brokenText);
+                }
+                fleet.checkStarts();
+            }
+        }
+    }
+}
+
+TEST_CASE("lists that always break off keep no daemon from its work")
+{
+    for (const std::string kind : {"evacuations", "eelgrassnotch-daemons", "rollouts"}) {
+        for (const std::string place : {"", "\"items\"", "\"more\""}) {
+            CAPTURE(kind);
+            CAPTURE(place);
+            Fleet fleet(watchingDaemons);
+            fleet.store.put(kind, "elsewhere", odd);
+            fleet.store.breakListsAt(kind, place);
+            fleet.checkStarts();
+        }
+    }
+}
--- a/tests/proxy/test_answer_reader.cpp
+++ b/tests/proxy/test_answer_reader.cpp
@@ -136,9 +136,8 @@
 {
     for (std::size_t index = 0; index < static_cast<std::size_t>(Collection::count); ++index) {
         const auto reader = platform::Dialect().changesReader(static_cast<Collection>(index));
-        const std::string kept = R"({"object":)" + entryOf("i-1") + R"(,"removed":false})";
-        const std::string removed = R"({"removed":true,"object":)" + entryOf("i-2") + "}";
-        reader->take(R"({"events":[)" + kept + "," + removed + R"(],"at":9})");
+        reader->take(R"({"events":[{"object":)" + entryOf("i-1") + R"(,"removed":false},)");
+        reader->take(R"({"removed":true,"object":)" + entryOf("i-2") + R"(}],"at":9})");
         const auto changes = reader->finish();
         CHECK(changes.isWhole());
         REQUIRE(changes.changes.size() == 2);
--- a/tests/proxy/test_store_lists.cpp
+++ b/tests/proxy/test_store_lists.cpp
@@ -269,3 +269,18 @@
         CHECK(eventually([&] { return fixture.call("/check/1", "r-1").result_int() == 200 && fixture.probeStatus() == 200; }));
     }
 }
+
+TEST_CASE("a search goes on with the next list where it stopped")
+{
+    ObjectStore store;
+    fill(store);
+    store.setListFault([](const std::string &, const std::string &afterName, unsigned &, std::string &body) {
+        // Most of the places that a search can try are unreadable.
+        if (afterName >= "i-2" && afterName < "i-2zzzz") {
+            body.resize(body.size() / 2);
+        }
+    });
+    const Follower follower(store);
+    CHECK(eventually([&] { return follower.knows("i-3") && follower.knows("i-4"); }));
+    CHECK(follower.lists == 0);
+}
--- a/tests/standin/object_store.cpp
+++ b/tests/standin/object_store.cpp
@@ -144,6 +144,19 @@
     this->listFault = std::move(fault);
 }
 
+void ObjectStore::breakListsAt(const std::string &kind, const std::string &text)
+{
+    const std::lock_guard lock(this->mutex);
+    this->breakTexts[kind] = text;
+}
+
+std::size_t ObjectStore::toldBytes(const std::string &kind, const std::string &body) const
+{
+    const std::lock_guard lock(this->mutex);
+    const auto text = this->breakTexts.find(kind);
+    return text == this->breakTexts.end() ? body.size() : std::min(body.find(text->second), body.size());
+}
+
 json ObjectStore::statusOf(const std::string &kind, const std::string &name) const
 {
     const std::lock_guard lock(this->mutex);
@@ -319,8 +332,11 @@
     }
     unsigned status = 200;
     std::string body;
+    std::size_t unsent = 0;
     if (const auto target = readTarget(std::string(request.target().data(), request.target().size()))) {
         body = this->carryOut(request, *target, status);
+        const bool isList = request.method() == verb::get && target->name.empty() && !target->query.contains("watch");
+        unsent = isList ? body.size() - this->toldBytes(target->kind, body) : 0;
     } else {
         status = 400;
     }
@@ -337,8 +353,9 @@
         sendReset(socket);
         return false;
     }
-    sendBytes(socket, httpAnswer(status, body, this->currentEra()));
-    return true;
+    const std::string message = httpAnswer(status, body, this->currentEra());
+    sendBytes(socket, message.substr(0, message.size() - unsent));
+    return unsent == 0;
 }
 
 }
--- a/tests/standin/object_store.h
+++ b/tests/standin/object_store.h
@@ -43,6 +43,8 @@
     using ListFault = std::function<void(const std::string &kind, const std::string &afterName, unsigned &status, std::string &body)>;
     /** @brief Lets a function spoil the answers to list calls from now on. */
     void setListFault(ListFault fault);
+    /** @brief Lets answers to list calls of a kind break off where a text stands in their body, until another is named. */
+    void breakListsAt(const std::string &kind, const std::string &text);
     /** @returns the status that was written to an object; null when there is none. */
     nlohmann::json statusOf(const std::string &kind, const std::string &name) const;
     bool has(const std::string &kind, const std::string &name) const;
@@ -84,6 +86,8 @@
     std::uint64_t currentEra() const;
     /** @brief Writes a status under the object's revision. @returns the object as it is then; another revision leaves it as it is. */
     nlohmann::json writeStatus(const std::string &kind, const std::string &name, const nlohmann::json &written, unsigned &status);
+    /** @returns the bytes of the body that are told. */
+    std::size_t toldBytes(const std::string &kind, const std::string &body) const;
     /** @returns the object as it is told. */
     std::string textOf(const std::string &kind, const nlohmann::json &object) const;
     /** @brief One page: the objects whose names follow another one. */
@@ -100,6 +104,7 @@
     std::map<std::string, std::map<std::string, std::string>> texts; ///< Of objects that are told otherwise than they are.
     std::vector<Change> history;
     ListFault listFault;
+    std::map<std::string, std::string> breakTexts; ///< By kind.
     bool stopping = false;
     RawServer server; ///< Last: its threads use the rest.
 };
