Ask for other collections before the store counts as lost for long

Callers saw: while the store refuses the first page of one collection, a daemon that starts isn't ready, and one that runs follows no changes.

Cause: two failed calls for any collection counted as a lost store. The watches of all others stopped, and only the collection that failed was asked for.

When calls for one collection fail, another one is asked for next, and while the store stays lost the watchers take turns of 2 s. When one is answered, the others go on. The one that failed is asked for with pauses; after 3 s the daemon goes on without it, but not without backend servers: it leaves requests to daemons that know some. In an outage there is one call more at its begin, and one watcher searches at a time as before.

Evidence: "a collection that the store refuses for now*" in test_store_lists, with 429 and 503, among data centres taken out and orders.

--- a/src/process/mirror/collection_source.cpp
+++ b/src/process/mirror/collection_source.cpp
@@ -11,6 +11,20 @@
 
 using store::Collection;
 
+namespace
+{
+
+using namespace std::chrono_literals;
+
+/** While the store is lost, watchers take turns in searching for it, as it may refuse the calls for some collections only. */
+constexpr Duration searchTurn = 2s;
+/** Searches in a turn, at least. */
+constexpr int searchesInTurn = 2;
+/** Time that a collection may go unanswered, while others are answered, before the daemon goes on without it. */
+constexpr Duration unansweredPatience = 3s;
+
+}
+
 CollectionSource::CollectionSource(boost::asio::io_context &ioContext, const SourceSettings &sourceSettings,
                                    const std::shared_ptr<const store::StoreDialect> &dialect,
                                    std::map<Collection, store::WatcherHooks> consumers)
@@ -49,6 +63,7 @@
                        [](const store::StoredObject &object) { return toMirrored(object, false); });
         this->server.mirror(collection).replaceAll(std::move(mirrored));
         this->incomplete.erase(collection);
+        this->unanswered.erase(collection);
         consumer.onList(objects);
     };
     // What is passed on stays at the last state that was known as a whole, which soon is too old for followers.
@@ -58,6 +73,7 @@
     };
     watcher.onIncomplete = [this, collection, &consumer] {
         this->incomplete.insert(collection);
+        this->unanswered.erase(collection);
         consumer.onIncomplete();
         this->startWatchers();
     };
@@ -71,6 +87,7 @@
     watcher.onConfirmed = [this, collection, &consumer](Time confirmedAt, const store::Position &reached) {
         this->positions[collection] = std::max(this->positions[collection], reached);
         this->asOf[collection] = confirmedAt;
+        this->unanswered.erase(collection);
         consumer.onConfirmed(confirmedAt, reached);
         this->server.mirror(collection).confirm(reached, confirmedAt);
         this->server.noteConfirmed(collection, readClock());
@@ -83,9 +100,13 @@
 
 void CollectionSource::noteReachability(Collection collection, bool isReachable, const std::string &cause)
 {
-    if (isReachable == !this->isStoreLost) {
+    if (isReachable) {
+        this->unanswered.erase(collection);
+    }
+    if (isReachable == !this->isStoreLost || this->unanswered.contains(collection)) {
         return;
     }
+    const Time now = readClock();
     this->isStoreLost = !isReachable;
     logEvent(isReachable ? "store_regained" : "store_lost", {{"collection", store::nameOf(collection)}, {"cause", cause}});
     if (!isReachable) {
@@ -93,14 +114,47 @@
     }
     this->tellReachability(isReachable, cause);
     this->serveIfAble();
-    // One watch is enough to find the store again: calls that it refuses cost as much as others.
-    if (isReachable) {
-        this->startWatchers();
+    if (!isReachable) {
+        this->lostBy = collection;
+        this->searchWith(this->nextSearcher(collection), now);
         return;
     }
+    if (const auto failed = std::exchange(this->lostBy, std::nullopt); failed && *failed != collection) {
+        this->unanswered.emplace(*failed, now + unansweredPatience);
+        this->watchers.at(*failed)->startSearch(this->watchers.at(*failed)->failedCalls());
+    }
+    this->startWatchers();
+}
+
+void CollectionSource::searchWith(Collection collection, Time now)
+{
+    // One watch is enough to find the store again: calls that it refuses cost as much as others.
+    std::uint32_t failedCalls = 0;
     for (const auto &[watched, watcher] : this->watchers) {
-        if (watched != collection) {
-            watcher->stop();
+        failedCalls = std::max(failedCalls, watcher->failedCalls());
+        watcher->stop();
+    }
+    this->searcher = collection;
+    this->searcherUntil = now + std::max(searchTurn, searchesInTurn * this->paceOf(collection).searchPause);
+    this->watchers.at(collection)->startSearch(failedCalls);
+}
+
+Collection CollectionSource::nextSearcher(Collection collection) const
+{
+    auto next = this->watchers.find(collection);
+    do {
+        next = std::next(next) == this->watchers.end() ? this->watchers.begin() : std::next(next);
+    } while (next->first != collection && this->unanswered.contains(next->first));
+    return next->first;
+}
+
+void CollectionSource::passUnanswered(Time now)
+{
+    for (auto &[collection, until] : this->unanswered) {
+        // A daemon that knows no backend server leaves the requests to others.
+        if (now >= until && collection != Collection::Backends) {
+            until = Time::max();
+            this->hooks.at(collection).onIncomplete();
         }
     }
 }
@@ -235,16 +289,21 @@
     this->serveIfAble();
 }
 
+store::WatchPace CollectionSource::paceOf(Collection collection) const
+{
+    store::WatchPace pace = this->settings.paces.at(collection);
+    if (this->choice.isCandidate()) {
+        pace.longestWait = std::min(pace.longestWait, relayWait);
+    } else if (!this->choice.isRelay()) {
+        pace.searchPause = followerSearchPause;
+    }
+    return pace;
+}
+
 void CollectionSource::setPaces()
 {
     for (const auto &[collection, watcher] : this->watchers) {
-        store::WatchPace pace = this->settings.paces.at(collection);
-        if (this->choice.isCandidate()) {
-            pace.longestWait = std::min(pace.longestWait, relayWait);
-        } else if (!this->choice.isRelay()) {
-            pace.searchPause = followerSearchPause;
-        }
-        if (watcher->setPace(pace) && this->isWatching && !this->isStoreLost) {
+        if (watcher->setPace(this->paceOf(collection)) && this->isWatching && !this->isStoreLost) {
             // A call in progress would still wait for as long as before.
             watcher->stop();
             watcher->start();
@@ -262,6 +321,10 @@
     if (!this->startedAt) {
         return;
     }
+    if (this->isWatching && this->isStoreLost && now >= this->searcherUntil) {
+        this->searchWith(this->nextSearcher(this->searcher), now);
+    }
+    this->passUnanswered(now);
     if (!this->isWatching && this->needsStore(now)) {
         if (this->followed.isValid()) {
             this->client.stop();
@@ -305,6 +368,7 @@
     }
     logEvent("store_watched", {{"role", this->choice.isRelay() ? "relay" : (this->choice.isCandidate() ? "substitute" : "follower")}});
     this->isWatching = true;
+    this->unanswered.clear();
     for (const auto &[collection, watcher] : this->watchers) {
         if (const auto known = this->positions.find(collection); known != this->positions.end()) {
             watcher->skipTo(known->second);
@@ -312,7 +376,9 @@
         }
     }
     // Whether the store answers is asked by one watch; the others begin when it does.
-    this->watchers.at(mirroredCollections.front())->start();
+    this->searcher = mirroredCollections.front();
+    this->searcherUntil = readClock() + searchTurn;
+    this->watchers.at(this->searcher)->start();
     this->serveIfAble();
 }
 
--- a/src/process/mirror/collection_source.h
+++ b/src/process/mirror/collection_source.h
@@ -36,7 +36,8 @@
  * @brief Watches the store, or follows a relay that does.
  * @remarks The watches go on until a relay has answered. When it fails, others are asked, until what is known is too old to go on without
  * the store.
- * Consumers' onReachability tells of the store as a whole.
+ * Consumers' onReachability tells of the store as a whole. It counts as lost when the calls for one collection fail, until those for
+ * another one are answered.
  */
 class CollectionSource
 {
@@ -66,9 +67,16 @@
     void startWatchers();
     /** @returns whether what is known is too old, or a relay has let a daemon that knows nothing wait for too long. */
     bool needsStore(Time now) const;
+    store::WatchPace paceOf(store::Collection collection) const;
     void setPaces();
     void noteReachability(store::Collection collection, bool isReachable, const std::string &cause);
     void tellReachability(bool isReachable, const std::string &cause);
+    /** @brief Lets one watcher search for the store, and stops the others. */
+    void searchWith(store::Collection collection, Time now);
+    /** @returns the collection whose watcher searches after another one's. */
+    store::Collection nextSearcher(store::Collection collection) const;
+    /** @brief Goes on without the collections that have not been answered for too long. */
+    void passUnanswered(Time now);
     void serveIfAble();
 
     SourceSettings settings;
@@ -83,6 +91,11 @@
     bool hasReplied = false; ///< The relay that is asked.
     std::map<DaemonHandle, std::uint32_t> outagesOf; ///< As each relay told last.
     std::optional<Time> startedAt;
+    /** Collections whose calls fail while others are answered, and when their consumers are told to go on without them. */
+    std::map<store::Collection, Time> unanswered;
+    std::optional<store::Collection> lostBy; ///< Collection whose calls failed when the store was lost.
+    store::Collection searcher = store::Collection::count; ///< While the store is lost.
+    Time searcherUntil {0};
     std::set<store::Collection> incomplete; ///< Collections whose list could not be read to its end.
     std::map<store::Collection, Time> asOf; ///< When each collection was the newest, as far as known.
     Time actsUntil {0}; ///< A substitute that took over goes on for a while, so that its followers need not move again soon.
--- a/src/process/store/collection_watcher.cpp
+++ b/src/process/store/collection_watcher.cpp
@@ -104,6 +104,16 @@
     }
 }
 
+void CollectionWatcher::startSearch(std::uint32_t failedCalls)
+{
+    if (this->isStopped) {
+        this->isStopped = false;
+        this->failures = std::max(failedCalls, failuresUntilLost);
+        this->isReachable = false;
+        this->call();
+    }
+}
+
 void CollectionWatcher::stop()
 {
     this->isStopped = true;
--- a/src/process/store/collection_watcher.h
+++ b/src/process/store/collection_watcher.h
@@ -98,9 +98,16 @@
 
     /** @brief Begins, or goes on where it stopped. */
     void start();
+    /** @brief Begins after calls that failed elsewhere: the store may not hold this one, and onReachability tells when it answers.
+     * @param failedCalls In a row; the more, the longer are the pauses. */
+    void startSearch(std::uint32_t failedCalls);
     void stop();
     /** @brief Goes on after a position that is known from elsewhere, if it is a later one. */
     void skipTo(const Position &knownPosition);
+    std::uint32_t failedCalls() const
+    {
+        return this->failures;
+    }
     /** @brief Takes another pace with the next call. @returns whether it differs from the last one. */
     bool setPace(WatchPace newPace);
 
--- a/tests/proxy/test_store_lists.cpp
+++ b/tests/proxy/test_store_lists.cpp
@@ -270,6 +270,31 @@
     }
 }
 
+TEST_CASE("a collection that the store refuses for now does not stop the others")
+{
+    const RawServer server(answerOk);
+    for (const unsigned refusal : {429u, 503u}) {
+        for (const std::string kind : {"evacuations", "rollouts"}) {
+            CAPTURE(refusal);
+            CAPTURE(kind);
+            DaemonFixture fixture;
+            fixture.store.setListFault(
+                [&kind, refusal](const std::string &listed, const std::string &, unsigned &status, std::string &body) {
+                    if (listed == kind) {
+                        status = refusal;
+                        body = "{}";
+                    }
+                });
+            fixture.addBackend("i-1", server);
+            fixture.startWithoutWaiting();
+            CHECK(eventually([&] { return fixture.call("/check/1", "r-1").result_int() == 200 && fixture.probeStatus() == 200; }));
+            fixture.store.remove("servers", "i-1");
+            fixture.addBackend("i-2", server);
+            CHECK(eventually([&] { return fixture.call("/check/1", "r-2").result_int() == 200; }));
+        }
+    }
+}
+
 TEST_CASE("a search goes on with the next list where it stopped")
 {
     ObjectStore store;
