Let an object that a relay tells wrongly lose its content alone

A follower parsed the contents of a relay's reply together, so one that is no JSON dropped the reply, and with it all that stood beside it. Such an object keeps its name and revision now, and names nothing to use, as one of the store.

Evidence: "an object whose content a relay tells wrongly*" in test_mirror threw in all four forms before, and holds.

--- a/src/process/mirror/collection_mirror.cpp
+++ b/src/process/mirror/collection_mirror.cpp
@@ -1,6 +1,7 @@
 #include "process/mirror/collection_mirror.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace eelgrassnotch::process::mirror
 {
@@ -21,7 +22,11 @@
 
 store::StoredObject toStored(const MirroredObject &object)
 {
-    return {object.name, object.revision, object.content->empty() ? nlohmann::json() : nlohmann::json::parse(*object.content)};
+    auto content = nlohmann::json::parse(*object.content, nullptr, false);
+    if (content.is_discarded()) {
+        content = nullptr;
+    }
+    return {object.name, object.revision, std::move(content)};
 }
 
 CollectionMirror::CollectionMirror(store::Collection mirrored)
--- a/src/process/mirror/collection_mirror.h
+++ b/src/process/mirror/collection_mirror.h
@@ -29,7 +29,7 @@
 
 /** @returns the object as it is passed on. */
 MirroredObject toMirrored(const store::StoredObject &object, bool isRemoved);
-/** @returns the object as the store told it. @throws nlohmann::json::exception when its content is no JSON. */
+/** @returns the object as the store told it; without content that is no JSON. */
 store::StoredObject toStored(const MirroredObject &object);
 
 /** @brief What a daemon lacks of a collection. */
--- a/tests/proxy/test_mirror.cpp
+++ b/tests/proxy/test_mirror.cpp
@@ -63,6 +63,14 @@
 
 }
 
+TEST_CASE("an object whose content a relay tells wrongly keeps its name and spoils no other")
+{
+    for (const char *content : {"{", "\xff", "1e999", "{}}"}) {
+        const mirror::MirroredObject odd {"i-1", 7, std::make_shared<const std::string>(content), false};
+        CHECK(mirror::toStored(odd) == store::StoredObject {"i-1", 7, nullptr});
+    }
+}
+
 TEST_CASE("a follower at any revision ends with the objects of the mirror")
 {
     std::mt19937_64 random(3);
