Don't restart the last watcher that searches for the store

Found by reading: while calls for all other collections fail already and the last one fails too, the watcher that reports it would be stopped, started again and then set its own timer, two calls at once on one connection. Where no other can take over, it now goes on as it is.

"a store that refuses most collections, then all calls*" plays the outage: the calls stay bounded, and the store is found again. It wasn't run without this change, and the collection that is left doesn't fail alone in it.

--- a/src/process/mirror/collection_source.cpp
+++ b/src/process/mirror/collection_source.cpp
@@ -116,7 +116,7 @@
     this->serveIfAble();
     if (!isReachable) {
         this->lostBy = collection;
-        this->searchWith(this->nextSearcher(collection), now);
+        this->passSearchOn(collection, now);
         return;
     }
     if (const auto failed = std::exchange(this->lostBy, std::nullopt); failed && *failed != collection) {
@@ -126,17 +126,20 @@
     this->startWatchers();
 }
 
-void CollectionSource::searchWith(Collection collection, Time now)
+void CollectionSource::passSearchOn(Collection last, Time now)
 {
+    this->searcher = this->nextSearcher(last);
+    this->searcherUntil = now + std::max(searchTurn, searchesInTurn * this->paceOf(this->searcher).searchPause);
     // One watch is enough to find the store again: calls that it refuses cost as much as others.
     std::uint32_t failedCalls = 0;
     for (const auto &[watched, watcher] : this->watchers) {
         failedCalls = std::max(failedCalls, watcher->failedCalls());
-        watcher->stop();
+        // Where none is left to take over, the last one goes on.
+        if (watched != last || this->searcher != last) {
+            watcher->stop();
+        }
     }
-    this->searcher = collection;
-    this->searcherUntil = now + std::max(searchTurn, searchesInTurn * this->paceOf(collection).searchPause);
-    this->watchers.at(collection)->startSearch(failedCalls);
+    this->watchers.at(this->searcher)->startSearch(failedCalls);
 }
 
 Collection CollectionSource::nextSearcher(Collection collection) const
@@ -322,7 +325,7 @@
         return;
     }
     if (this->isWatching && this->isStoreLost && now >= this->searcherUntil) {
-        this->searchWith(this->nextSearcher(this->searcher), now);
+        this->passSearchOn(this->searcher, now);
     }
     this->passUnanswered(now);
     if (!this->isWatching && this->needsStore(now)) {
--- a/src/process/mirror/collection_source.h
+++ b/src/process/mirror/collection_source.h
@@ -71,8 +71,8 @@
     void setPaces();
     void noteReachability(store::Collection collection, bool isReachable, const std::string &cause);
     void tellReachability(bool isReachable, const std::string &cause);
-    /** @brief Lets one watcher search for the store, and stops the others. */
-    void searchWith(store::Collection collection, Time now);
+    /** @brief Lets the next watcher search for the store, and stops the others. @param last The one that searched before. */
+    void passSearchOn(store::Collection last, Time now);
     /** @returns the collection whose watcher searches after another one's. */
     store::Collection nextSearcher(store::Collection collection) const;
     /** @brief Goes on without the collections that have not been answered for too long. */
--- a/src/process/store/collection_watcher.h
+++ b/src/process/store/collection_watcher.h
@@ -122,8 +122,7 @@
         std::map<std::string, StoredObject> objects; ///< By name, so that a page that comes again adds nothing.
         std::string cursor; ///< The next page follows this name.
         std::set<std::string> passed; ///< Cursors of the pages before.
-        std::optional<std::uint64_t>
-            revision; ///< Of the first page that was whole: changes after it may concern pages that were read before.
+        std::optional<std::uint64_t> revision; ///< Of the first whole page: changes after it may concern pages that were read before.
         std::size_t pages = 0;
         std::string spoiltBy; ///< Why a part could not be read; empty while all could.
         std::optional<std::string> probe; ///< Cursor that is asked for instead, in a search.
--- a/tests/proxy/test_store_lists.cpp
+++ b/tests/proxy/test_store_lists.cpp
@@ -309,3 +309,24 @@
     CHECK(eventually([&] { return follower.knows("i-3") && follower.knows("i-4"); }));
     CHECK(follower.lists == 0);
 }
+
+TEST_CASE("a store that refuses most collections, then all calls, is found again")
+{
+    const RawServer server(answerOk);
+    DaemonFixture fixture;
+    fixture.store.setListFault([](const std::string &kind, const std::string &, unsigned &status, std::string &) {
+        status = kind == "servers" || kind == "evacuations" ? 503 : status;
+    });
+    fixture.addBackend("i-1", server);
+    fixture.startWithoutWaiting();
+    std::this_thread::sleep_for(1s);
+    fixture.store.refusesAll = true;
+    std::this_thread::sleep_for(faultTime);
+    const std::size_t before = fixture.store.calls;
+    std::this_thread::sleep_for(faultTime);
+    // Two watchers that search, of orders and of all others, and lists of daemons.
+    CHECK(fixture.store.calls - before < mostCallsInFault);
+    fixture.store.setListFault({});
+    fixture.store.refusesAll = false;
+    CHECK(eventually([&] { return fixture.call("/check/1", "r-1").result_int() == 200 && fixture.probeStatus() == 200; }));
+}
