--- a/tests/fleet/test_odd_entries.cpp
+++ b/tests/fleet/test_odd_entries.cpp
@@ -270,3 +270,23 @@
         }
     }
 }
+
+TEST_CASE("large entries that are written while daemons run hide no change, also from daemons that follow a relay")
+{
+    constexpr std::size_t entryBytes = 900'000;
+    constexpr std::size_t entryCount = 20;
+    for (const std::string kind : {"servers", "config", "evacuations"}) {
+        CAPTURE(kind);
+        Fleet fleet(followingDaemons);
+        fleet.store.pageLength = 500;
+        REQUIRE(fleet.restartAll());
+        for (std::size_t index = 0; index < entryCount; ++index) {
+            fleet.store.put(kind, "large-" + std::to_string(index), {{"not", std::string(entryBytes, 'x')}});
+        }
+        // A backend server that comes later shows that the changes were read.
+        fleet.store.remove("servers", Fleet::nameOf(4));
+        fleet.putBackend(4);
+        CHECK(standin::eventually([&] { return fleet.served() == fleet.asked(); }));
+        fleet.checkStarts();
+    }
+}
