Let a class of its own decide where a list goes on

The watcher of a collection made calls, and kept the cursor of a list, the names it passed and the bounds of its searches in between. ListCursor decides that now, and makes no calls. The count of pages is the number of passed names; the count of a search's calls began anew in two places, of which one was enough; and a list that ends as incomplete is always being read, so the cases without one were dead.

Behaviour is the same, the length check during a search included, which is still made when the search has ended.

--- a/src/process/store/collection_watcher.cpp
+++ b/src/process/store/collection_watcher.cpp
@@ -31,15 +31,6 @@
 /** Objects and pages of one list: many times the daemons and backend servers of the largest deployment. */
 constexpr std::size_t maxListedObjects = 20'000;
 constexpr std::size_t maxPages = 200;
-/** Calls that search for a cursor behind what can't be read: of one list, while it has told nothing; of one that has told something; at one
- * cursor; and at one whose search goes on from an earlier list. */
-constexpr std::size_t maxBlindSearchCalls = 64;
-constexpr std::size_t maxSearchCalls = 24;
-constexpr std::size_t maxSearchCallsHere = 8;
-constexpr std::size_t maxRefiningCalls = 2;
-constexpr Duration longestSearch = 3s;
-/** Cursors whose searches are kept for the next list. */
-constexpr std::size_t maxSearches = 64;
 
 constexpr unsigned statusOk = 200;
 constexpr unsigned firstCallerErrorStatus = 400;
@@ -147,7 +138,7 @@
     const bool isWatch = !this->isListDue(sentAt);
     // After a failure the question is whether the store is back, and the answer must not wait for a change.
     const Duration wait = this->failures > 0 ? Duration(0) : this->pace.longestWait;
-    const std::string after = this->listing ? this->listing->probe.value_or(this->listing->cursor) : "";
+    const std::string after = this->listing ? this->cursor.next() : "";
     const auto target = isWatch ? this->dialect->watchTarget(this->collection, this->position->revision, wait)
                                 : this->dialect->listTarget(this->collection, after, this->isPolling());
     const Duration held = isWatch ? wait : Duration(0);
@@ -245,6 +236,7 @@
         listed.era = listedEra;
         listed.begun = begun;
         this->listing = std::move(listed);
+        this->cursor.restart();
     }
 }
 
@@ -259,24 +251,25 @@
             this->tellEra(answerEra, page.revision);
         }
     }
-    if (this->listing->probe) {
+    if (this->cursor.isSearching()) {
         this->takeSearchAnswer(page);
         return;
     }
     if (!page.hasMore && this->listing->spoiltBy.empty()) {
         this->addObjects(page);
-        this->searches.clear();
+        this->cursor.forgetSearches();
         this->finishList();
         return;
     }
     this->takeObjects(page);
     if (!page.hasMore) {
         this->endIncompleteList(std::string(this->listing->spoiltBy));
-    } else if (this->leadsOn(page)) {
-        this->searches.erase(this->listing->cursor);
-        this->goOnAfter(page.lastName);
+    } else if (this->cursor.leadsTo(page.lastName)) {
+        this->cursor.forgetSearch();
+        this->cursor.goOnAfter(page.lastName);
+        this->goOn();
     } else {
-        this->skipUnreadable("the page after \"" + this->listing->cursor + "\" brings nothing new");
+        this->skipUnreadable("the page after \"" + this->cursor.next() + "\" brings nothing new");
     }
 }
 
@@ -284,19 +277,20 @@
 {
     this->noteReachable();
     this->beginList(answerEra, sentAt);
-    if (this->listing->probe) {
+    if (this->cursor.isSearching()) {
         this->takeSearchAnswer(page);
         return;
     }
-    if (!this->searches.contains(this->listing->cursor) && ++this->unusableAnswers < failuresUntilLost) {
+    if (!this->cursor.isKnownStuck() && ++this->unusableAnswers < failuresUntilLost) {
         this->again(std::max(pauseAfter(this->unusableAnswers), this->isPolling() ? this->pace.pause : Duration(0)));
         return;
     }
     this->unusableAnswers = 0;
     this->takeObjects(page);
-    if (this->leadsOn(page)) {
+    if (this->cursor.leadsTo(page.lastName)) {
         this->listing->spoiltBy = page.failure;
-        this->goOnAfter(page.lastName);
+        this->cursor.goOnAfter(page.lastName);
+        this->goOn();
     } else {
         this->skipUnreadable(page.failure);
     }
@@ -317,16 +311,10 @@
     }
 }
 
-bool CollectionWatcher::leadsOn(const ObjectPage &page) const
+void CollectionWatcher::goOn()
 {
-    return !page.lastName.empty() && page.lastName != this->listing->cursor && !this->listing->passed.contains(page.lastName);
-}
-
-void CollectionWatcher::goOnAfter(const std::string &name)
-{
-    this->listing->passed.insert(std::exchange(this->listing->cursor, name));
-    this->listing->searchCallsHere = 0;
-    if (++this->listing->pages >= maxPages || this->listing->objects.size() > maxListedObjects) {
+    const bool isTooLong = this->cursor.pages() >= maxPages || this->listing->objects.size() > maxListedObjects;
+    if (isTooLong && !this->cursor.isSearching()) {
         this->endIncompleteList("the list is too long");
     } else {
         this->again(Duration(0));
@@ -336,44 +324,17 @@
 void CollectionWatcher::skipUnreadable(const std::string &cause)
 {
     this->listing->spoiltBy = cause;
-    const std::string &cursor = this->listing->cursor;
-    if (!this->listing->probe) {
-        if (this->searches.size() >= maxSearches) {
-            this->searches.clear();
-        }
-        const auto [search, isNew] = this->searches.try_emplace(cursor, cursor);
-        this->listing->searchCallsHere = isNew || !search->second.found() ? 0 : maxSearchCallsHere - maxRefiningCalls;
-        if (this->listing->searchCalls == 0) {
-            this->listing->searchUntil = readClock() + longestSearch;
-        }
-    }
-    this->listing->probe = this->nextProbe();
-    if (this->listing->probe) {
-        ++this->listing->searchCalls;
-        ++this->listing->searchCallsHere;
-        this->again(Duration(0));
-        return;
-    }
-    const auto found = this->searches.at(cursor).found();
-    if (found && !this->listing->passed.contains(*found)) {
-        this->goOnAfter(*found);
+    if (this->cursor.skipUnreadable(this->listing->objects.empty(), readClock())) {
+        this->goOn();
     } else {
         this->endIncompleteList(cause);
     }
 }
 
-std::optional<std::string> CollectionWatcher::nextProbe() const
-{
-    const bool isBlind = this->listing->objects.empty();
-    const bool isAllowed = isBlind ? this->listing->searchCalls < maxBlindSearchCalls
-                                   : this->listing->searchCalls < maxSearchCalls && this->listing->searchCallsHere < maxSearchCallsHere;
-    return isAllowed && readClock() < this->listing->searchUntil ? this->searches.at(this->listing->cursor).next() : std::nullopt;
-}
-
 void CollectionWatcher::takeSearchAnswer(const ObjectPage &page)
 {
     const bool isReadable = page.isWhole() && (!page.hasMore || !page.lastName.empty());
-    this->searches.at(this->listing->cursor).note(isReadable, page.lastName);
+    this->cursor.noteAnswer(isReadable, page.lastName);
     this->takeObjects(page);
     this->skipUnreadable(std::string(this->listing->spoiltBy));
 }
@@ -417,35 +378,38 @@
 bool CollectionWatcher::isAllOfUseListed() const
 {
     const auto only = this->dialect->onlyObject(this->collection);
-    return only && this->listing && this->listing->revision && this->listing->objects.contains(*only);
+    return only && this->listing->revision && this->listing->objects.contains(*only);
 }
 
 void CollectionWatcher::endIncompleteList(const std::string &cause)
 {
-    const std::size_t count = this->listing ? this->listing->objects.size() : 0;
-    logWarning("list_incomplete", {{"collection", nameOf(this->collection)}, {"cause", cause}, {"objects", std::to_string(count)}});
-    const bool isAllOfUse = this->isAllOfUseListed();
-    if (isAllOfUse) {
+    logWarning("list_incomplete",
+               {{"collection", nameOf(this->collection)}, {"cause", cause}, {"objects", std::to_string(this->listing->objects.size())}});
+    if (this->isAllOfUseListed()) {
         this->finishList();
-    }
-    this->isIncomplete = true;
-    this->listAgainAt = readClock() + incompleteListPause;
-    if (isAllOfUse) {
+        this->listLater();
         return;
     }
-    const auto ended = std::exchange(this->listing, std::nullopt);
+    this->listLater();
+    const Listing ended = *std::exchange(this->listing, std::nullopt);
     this->hooks.onIncomplete();
     if (this->isPolling()) {
         this->again(std::max(this->pace.pause, incompleteListPause));
         return;
     }
-    if (ended && ended->revision && !this->position) {
-        this->position = Position {ended->era, *ended->revision};
-        this->era = ended->era;
+    if (ended.revision && !this->position) {
+        this->position = Position {ended.era, *ended.revision};
+        this->era = ended.era;
     }
     this->again(this->position ? Duration(0) : incompleteListPause);
 }
 
+void CollectionWatcher::listLater()
+{
+    this->isIncomplete = true;
+    this->listAgainAt = readClock() + incompleteListPause;
+}
+
 void CollectionWatcher::takeChanges(const ChangePage &page, Time sentAt)
 {
     this->noteReachable();
--- a/src/process/store/collection_watcher.h
+++ b/src/process/store/collection_watcher.h
@@ -3,7 +3,7 @@
 /** @file Follows one collection of the store: a list, then watches from its revision on. */
 
 #include "connection/http/call_client.h"
-#include "process/store/cursor_search.h"
+#include "process/store/list_cursor.h"
 #include "process/store/objects.h"
 
 #include <boost/asio/io_context.hpp>
@@ -12,7 +12,6 @@
 #include <map>
 #include <memory>
 #include <optional>
-#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -120,15 +119,8 @@
         std::uint64_t era = 0;
         Time begun {0};
         std::map<std::string, StoredObject> objects; ///< By name, so that a page that comes again adds nothing.
-        std::string cursor; ///< The next page follows this name.
-        std::set<std::string> passed; ///< Cursors of the pages before.
         std::optional<std::uint64_t> revision; ///< Of the first whole page: changes after it may concern pages that were read before.
-        std::size_t pages = 0;
         std::string spoiltBy; ///< Why a part could not be read; empty while all could.
-        std::optional<std::string> probe; ///< Cursor that is asked for instead, in a search.
-        std::size_t searchCalls = 0;
-        std::size_t searchCallsHere = 0; ///< At the present cursor.
-        Time searchUntil {0};
     };
 
     bool isListDue(Time now) const;
@@ -146,19 +138,18 @@
     void addObjects(const ObjectPage &page);
     /** @brief Adds the objects of a page, or of a part of one, and tells them as a part of the list. */
     void takeObjects(const ObjectPage &page);
-    /** @returns whether the list goes on after the last name of the page. */
-    bool leadsOn(const ObjectPage &page) const;
-    void goOnAfter(const std::string &name);
-    /** @brief Searches for a cursor behind what can't be read, and goes on after the best one that is known. */
+    /** @brief Asks for the next page, unless the list is too long. */
+    void goOn();
+    /** @brief Goes on behind what can't be read, or ends the list. */
     void skipUnreadable(const std::string &cause);
-    /** @returns the cursor that the search asks for next; nullopt when it is over, or has made its calls. */
-    std::optional<std::string> nextProbe() const;
     void takeSearchAnswer(const ObjectPage &page);
     void finishList();
     /** @returns whether the collection has a single object of use, and the list has told it. */
     bool isAllOfUseListed() const;
     /** @brief Goes on without the rest of the list. */
     void endIncompleteList(const std::string &cause);
+    /** @brief Lets the list be read again after a pause. */
+    void listLater();
     void tellEra(std::uint64_t listedEra, std::uint64_t revision);
     void takeChanges(const ChangePage &page, Time sentAt);
     bool isPolling() const;
@@ -174,7 +165,7 @@
     std::optional<Position> position; ///< Watch from here; list first without it.
     std::optional<std::uint64_t> era; ///< Of the last position.
     std::optional<Listing> listing;
-    std::map<std::string, CursorSearch> searches; ///< By the cursor behind which pages can't be read.
+    ListCursor cursor; ///< Of the list that is being read.
     std::unique_ptr<AnswerReader<ObjectPage>> pageReader; ///< Of the list call in progress.
     std::unique_ptr<AnswerReader<ChangePage>> changesReader; ///< Of the watch in progress.
     bool isIncomplete = false; ///< The last list was not read to its end.
