Tell apart that a collection is answered and that it isn't

One function took both, with three tests of the same flags in a row. They are two now, and share what they tell. A list is followed by its confirmation, so a collection needn't be taken off the unanswered ones for both.

--- a/src/process/mirror/collection_source.cpp
+++ b/src/process/mirror/collection_source.cpp
@@ -59,7 +59,6 @@
                        [](const store::StoredObject &object) { return toMirrored(object, false); });
         this->server.mirror(collection).replaceAll(std::move(mirrored));
         this->incomplete.erase(collection);
-        this->unanswered.erase(collection);
         consumer.onList(objects);
     };
     // What is passed on stays at the last state that was known as a whole, which soon is too old for followers.
@@ -89,35 +88,38 @@
         this->server.noteConfirmed(collection, readClock());
         this->startWatchers();
     };
-    watcher.onReachability
-        = [this, collection](bool isReachable, const std::string &cause) { this->noteReachability(collection, isReachable, cause); };
+    watcher.onReachability = [this, collection](bool isReachable, const std::string &cause) {
+        if (isReachable) {
+            this->noteAnswered(collection, cause);
+        } else {
+            this->noteUnanswered(collection, cause);
+        }
+    };
     return watcher;
 }
 
-void CollectionSource::noteReachability(Collection collection, bool isReachable, const std::string &cause)
+void CollectionSource::noteUnanswered(Collection collection, const std::string &cause)
 {
-    if (isReachable) {
-        this->unanswered.erase(collection);
-    }
-    if (!isReachable && this->isStoreLost) {
+    if (this->isStoreLost) {
         this->passSearchOn(collection);
         return;
     }
-    if (isReachable == !this->isStoreLost || this->unanswered.contains(collection)) {
+    if (this->unanswered.contains(collection)) {
         return;
     }
-    this->isStoreLost = !isReachable;
-    logEvent(isReachable ? "store_regained" : "store_lost", {{"collection", store::nameOf(collection)}, {"cause", cause}});
-    if (!isReachable) {
-        this->server.noteOutage();
-    }
-    this->tellReachability(isReachable, cause);
-    this->serveIfAble();
-    if (!isReachable) {
-        this->lostBy = collection;
-        this->passSearchOn(collection);
+    this->lostBy = collection;
+    this->server.noteOutage();
+    this->setStoreLost(true, collection, cause);
+    this->passSearchOn(collection);
+}
+
+void CollectionSource::noteAnswered(Collection collection, const std::string &cause)
+{
+    this->unanswered.erase(collection);
+    if (!this->isStoreLost) {
         return;
     }
+    this->setStoreLost(false, collection, cause);
     if (const auto failed = std::exchange(this->lostBy, std::nullopt); failed && *failed != collection) {
         this->unanswered.emplace(*failed, readClock() + unansweredPatience);
         this->watchers.at(*failed)->startSearch(0);
@@ -125,6 +127,14 @@
     this->startWatchers();
 }
 
+void CollectionSource::setStoreLost(bool isLost, Collection collection, const std::string &cause)
+{
+    this->isStoreLost = isLost;
+    logEvent(isLost ? "store_lost" : "store_regained", {{"collection", store::nameOf(collection)}, {"cause", cause}});
+    this->tellReachability(!isLost, cause);
+    this->serveIfAble();
+}
+
 void CollectionSource::passSearchOn(Collection last)
 {
     const Collection next = this->nextSearcher(last);
--- a/src/process/mirror/collection_source.h
+++ b/src/process/mirror/collection_source.h
@@ -68,7 +68,10 @@
     /** @returns whether what is known is too old, or a relay has let a daemon that knows nothing wait for too long. */
     bool needsStore(Time now) const;
     void setPaces();
-    void noteReachability(store::Collection collection, bool isReachable, const std::string &cause);
+    /** @brief Calls for a collection fail: the store counts as lost, unless others are answered. */
+    void noteUnanswered(store::Collection collection, const std::string &cause);
+    void noteAnswered(store::Collection collection, const std::string &cause);
+    void setStoreLost(bool isLost, store::Collection collection, const std::string &cause);
     void tellReachability(bool isReachable, const std::string &cause);
     /** @brief Lets the next watcher search for the store, and stops the others. @param last The one whose call failed. */
     void passSearchOn(store::Collection last);
