Share what tests say of backend servers, places and answers

The entry of a backend server stood in six fixtures, the place of a daemon of a fleet in two, and the reading of a whole answer in two. makeBackend, placeInFleet and readPage serve them; entries keep their slots, and fleets their backend servers without a start time. No check has changed.

--- a/tests/fleet/test_configuration_fleet.cpp
+++ b/tests/fleet/test_configuration_fleet.cpp
@@ -19,8 +19,6 @@
 #include <random>
 #include <thread>
 
-#include <unistd.h>
-
 using namespace fleet;
 using namespace std::chrono_literals;
 using nlohmann::json;
@@ -32,6 +30,7 @@
 constexpr std::size_t serviceCount = 3;
 constexpr std::size_t firstRoutes = 6;
 constexpr hostile::ProcessLimits limits {110, 1000};
+constexpr unsigned slots = 64; ///< Of a backend server.
 constexpr Span period {100}; ///< In which each process runs for a part.
 constexpr Span runningPart {25};
 constexpr Span requestPause {15};
@@ -56,15 +55,7 @@
                 standin::sendBytes(socket, standin::signedAnswer(request, name));
                 return true;
             }));
-            this->store.put("servers", "i-" + name,
-                            {{"service", name},
-                             {"address", this->servers.back()->address()},
-                             {"zone", "a"},
-                             {"version", "v1"},
-                             {"slots", 64},
-                             {"state", "ready"},
-                             {"cold_left_ms", 0},
-                             {"seq", 1}});
+            this->store.put("servers", "i-" + name, standin::makeBackend(*this->servers.back(), name, "v1", slots, std::nullopt));
         }
         this->current.number = 1;
         for (std::size_t index = 0; index < firstRoutes; ++index) {
@@ -76,13 +67,8 @@
         this->write();
         const std::uint16_t port = standin::findFreePort();
         for (std::size_t index = 0; index < daemonCount; ++index) {
-            hostile::ProcessPlace place;
-            place.name = "edge-" + std::to_string(index + 1);
-            place.ip = "127." + std::to_string(1 + ::getpid() / 250 % 250) + "." + std::to_string(1 + ::getpid() % 250) + "."
-                + std::to_string(index + 1);
-            place.internalPorts = {port, static_cast<std::uint16_t>(port + 1)};
+            hostile::ProcessPlace place = hostile::placeInFleet(index, port);
             place.revokeMs = revokeMs;
-            place.isFirstStart = false;
             this->daemons.push_back(std::make_unique<hostile::EdgeProcess>(limits, this->store.address(), place));
         }
     }
--- a/tests/fleet/test_odd_entries.cpp
+++ b/tests/fleet/test_odd_entries.cpp
@@ -14,8 +14,6 @@
 #include <string>
 #include <vector>
 
-#include <unistd.h>
-
 using namespace std::chrono_literals;
 using nlohmann::json;
 
@@ -24,6 +22,7 @@
 
 constexpr std::size_t serviceCount = 8;
 constexpr std::size_t pageLength = 3;
+constexpr unsigned slots = 64; ///< Of a backend server.
 constexpr hostile::ProcessLimits limits {110, 1000};
 constexpr std::size_t megabyte = std::size_t {1} << 20;
 /** A daemon that finds sound entries in the store is ready after this time at the latest, from the start of its process on. */
@@ -71,14 +70,7 @@
     void putBackend(std::size_t index)
     {
         this->store.put("servers", nameOf(index),
-                        {{"service", "s" + std::to_string(index)},
-                         {"address", this->servers.at(index)->address()},
-                         {"zone", "a"},
-                         {"version", "v1"},
-                         {"slots", 64},
-                         {"state", "ready"},
-                         {"cold_left_ms", 0},
-                         {"seq", 1}});
+                        standin::makeBackend(*this->servers.at(index), "s" + std::to_string(index), "v1", slots, std::nullopt));
     }
 
     /** Kills all daemons and starts them again. @returns whether each became ready in time. */
@@ -87,13 +79,8 @@
         this->daemons.clear();
         const auto until = std::chrono::steady_clock::now() + startTime;
         for (std::size_t index = 0; index < this->count; ++index) {
-            hostile::ProcessPlace place;
-            place.name = "edge-" + std::to_string(index + 1);
-            place.ip = "127." + std::to_string(1 + ::getpid() / 250 % 250) + "." + std::to_string(1 + ::getpid() % 250) + "."
-                + std::to_string(index + 1);
-            place.internalPorts = {this->internalPort, static_cast<std::uint16_t>(this->internalPort + 1)};
-            place.isFirstStart = false;
-            this->daemons.push_back(std::make_unique<hostile::EdgeProcess>(limits, this->store.address(), place));
+            this->daemons.push_back(
+                std::make_unique<hostile::EdgeProcess>(limits, this->store.address(), hostile::placeInFleet(index, this->internalPort)));
         }
         std::size_t ready = 0;
         for (const auto &daemon : this->daemons) {
--- a/tests/hostile/edge_process.cpp
+++ b/tests/hostile/edge_process.cpp
@@ -34,11 +34,12 @@
 constexpr auto readyPause = 50ms;
 constexpr int answerTimeoutSeconds = 5;
 
-/** The port of the metrics is fixed, so each test program takes a loopback address of its own. */
-std::string ownAddress()
+/** The port of the metrics is fixed, so each daemon of each test program takes a loopback address of its own. */
+std::string ownAddress(std::size_t number)
 {
     constexpr int addresses = 250;
-    return "127." + std::to_string(1 + ::getpid() / addresses % addresses) + "." + std::to_string(1 + ::getpid() % addresses) + ".1";
+    return "127." + std::to_string(1 + ::getpid() / addresses % addresses) + "." + std::to_string(1 + ::getpid() % addresses) + "."
+        + std::to_string(number);
 }
 
 /** EDGE_PROGRAM in the environment names another build, for example an earlier version to compare with. */
@@ -59,6 +60,16 @@
 
 }
 
+ProcessPlace placeInFleet(std::size_t index, std::uint16_t internalPort)
+{
+    ProcessPlace place;
+    place.name = "edge-" + std::to_string(index + 1);
+    place.ip = ownAddress(index + 1);
+    place.internalPorts = {internalPort, static_cast<std::uint16_t>(internalPort + 1)};
+    place.isFirstStart = false;
+    return place;
+}
+
 EdgeProcess::EdgeProcess(const ProcessLimits &limits, const std::string &storeAddress, ProcessPlace processPlace)
     : place(std::move(processPlace))
     , callersPort(standin::findFreePort())
@@ -66,7 +77,7 @@
     , folder(makeFolder())
 {
     if (this->place.ip.empty()) {
-        this->place.ip = ownAddress();
+        this->place.ip = ownAddress(1);
     }
     if (this->place.internalPorts.empty()) {
         this->place.internalPorts = {standin::findFreePort()};
--- a/tests/hostile/edge_process.h
+++ b/tests/hostile/edge_process.h
@@ -33,6 +33,9 @@
     bool operator==(const ProcessPlace &) const = default;
 };
 
+/** @param internalPort First of two that all daemons of the fleet use. @returns the place of a daemon of a fleet. */
+ProcessPlace placeInFleet(std::size_t index, std::uint16_t internalPort);
+
 /** @brief Starts the daemon, samples its memory and descriptors, and kills it at the end. */
 class EdgeProcess
 {
--- a/tests/hostile/test_hostile_clients.cpp
+++ b/tests/hostile/test_hostile_clients.cpp
@@ -60,16 +60,7 @@
         auto configuration = standin::makeConfiguration(3);
         configuration["limits"]["max_body_bytes"] = maxBodyBytes;
         this->store.put("config", "main", configuration);
-        this->store.put("servers", "i-1",
-                        {{"service", "svc"},
-                         {"address", this->backend.address()},
-                         {"zone", "a"},
-                         {"version", "v1"},
-                         {"slots", 8},
-                         {"state", "ready"},
-                         {"cold_left_ms", 0},
-                         {"seq", 1},
-                         {"born", 1000}});
+        this->store.put("servers", "i-1", standin::makeBackend(this->backend));
         this->edge = std::make_unique<EdgeProcess>(limits, this->store.address());
         REQUIRE(this->edge->waitUntilReady());
     }
--- a/tests/proxy/daemon_fixture.h
+++ b/tests/proxy/daemon_fixture.h
@@ -13,6 +13,7 @@
 #include <doctest/doctest.h>
 
 #include <memory>
+#include <optional>
 #include <sstream>
 #include <string>
 #include <thread>
@@ -56,6 +57,18 @@
             {"home_regions", json::array()}};
 }
 
+/** @returns the entry of a backend server in data centre "a". @param startedAt Unix time in milliseconds; not told where there is none. */
+inline json makeBackend(const RawServer &server, const std::string &service = "svc", const std::string &version = "v1", unsigned slots = 8,
+                        std::optional<std::int64_t> startedAt = 1000)
+{
+    json entry = {{"service", service}, {"address", server.address()}, {"zone", "a"}, {"version", version}, {"slots", slots},
+                  {"state", "ready"},   {"cold_left_ms", 0},           {"seq", 1}};
+    if (startedAt) {
+        entry["born"] = *startedAt;
+    }
+    return entry;
+}
+
 inline json makeConfiguration(int version)
 {
     return {{"version", version},
@@ -129,16 +142,10 @@
     void addBackend(const std::string &id, const RawServer &server, const std::string &state = "ready", const std::string &dataCentre = "a",
                     std::int64_t startedAt = 1000)
     {
-        this->store.put("servers", id,
-                        {{"service", "svc"},
-                         {"address", server.address()},
-                         {"zone", dataCentre},
-                         {"version", "v1"},
-                         {"slots", 8},
-                         {"state", state},
-                         {"cold_left_ms", 0},
-                         {"seq", 1},
-                         {"born", startedAt}});
+        json entry = makeBackend(server, "svc", "v1", 8, startedAt);
+        entry["zone"] = dataCentre;
+        entry["state"] = state;
+        this->store.put("servers", id, entry);
     }
 
     /** @brief Starts the daemon and waits until its readiness probe succeeds. */
--- a/tests/proxy/test_answer_reader.cpp
+++ b/tests/proxy/test_answer_reader.cpp
@@ -2,11 +2,11 @@
 
 #include "platform/dialect.h"
 #include "platform/entry_splitter.h"
+#include "proxy/store_answers.h"
 
 #include <doctest/doctest.h>
 
 #include <algorithm>
-#include <array>
 #include <random>
 #include <string>
 #include <string_view>
@@ -16,6 +16,7 @@
 using platform::EntrySplitter;
 using process::store::Collection;
 using process::store::ObjectPage;
+using standin::readPage;
 
 namespace
 {
@@ -39,16 +40,6 @@
     return body + R"(],"more":true})";
 }
 
-/** @param partBytes Of the answer that arrive together. */
-ObjectPage readPage(std::string_view body, std::size_t partBytes, Collection collection = Collection::Backends)
-{
-    const auto reader = platform::Dialect().pageReader(collection);
-    for (std::size_t begin = 0; begin < body.size(); begin += partBytes) {
-        reader->take(body.substr(begin, partBytes));
-    }
-    return reader->finish();
-}
-
 std::vector<std::string> namesOf(const ObjectPage &page)
 {
     std::vector<std::string> names;
--- a/tests/proxy/test_platform.cpp
+++ b/tests/proxy/test_platform.cpp
@@ -3,6 +3,7 @@
 #include "platform/dialect.h"
 #include "platform/settings.h"
 #include "process/event_log.h"
+#include "proxy/store_answers.h"
 
 #include <doctest/doctest.h>
 
@@ -14,6 +15,8 @@
 using nlohmann::json;
 using process::store::Collection;
 using process::store::StoredObject;
+using standin::readChanges;
+using standin::readPage;
 
 namespace
 {
@@ -21,20 +24,6 @@
 const json goodEntry = {{"service", "svc"}, {"address", "10.0.0.9:8080"}, {"zone", "a"}, {"version", "v1"},      {"slots", 128},
                         {"state", "ready"}, {"cold_left_ms", 1500},       {"seq", 4},    {"born", 1769000000000}};
 
-process::store::ObjectPage readPage(const std::string &body)
-{
-    const auto reader = platform::Dialect().pageReader(Collection::Backends);
-    reader->take(body);
-    return reader->finish();
-}
-
-process::store::ChangePage readChanges(const std::string &body)
-{
-    const auto reader = platform::Dialect().changesReader(Collection::Backends);
-    reader->take(body);
-    return reader->finish();
-}
-
 json withMember(const char *key, const json &value)
 {
     json entry = goodEntry;
--- a/tests/proxy/test_rollout_daemon.cpp
+++ b/tests/proxy/test_rollout_daemon.cpp
@@ -24,16 +24,7 @@
 
     void addServer(const std::string &id, const std::string &version, const RawServer &server)
     {
-        this->store.put("servers", id,
-                        {{"service", "svc"},
-                         {"address", server.address()},
-                         {"zone", "a"},
-                         {"version", version},
-                         {"slots", 8},
-                         {"state", "ready"},
-                         {"cold_left_ms", 0},
-                         {"seq", 1},
-                         {"born", 1000}});
+        this->store.put("servers", id, makeBackend(server, "svc", version));
     }
 
     /** @brief Sends requests one after the other. @returns the state that the order ends with; empty when it doesn't end in time. */
--- a/tests/proxy/test_stream_versions.cpp
+++ b/tests/proxy/test_stream_versions.cpp
@@ -143,16 +143,7 @@
 
 void addBackend(World &world, const std::string &id, const RawServer &server, const std::string &version, std::int64_t startedAt = 1000)
 {
-    world.store.put("servers", id,
-                    {{"service", "svc"},
-                     {"address", server.address()},
-                     {"zone", "a"},
-                     {"version", version},
-                     {"slots", 8},
-                     {"state", "ready"},
-                     {"cold_left_ms", 0},
-                     {"seq", 1},
-                     {"born", startedAt}});
+    world.store.put("servers", id, standin::makeBackend(server, "svc", version, 8, startedAt));
 }
 
 std::string eventsFrom(const Request &request, const std::string &data)
