Check every field of what the store tells by type and range

Callers saw: while entries of another writer stood in the list of backend servers that were whole but for one field, requests were sent where these entries pointed, and lost. On entries were used whose version or seq was missing, null or of another type, whose start time was a fraction, or whose slots were none.

Cause: readBackend() looked at the fields that the daemon uses, took a version that is no text for none, and cut numbers to whole ones. The same reading stood elsewhere: a configuration's numbers could be negative or cut, a list of workspaces that is null or an object let requests pass without a key, a change whose "removed" was null or a text counted as not removed, a revision could be negative, an order or a daemon could lack its name, and an order whose status can't be read went on.

Now each field of each kind is read by its type and range, where a list, a watch or a relay tells it. Numbers are whole by their value, so that 8.0 is. A change that doesn't say whether its object is gone makes the changes unreadable, and a list brings the state. An object with an empty name has none.

--- a/src/process/rollout_knowledge.cpp
+++ b/src/process/rollout_knowledge.cpp
@@ -103,6 +103,7 @@
         this->rollouts.apply(*order, readClock());
     } else {
         logWarning("rollout_unreadable", {{"object", object.name}, {"revision", std::to_string(object.revision)}});
+        this->rollouts.remove(object.name);
     }
 }
 
--- a/tests/proxy/test_platform.cpp
+++ b/tests/proxy/test_platform.cpp
@@ -50,18 +50,120 @@
 TEST_CASE("an entry with missing or wrong fields names no backend server")
 {
     const platform::Dialect dialect;
-    for (const char *key : {"service", "address", "zone", "slots", "state", "cold_left_ms"}) {
+    for (const char *key : {"service", "address", "zone", "version", "slots", "state", "cold_left_ms", "seq"}) {
         json entry = goodEntry;
         entry.erase(key);
         CHECK_FALSE(dialect.readBackend({"i-1", 5, entry}));
-        CHECK_FALSE(dialect.readBackend({"i-1", 5, withMember(key, json::array())}));
+        for (const json &value : {json(), json(true), json(-1), json(""), json::array(), json::object()}) {
+            CAPTURE(key);
+            CAPTURE(value);
+            CHECK_FALSE(dialect.readBackend({"i-1", 5, withMember(key, value)}));
+        }
+    }
+    for (const char *key : {"slots", "seq", "born"}) {
+        CHECK_FALSE(dialect.readBackend({"i-1", 5, withMember(key, 3.5)}));
+        CHECK(dialect.readBackend({"i-1", 5, withMember(key, 3.0)}));
     }
+    for (const json &value : {json(), json(true), json(-1), json("1769000000000"), json::array()}) {
+        CHECK_FALSE(dialect.readBackend({"i-1", 5, withMember("born", value)}));
+    }
+    CHECK_FALSE(dialect.readBackend({"i-1", 5, withMember("slots", 0)}));
+    CHECK_FALSE(dialect.readBackend({"i-1", 5, withMember("address", "10.0.0.9:0")}));
+    CHECK_FALSE(dialect.readBackend({"i-1", 5, withMember("stage", 7)}));
+    CHECK_FALSE(dialect.readBackend({"i-1", 5, withMember("models", "m")}));
+    CHECK_FALSE(dialect.readBackend({"i-1", 5, withMember("models", {{{"name", "m"}, {"version", "1"}, {"adapters", json::array()}}})}));
+    CHECK(dialect.readBackend({"i-1", 5, withMember("models", {{{"name", "m"}, {"version", 1}, {"adapters", json::array()}}})}));
+    json withoutStart = goodEntry;
+    withoutStart.erase("born");
+    CHECK(dialect.readBackend({"i-1", 5, withoutStart}));
     CHECK_FALSE(dialect.readBackend({"i-1", 5, withMember("state", "happy")}));
     CHECK_FALSE(dialect.readBackend({"i-1", 5, withMember("address", "nowhere")}));
     CHECK_FALSE(dialect.readBackend({"i-1", 5, json("text")}));
     CHECK_FALSE(dialect.readBackend({"i-1", 5, json()}));
 }
 
+TEST_CASE("entries of daemons and orders with missing or wrong fields name none")
+{
+    const platform::Dialect dialect;
+    const json daemon = {{"address", "10.0.0.1"}, {"zone", "a"}, {"cores", 0.25}};
+    const json order = {{"service", "svc"}, {"target", "v2"}, {"duration_s", 20}};
+    CHECK(dialect.readDaemon({"d-1", 5, daemon}));
+    CHECK(dialect.readRollout({"svc", 5, order}));
+    const auto checkRefused = [](const json &good, const auto &isRead) {
+        for (const auto &[key, value] : good.items()) {
+            json entry = good;
+            entry.erase(key);
+            CHECK_FALSE(isRead(entry));
+            for (const json &odd : {json(), json(true), json(-1), json(""), json::array()}) {
+                entry[key] = odd;
+                CAPTURE(entry);
+                CHECK_FALSE(isRead(entry));
+            }
+        }
+    };
+    checkRefused(daemon, [&](const json &entry) { return dialect.readDaemon({"d-1", 5, entry}).has_value(); });
+    checkRefused(order, [&](const json &entry) { return dialect.readRollout({"svc", 5, entry}).has_value(); });
+    checkRefused({{"state", "active"}, {"target", "v2"}}, [&](const json &status) {
+        return dialect.readRollout({"svc", 5, order, status}).has_value();
+    });
+}
+
+TEST_CASE("a configuration with a field of another type is none, and no list of keys that can't be read lets all callers in")
+{
+    const platform::Dialect dialect;
+    const json route
+        = {{"name", "r"},      {"host", "h"},       {"path_prefix", "/"}, {"route_kind", "idempotent"}, {"timeout_ms", 8000},
+           {"service", "svc"}, {"max_attempts", 2}, {"public", false},    {"resumable", false},         {"latency_goal_ms", 400}};
+    const json service
+        = {{"name", "svc"}, {"max_conns", 9}, {"cold_s", 3.0}, {"cold_per_s", 22.0}, {"engine", {{"slots", 8}, {"kv_capacity", 9}}}};
+    const json limits
+        = {{"max_header_bytes", 9}, {"max_body_bytes", 9}, {"header_timeout_ms", 9}, {"idle_timeout_ms", 9}, {"tokens_per_s", 9}};
+    const json good = {{"version", 3}, {"routes", {route}}, {"services", {service}}, {"limits", limits}, {"tenants", json::array()}};
+    CHECK(dialect.readConfiguration({"main", 5, good}).routes.size() == 1);
+    std::vector<json::json_pointer> places;
+    const json flat = good.flatten();
+    for (const auto &[place, value] : flat.items()) {
+        places.emplace_back(place);
+    }
+    for (const json::json_pointer &place : places) {
+        for (const json &odd : {json(), json(-1), json::object()}) {
+            json spoilt = good;
+            spoilt[place] = odd;
+            CAPTURE(place.to_string());
+            CAPTURE(odd);
+            CHECK_THROWS_AS(dialect.readConfiguration({"main", 5, spoilt}), std::exception);
+        }
+    }
+    for (const char *key : {"version", "max_attempts", "max_conns", "max_body_bytes"}) {
+        for (const json::json_pointer &place : places) {
+            if (place.back() == key) {
+                json spoilt = good;
+                spoilt[place] = 2.5;
+                CHECK_THROWS_AS(dialect.readConfiguration({"main", 5, spoilt}), std::exception);
+            }
+        }
+    }
+}
+
+TEST_CASE("a change that does not say whether its object was removed is not taken for one that says so")
+{
+    const std::string object = json {{"metadata", {{"name", "i-1"}, {"revision", 7}}}, {"spec", goodEntry}}.dump();
+    for (const std::string removed : {R"(,"removed":null)", R"(,"removed":"true")", R"(,"removed":1)", ""}) {
+        CAPTURE(removed);
+        std::string text = R"({"events":[{"object":)";
+        text.append(object).append(removed).append(R"(}],"at":9})");
+        CHECK_FALSE(readChanges(text).isWhole());
+    }
+    for (const std::string at : {"null", "-1", "9.5", "\"9\"", "true"}) {
+        CAPTURE(at);
+        CHECK_FALSE(readChanges(R"({"events":[],"at":)" + at + "}").isWhole());
+        CHECK_FALSE(readPage(R"({"items":[],"more":false,"at":)" + at + "}").isWhole());
+    }
+    for (const std::string more : {"null", "0", "\"false\""}) {
+        CHECK_FALSE(readPage(R"({"items":[],"at":9,"more":)" + more + "}").isWhole());
+    }
+}
+
 TEST_CASE("spoiled bodies of the store are refused, and no spoiled entry is used as another one")
 {
     const platform::Dialect dialect;
