Try other backend servers while connections are refused

Callers saw: while the store listed many whole entries of backend servers that aren't there, their requests were refused as "not run", although a backend server of their service could run them.

Cause: a refused connection counted as one of four attempts, with three others the request was over. And a backend server got all requests until two of its connections had failed, so that each of 600 entries took two attempts.

A refused connection puts no load on a backend server and has run nothing, so it doesn't count as an attempt, whatever the kind of the request. What bounds them is the deadline, and that one refusal is enough to leave a backend server to probe requests: it is asked again after 0.5 to 2 s at the soonest, by one request of a daemon at a time. After a failed connection, a request prefers backend servers that have answered before. One for which none is usable waits as it would have before its first attempt, instead of being refused at once. Budgets are as they were: repeats of what may have reached a backend server use them.

--- a/src/process/directory/backend_server.cpp
+++ b/src/process/directory/backend_server.cpp
@@ -104,6 +104,15 @@
     }
 }
 
+void BackendServer::recordRefusedConnection(Time now)
+{
+    this->isAbsent = true;
+    if (this->consecutiveFailures < failuresBeforeProbing) {
+        this->consecutiveFailures = failuresBeforeProbing;
+        this->nextProbeAt = now + minProbeInterval;
+    }
+}
+
 void BackendServer::recordErrorAnswer(Time now)
 {
     this->consecutiveFailures = 0;
--- a/src/process/directory/backend_server.h
+++ b/src/process/directory/backend_server.h
@@ -116,10 +116,13 @@
     void recordFailure(Time sentAt, Time now);
     /** @brief Records an answer with an internal error: it counts in the failure rate, but proves that it can be reached. */
     void recordErrorAnswer(Time now);
-    /** @brief Records that it refused a connection, so that no process listens at its address. */
-    void recordRefusedConnection()
+    /** @brief Records that it refused a connection, so that no process listens at its address. Only probe requests are sent from then on,
+     * and one that succeeds shows that it has started again. */
+    void recordRefusedConnection(Time now);
+    /** @returns whether a request of this daemon has been answered there. */
+    bool hasAnswered() const
     {
-        this->isAbsent = true;
+        return this->lastAnswerAt != Time(0);
     }
     /**
      * @brief Records that a connection was lost before an answer had begun.
--- a/src/process/proxy/proxied_request.cpp
+++ b/src/process/proxy/proxied_request.cpp
@@ -40,7 +40,8 @@
 constexpr int attemptTimeoutFactor = 3;
 /** The least time for which a request waits for its own answer after one without an id, on a reused connection. */
 constexpr Duration minOwnAnswerWait = 500ms;
-/** Includes attempts that were refused as not run. */
+/** Includes attempts that were refused as not run, but for connections that were refused: those put no load on a backend server, and each
+ * is asked again after a pause only. */
 constexpr std::uint32_t maxAttemptsPerRequest = 4;
 /** For requests without a deadline. */
 constexpr Duration defaultTimeLimit = 30s;
@@ -489,7 +490,8 @@
 BackendChoice ProxiedRequest::chooseBackend(Time now)
 {
     return this->proxy.chooseBackend({this->route, this->service, this->workspace, &this->attributes.prompt, this->request.body().size(),
-                                      hashName(this->attributes.id), &this->triedBackends, this->expectedOutput(), this->streamVersion},
+                                      hashName(this->attributes.id), &this->triedBackends, this->expectedOutput(), this->streamVersion,
+                                      this->hasFailedToConnect},
                                      now);
 }
 
@@ -860,8 +862,10 @@
               {"after_ms", milliseconds(now - this->currentAttempt->startedAt)},
               {"kept_connection", this->currentAttempt->connection->wasUsed() ? "true" : "false"}});
     const bool isLostUnanswered = (end.kind == EndKind::Lost || end.kind == EndKind::BrokenOff) && !this->isBeingWritten(now);
+    this->hasFailedToConnect = this->hasFailedToConnect || isUnsent;
     if (end.isRefused) {
-        this->currentAttempt->backend->recordRefusedConnection();
+        ++this->refusedConnections;
+        this->currentAttempt->backend->recordRefusedConnection(now);
     }
     if (isLostUnanswered && this->isEngineService()) {
         this->recordLoss(now);
@@ -880,6 +884,10 @@
         return;
     }
     const bool neverRan = this->verdict == Verdict::NotRun;
+    if (isUnsent && neverRan && this->hasAttemptsLeft()) {
+        this->waitForUsableBackend(this->chooseBackend(now), now);
+        return;
+    }
     this->refuse(neverRan ? RefusalReason::NoBackend : RefusalReason::BackendFailed, neverRan ? missingStateRetryAfter : Duration(0),
                  end.detail);
 }
@@ -897,9 +905,14 @@
     this->proxy.quarantine().recordLoss(incarnation, this->attributes.prompt, now);
 }
 
+bool ProxiedRequest::hasAttemptsLeft() const
+{
+    return this->attempts - this->refusedConnections < maxAttemptsPerRequest;
+}
+
 bool ProxiedRequest::retry(RetryReason reason, Verdict attemptVerdict, Time now)
 {
-    if (this->attempts >= maxAttemptsPerRequest || this->remainingTime(now) <= Duration(0)) {
+    if (!this->hasAttemptsLeft() || this->remainingTime(now) <= Duration(0)) {
         return false;
     }
     if (this->hasAnswerStarted && !this->splitter.lastEventId()) {
--- a/src/process/proxy/proxied_request.h
+++ b/src/process/proxy/proxied_request.h
@@ -111,6 +111,8 @@
     /** @brief Records that the current attempt's backend server was lost before it had begun to answer a prompt. */
     void recordLoss(Time now);
     void onFailedAttempt(const connection::http::ExchangeEnd &end, Time now);
+    /** @returns whether the number of attempts so far allows another one. */
+    bool hasAttemptsLeft() const;
     /** @brief Starts another attempt at another backend server if limits and retry budget allow it. @returns whether it was started. */
     bool retry(RetryReason reason, Verdict verdict, Time now);
     void endAttempt(Time now, bool isCancelled);
@@ -163,6 +165,8 @@
     rollout::VersionChoice versionChoice; ///< Of the current attempt.
     bool isOutcomeRecorded = false; ///< Of the current attempt.
     std::uint32_t attempts = 0;
+    std::uint32_t refusedConnections = 0; ///< Attempts that found no process at the backend server's address.
+    bool hasFailedToConnect = false;
     std::uint32_t possibleExecutions = 0; ///< Number of attempts that a backend server may have run.
     dispatch::Placement lastPrediction;
     std::uint32_t lastRunning = 0; ///< Running requests that the backend server reported in its last answer.
--- a/src/process/proxy/proxy.cpp
+++ b/src/process/proxy/proxy.cpp
@@ -438,6 +438,7 @@
     std::vector<rollout::VersionAccess> access;
     access.reserve(backends.size());
     bool isPreferredUsable = false;
+    bool isProvenUsable = false;
     for (const BackendServerPtr &backend : backends) {
         dispatch::Candidate candidate = this->makeCandidate(*backend, query, belief.usedSince, now);
         const bool isTried = std::find(query.triedBackends->begin(), query.triedBackends->end(), backend) != query.triedBackends->end();
@@ -446,6 +447,7 @@
             && this->isEligible(*backend, query, now);
         candidate.isUsable = candidate.isEligible && this->hasCapacity(*backend, query, now);
         isPreferredUsable = isPreferredUsable || (candidate.isUsable && access.back() == rollout::VersionAccess::Preferred);
+        isProvenUsable = isProvenUsable || (candidate.isUsable && backend->hasAnswered());
         candidates.push_back(candidate);
     }
     for (std::size_t index = 0; index < candidates.size(); ++index) {
@@ -454,6 +456,9 @@
             candidate.isEligible = false;
             candidate.isUsable = false;
         }
+        if (query.hasFailedToConnect && isProvenUsable && !backends[index]->hasAnswered()) {
+            candidate.isUsable = false;
+        }
         choice.usableCount += candidate.isUsable ? 1 : 0;
         choice.meanQueueDelay += candidate.isUsable ? candidate.queueDelayFromOthers : Duration(0);
     }
--- a/src/process/proxy/proxy.h
+++ b/src/process/proxy/proxy.h
@@ -49,6 +49,7 @@
     const std::vector<directory::BackendServerPtr> *triedBackends = nullptr; ///< Excluded, as the request was attempted there.
     double expectedOutputTokens = 0; ///< For a model engine.
     std::optional<streams::VersionKey> streamVersion {}; ///< The only version at which the request's stream may go on.
+    bool hasFailedToConnect = false; ///< Backend servers that have answered before are preferred, as entries may name none that is there.
 };
 
 /** @brief Result of choosing a backend server for a request. */
--- a/tests/fleet/service_fleet.h
+++ b/tests/fleet/service_fleet.h
@@ -26,7 +26,7 @@
 /** A daemon that finds sound entries in the store is ready after this time at the latest, from the start of its process on. */
 inline constexpr auto startTime = 10s;
 
-/** Routes, each to a service of its own. */
+/** Routes, each to a service of its own; requests of every other one may not be repeated. */
 inline json configuration()
 {
     json spec = standin::makeConfiguration(1);
@@ -34,7 +34,7 @@
     spec["services"] = json::array();
     for (std::size_t index = 0; index < serviceCount; ++index) {
         const std::string number = std::to_string(index);
-        json route = standin::makeRoute("p" + number, "idempotent");
+        json route = standin::makeRoute("p" + number, index % 2 == 0 ? "idempotent" : "non_idempotent");
         route["service"] = "s" + number;
         spec["routes"].push_back(route);
         spec["services"].push_back({{"name", "s" + number}, {"max_conns", 400}, {"cold_s", 0.0}, {"cold_per_s", 0.0}});
--- a/tests/proxy/test_directory.cpp
+++ b/tests/proxy/test_directory.cpp
@@ -224,3 +224,25 @@
     backend.recordWaitEnd(start + 1s, true, start + 1500ms);
     CHECK(backend.isRequestAllowed(start + 2s));
 }
+
+// Guards against requests that meet the same refused connection again and again.
+TEST_CASE("a backend server that refused a connection gets probe requests only, until one is answered")
+{
+    BackendServer backend(makeRecord("i-1"), 0);
+    CHECK(backend.isRequestAllowed(start));
+    CHECK_FALSE(backend.hasAnswered());
+    backend.recordAttempt(start);
+    backend.recordFailure(start, start);
+    backend.recordRefusedConnection(start);
+    backend.recordWaitEnd(start, false, start);
+    CHECK_FALSE(backend.isRequestAllowed(start + 100ms));
+    CHECK(backend.isRequestAllowed(start + 500ms));
+    backend.recordAttempt(start + 500ms);
+    CHECK_FALSE(backend.isRequestAllowed(start + 600ms));
+    backend.recordWaitEnd(start + 500ms, true, start + 600ms);
+    backend.recordSuccess(start + 600ms, 3s);
+    CHECK(backend.isRequestAllowed(start + 600ms));
+    CHECK(backend.hasAnswered());
+    // It has started again.
+    CHECK(backend.isCold(start + 3s));
+}
--- a/tests/proxy/test_part_quarantine.cpp
+++ b/tests/proxy/test_part_quarantine.cpp
@@ -724,15 +724,15 @@
     CHECK(other.recordLoss() != lost);
     CHECK(directory::BackendServer(recordOf("i-1", 1000), 0).recordLoss() == lost);
     // Its new entry isn't known: the store is away.
-    first.recordRefusedConnection();
+    first.recordRefusedConnection(Time(0));
     const std::uint32_t lostAgain = first.recordLoss();
     CHECK(lostAgain != lost);
     CHECK(first.recordLoss() == lostAgain);
-    first.recordRefusedConnection();
+    first.recordRefusedConnection(Time(0));
     CHECK(first.recordLoss() != lostAgain);
     // One that could not be reached before anything was lost is the incarnation that its entry tells of.
     directory::BackendServer late(recordOf("i-1", 2000), 0);
-    late.recordRefusedConnection();
+    late.recordRefusedConnection(Time(0));
     CHECK(late.recordLoss() == directory::BackendServer(recordOf("i-1", 2000), 0).recordLoss());
 }
 
