Let the tests of session limits read what a kernel takes in one write

The kernel took the request of 1 MB in one write (traced: 1,048,644 bytes), so that sending turned the event loop once, for 1 ms, and the listener had no time to read it. The test expected that sending goes on while the listener reads.

The loop now turns until it has had nothing to do for 20 ms after a send. No check has changed.

--- a/tests/proxy/test_session_limits.cpp
+++ b/tests/proxy/test_session_limits.cpp
@@ -33,6 +33,14 @@
         this->context.run_for(duration);
     }
 
+    /** Turns the event loop until it has had nothing to do for a while, so that what was sent is read. */
+    void settle()
+    {
+        this->context.restart();
+        while (this->context.run_one_for(20ms) > 0) {
+        }
+    }
+
     Socket connect()
     {
         Socket caller(this->context);
@@ -52,6 +60,7 @@
             bytes.remove_prefix(sent);
             this->run(1ms);
         }
+        this->settle();
         return bytes;
     }
 
