Go on with a list where its cursor fails

Callers saw: where the entry that ended a page of the list of backend servers was removed before the next page was asked for, and the store refuses names that it doesn't hold, daemons became ready knowing the first page alone, and requests to all other services were refused.

Cause: a list had one cursor, the last name of a page. A refused call was repeated with it, and the search behind unreadable entries asks for names that no object has, which such a store refuses as well.

A page after an earlier name overlaps with the one before and leaves nothing out. So a list falls back to the two last other names of the page, and then asks for the page itself again, which then ends with another name; four such pages in a row may bring nothing new, after which the list is searched as before. The last name that is made of letters, digits and "-._~" is taken first, as it needs no encoding. A store that tells the same page after any name is left as soon.

--- a/src/process/store/collection_watcher.cpp
+++ b/src/process/store/collection_watcher.cpp
@@ -225,7 +225,7 @@
     if (page.isWhole()) {
         this->takePage(page, answerEra, sentAt);
     } else {
-        this->onUnusablePage(page, isFinal ? expectedEra : answerEra, sentAt);
+        this->onUnusablePage(page, isFinal ? expectedEra : answerEra, sentAt, isFinal);
     }
 }
 
@@ -261,19 +261,22 @@
         this->finishList();
         return;
     }
-    this->takeObjects(page);
+    const bool isNew = this->takeObjects(page);
     if (!page.hasMore) {
         this->endIncompleteList(std::string(this->listing->spoiltBy));
-    } else if (this->cursor.leadsTo(page.lastName)) {
-        this->cursor.forgetSearch();
-        this->cursor.goOnAfter(page.lastName);
+        return;
+    }
+    std::vector<std::string> names;
+    std::transform(page.objects.begin(), page.objects.end(), std::back_inserter(names),
+                   [](const StoredObject &object) { return object.name; });
+    if (this->cursor.goOnBehind(names, isNew) || (!names.empty() && this->cursor.fallBack())) {
         this->goOn();
     } else {
         this->skipUnreadable("the page after \"" + this->cursor.next() + "\" brings nothing new");
     }
 }
 
-void CollectionWatcher::onUnusablePage(const ObjectPage &page, std::uint64_t answerEra, Time sentAt)
+void CollectionWatcher::onUnusablePage(const ObjectPage &page, std::uint64_t answerEra, Time sentAt, bool isRefused)
 {
     this->noteReachable();
     this->beginList(answerEra, sentAt);
@@ -281,6 +284,10 @@
         this->takeSearchAnswer(page);
         return;
     }
+    if (isRefused && !this->cursor.isKnownStuck() && this->cursor.fallBack()) {
+        this->goOn();
+        return;
+    }
     if (!this->cursor.isKnownStuck() && ++this->unusableAnswers < failuresUntilLost) {
         this->again(std::max(pauseAfter(this->unusableAnswers), this->isPolling() ? this->pace.pause : Duration(0)));
         return;
@@ -296,19 +303,22 @@
     }
 }
 
-void CollectionWatcher::addObjects(const ObjectPage &page)
+bool CollectionWatcher::addObjects(const ObjectPage &page)
 {
+    const std::size_t known = this->listing->objects.size();
     for (const StoredObject &object : page.objects) {
         this->listing->objects.insert_or_assign(object.name, object);
     }
+    return this->listing->objects.size() > known;
 }
 
-void CollectionWatcher::takeObjects(const ObjectPage &page)
+bool CollectionWatcher::takeObjects(const ObjectPage &page)
 {
-    this->addObjects(page);
+    const bool isNew = this->addObjects(page);
     if (!page.objects.empty()) {
         this->hooks.onPart(page.objects);
     }
+    return isNew;
 }
 
 void CollectionWatcher::goOn()
--- a/src/process/store/collection_watcher.h
+++ b/src/process/store/collection_watcher.h
@@ -129,15 +129,16 @@
     /** @brief The store answered a watch, but what it told can't be read, or it doesn't accept such a call. */
     void onUnusableChanges(const std::string &cause);
     /** @brief The same of a list. @param page What was read of it. @param answerEra As the answer names it; the last one known, where it
-     * names none. */
-    void onUnusablePage(const ObjectPage &page, std::uint64_t answerEra, Time sentAt);
+     * names none. @param isRefused Whether the store doesn't accept the call. */
+    void onUnusablePage(const ObjectPage &page, std::uint64_t answerEra, Time sentAt, bool isRefused);
     void listAgain();
     /** @brief Begins a list, unless one is being read. */
     void beginList(std::uint64_t listedEra, Time begun);
     void takePage(const ObjectPage &page, std::uint64_t answerEra, Time sentAt);
-    void addObjects(const ObjectPage &page);
-    /** @brief Adds the objects of a page, or of a part of one, and tells them as a part of the list. */
-    void takeObjects(const ObjectPage &page);
+    /** @returns whether the page has an object that no page before it has told. */
+    bool addObjects(const ObjectPage &page);
+    /** @brief Adds the objects of a page, or of a part of one, and tells them as a part of the list. @returns whether one is new. */
+    bool takeObjects(const ObjectPage &page);
     /** @brief Asks for the next page, unless the list is too long. */
     void goOn();
     /** @brief Goes on behind what can't be read, or ends the list. */
--- a/src/process/store/list_cursor.cpp
+++ b/src/process/store/list_cursor.cpp
@@ -1,5 +1,8 @@
 #include "process/store/list_cursor.h"
 
+#include <algorithm>
+#include <iterator>
+#include <string_view>
 #include <utility>
 
 namespace eelgrassnotch::process::store
@@ -20,6 +23,16 @@
 constexpr Duration longestSearch = 3s;
 /** Searches that are kept for the next list. */
 constexpr std::size_t maxSearches = 64;
+/** Earlier names of a page that are kept to fall back to, and pages in a row that may bring nothing new. */
+constexpr std::size_t maxEarlier = 2;
+constexpr std::size_t maxFallBacks = 4;
+
+/** @returns whether a name is made of what stands for itself in any part of a target (RFC 3986). */
+bool isPlain(const std::string &name)
+{
+    constexpr std::string_view plain = "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789-._~";
+    return name.find_first_not_of(plain) == std::string::npos;
+}
 
 }
 
@@ -27,6 +40,9 @@
 {
     this->cursor.clear();
     this->passed.clear();
+    this->earlier.clear();
+    this->failed.reset();
+    this->fallBacks = 0;
     this->probe.reset();
     this->calls = 0;
 }
@@ -41,9 +57,45 @@
     this->passed.insert(std::exchange(this->cursor, name));
 }
 
-void ListCursor::forgetSearch()
+bool ListCursor::goOnBehind(const std::vector<std::string> &names, bool isNew)
 {
+    if (isNew) {
+        this->failed.reset();
+        this->fallBacks = 0;
+    } else if (++this->fallBacks > maxFallBacks) {
+        return false;
+    }
+    std::vector<std::string> leading;
+    std::copy_if(names.begin(), names.end(), std::back_inserter(leading), [this](const std::string &name) { return this->leadsTo(name); });
+    if (leading.empty()) {
+        return false;
+    }
+    // Plain names last, each kind in the order of the page.
+    std::stable_partition(leading.begin(), leading.end(), [](const std::string &name) { return !isPlain(name); });
+    const std::string next = leading.back();
+    leading.pop_back();
+    this->earlier = {this->cursor};
+    this->earlier.insert(this->earlier.end(), leading.end() - static_cast<std::ptrdiff_t>(std::min(leading.size(), maxEarlier)),
+                         leading.end());
     this->searches.erase(this->cursor);
+    this->goOnAfter(next);
+    return true;
+}
+
+bool ListCursor::fallBack()
+{
+    if (!this->failed) {
+        this->failed = this->cursor;
+    }
+    if (this->earlier.empty() || this->fallBacks >= maxFallBacks) {
+        this->cursor = *std::exchange(this->failed, std::nullopt);
+        this->earlier.clear();
+        return false;
+    }
+    ++this->fallBacks;
+    this->goOnAfter(this->earlier.back());
+    this->earlier.pop_back();
+    return true;
 }
 
 void ListCursor::forgetSearches()
@@ -78,6 +130,7 @@
     if (!found || this->passed.contains(*found)) {
         return false;
     }
+    this->earlier.clear();
     this->goOnAfter(*found);
     return true;
 }
--- a/src/process/store/list_cursor.h
+++ b/src/process/store/list_cursor.h
@@ -1,6 +1,6 @@
 #pragma once
 
-/** @file Where a list that is read page by page goes on, also behind what can't be read of it. */
+/** @file Where a list that is read page by page goes on, also where its cursor fails, and behind what can't be read of it. */
 
 #include "eelgrassnotch/types.h"
 #include "process/store/cursor_search.h"
@@ -10,6 +10,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <vector>
 
 namespace eelgrassnotch::process::store
 {
@@ -46,9 +47,20 @@
     /** @returns whether the list goes on after a name. */
     bool leadsTo(const std::string &name) const;
     void goOnAfter(const std::string &name);
-    /** @brief Forgets that the list could not be read behind the present name. */
-    void forgetSearch();
-    /** @brief The same of all names. */
+    /**
+     * @brief Goes on behind a page, after its last plain name where there is one: it is the same in any encoding.
+     * @param names In the order of the page.
+     * @param isNew Whether the page has told an object that no page before it has told.
+     * @returns whether the page brings a name to go on after.
+     */
+    bool goOnBehind(const std::vector<std::string> &names, bool isNew);
+    /**
+     * @brief Goes on after an earlier name, where the page after the present one is refused or brings nothing new: the object may be gone,
+     * and a store may take only names that it has. Pages overlap then, and nothing is left out.
+     * @returns whether there is a name to ask for; otherwise the present name is the one that failed first.
+     */
+    bool fallBack();
+    /** @brief Forgets behind which names the list could not be read. */
     void forgetSearches();
     /** @brief Takes the outcome of a search's call. @param lastName Last name of its page; empty without one. */
     void noteAnswer(bool isReadable, const std::string &lastName);
@@ -63,7 +75,10 @@
     std::optional<std::string> nextProbe(bool isBlind, Time now) const;
 
     std::string cursor; ///< The next page follows this name.
-    std::set<std::string> passed; ///< Names that the pages before followed.
+    std::set<std::string> passed; ///< Names that the pages before followed, or that failed.
+    std::vector<std::string> earlier; ///< Names to fall back to, the best one last.
+    std::optional<std::string> failed; ///< Name that failed first, since a page was new.
+    std::size_t fallBacks = 0; ///< Pages after earlier names, or without new objects, since a page was new.
     std::optional<std::string> probe; ///< Name that is asked for instead, in a search.
     std::size_t calls = 0; ///< Of searches in this list.
     std::size_t callsHere = 0; ///< At the present name.
--- a/tests/fleet/test_odd_entries.cpp
+++ b/tests/fleet/test_odd_entries.cpp
@@ -150,3 +150,30 @@
         fleet.checkStarts();
     }
 }
+
+TEST_CASE("an entry that ends a page and is gone before the next call hides nothing")
+{
+    for (const std::string mark : {"-", "+"}) {
+        CAPTURE(mark);
+        Fleet fleet(watchingDaemons);
+        fleet.store.refusesUnknownCursors = true;
+        fleet.store.setListFault([&fleet, &mark](const std::string &kind, const std::string &, unsigned &, std::string &body) {
+            const json page = json::parse(body);
+            if (page.at("more").get<bool>()) {
+                const std::string last = page.at("items").back().at("metadata").at("name");
+                if (last.ends_with(mark + "x") || last.ends_with(mark + "y")) {
+                    fleet.store.remove(kind, last);
+                }
+            }
+        });
+        for (int start = 0; start < 2; ++start) {
+            CAPTURE(start);
+            for (std::size_t index = 0; index < serviceCount; ++index) {
+                fleet.store.put("servers", Fleet::nameOf(index) + mark + "x", odd);
+                fleet.store.put("servers", Fleet::nameOf(index) + mark + "y", odd);
+            }
+            CHECK(fleet.restartAll());
+            CHECK(fleet.served() == fleet.asked());
+        }
+    }
+}
--- a/tests/proxy/test_store_lists.cpp
+++ b/tests/proxy/test_store_lists.cpp
@@ -213,6 +213,78 @@
     CHECK(follower.known() == 4);
 }
 
+// Guards against a list that ends where the entry that ended a page is gone when the next page is asked for.
+TEST_CASE("a list goes on where its cursor fails")
+{
+    // Entries of backend servers between those of another writer; those that end a page are removed as soon as it was told.
+    for (const std::string mark : {"-", "+"}) {
+        for (const std::size_t pageLength : {1, 2, 3, 7}) {
+            CAPTURE(mark);
+            CAPTURE(pageLength);
+            ObjectStore store;
+            store.pageLength = pageLength;
+            store.refusesUnknownCursors = true;
+            constexpr std::size_t count = 30;
+            for (std::size_t index = 0; index < count; ++index) {
+                const std::string name = "i-" + std::to_string(100 + index);
+                store.put("servers", name, odd);
+                store.put("servers", name + mark + "a", odd);
+                store.put("servers", name + mark + "b", odd);
+            }
+            store.setListFault([&store](const std::string &kind, const std::string &, unsigned &, std::string &body) {
+                const json page = json::parse(body);
+                if (const std::string last = page.at("items").back().at("metadata").at("name"); last.size() > 5) {
+                    store.remove(kind, last);
+                }
+            });
+            const Follower follower(store);
+            CHECK(eventually([&] { return follower.lists > 0; }));
+            CHECK(follower.incompleteLists == 0);
+            for (std::size_t index = 0; index < count; ++index) {
+                CHECK(follower.knows("i-" + std::to_string(100 + index)));
+            }
+        }
+    }
+}
+
+TEST_CASE("a list goes on after plain names, which any store decodes alike")
+{
+    ObjectStore store;
+    store.pageLength = 3;
+    for (const char *name : {"i-1", "i-2", "i-2&", "i-2+", "i-3", "i-4 ", "i-4#", "i-5", "i-6%"}) {
+        store.put("servers", name, odd);
+    }
+    std::mutex mutex;
+    std::set<std::string> cursors;
+    store.setListFault([&](const std::string &, const std::string &afterName, unsigned &, std::string &) {
+        const std::lock_guard lock(mutex);
+        cursors.insert(afterName);
+    });
+    const Follower follower(store);
+    CHECK(eventually([&] { return follower.lists > 0; }));
+    CHECK(follower.known() == 9);
+    const std::lock_guard lock(mutex);
+    CHECK(cursors == std::set<std::string> {"", "i-2", "i-3", "i-5"});
+}
+
+TEST_CASE("a list of which each page is the same is not asked for without end")
+{
+    ObjectStore store;
+    for (int index = 0; index < 100; ++index) {
+        store.put("servers", "i-" + std::to_string(index), odd);
+    }
+    store.setListFault([](const std::string &, const std::string &, unsigned &, std::string &body) {
+        json page = json::parse(body);
+        page["more"] = true;
+        body = page.dump();
+    });
+    const Follower follower(store);
+    CHECK(eventually([&] { return follower.incompleteLists > 0; }));
+    std::this_thread::sleep_for(faultTime);
+    CHECK(follower.calls < mostCallsInFault);
+    CHECK(follower.lists == 0);
+}
+
 TEST_CASE("a list without an end is given up")
 {
     for (const std::size_t pageLength : {std::size_t {1}, std::size_t {5000}}) {
--- a/tests/standin/object_store.cpp
+++ b/tests/standin/object_store.cpp
@@ -293,6 +293,10 @@
         ListFault fault;
         {
             const std::lock_guard lock(this->mutex);
+            if (this->refusesUnknownCursors && !afterName.empty() && !this->objects[kind].contains(afterName)) {
+                status = 404;
+                return "{}";
+            }
             body = this->list(kind, afterName);
             fault = this->listFault;
         }
--- a/tests/standin/object_store.h
+++ b/tests/standin/object_store.h
@@ -56,6 +56,7 @@
     std::atomic<std::size_t> pageLength {500}; ///< Objects in one answer to a list call.
     std::atomic<std::size_t> pageBytes {std::numeric_limits<std::size_t>::max()}; ///< After which an answer to a list call ends.
     std::atomic<bool> refusesAll {false}; ///< All calls get 503.
+    std::atomic<bool> refusesUnknownCursors {false}; ///< List calls that go on after a name that the store doesn't hold get 404.
     std::atomic<int> delayMs {0}; ///< Of all answers.
     std::atomic<int> watchDelayMs {0}; ///< Of the answers to watches, beside the delay of all.
     std::atomic<bool> cutsWatches {false}; ///< Connections with a watch are reset.
