Bound the log lines that others can cause

Operators saw: each start with 500 entries of another writer in the store cost 130 KB of log, and an entry that is written again costs a line each time.

Cause: each entry that can't be read had a line, each time it was read: twice in a list that isn't whole, and again with each change. Data centres that are taken out were all logged with each change of one of them. Refused connections have two lines each, and a request may meet many of them now.

logBounded() writes 20 lines of an event in 10 s and tells with lines_skipped how many more there were.

--- a/src/process/directory/backend_directory.cpp
+++ b/src/process/directory/backend_directory.cpp
@@ -118,7 +118,7 @@
     if (!isRestored || !isFormer(this->removedIncarnations, record)) {
         return false;
     }
-    logEvent("backend_entry_ignored", {{"backend", record.id}, {"cause", "its removal is known, and the store came back older"}});
+    logBounded("backend_entry_ignored", {{"backend", record.id}, {"cause", "its removal is known, and the store came back older"}});
     return true;
 }
 
--- a/src/process/edge_knowledge.cpp
+++ b/src/process/edge_knowledge.cpp
@@ -146,7 +146,7 @@
         this->storedVersion = table->version();
         this->proxy.setRouteTable(std::move(table));
     } catch (const std::exception &error) {
-        logWarning("configuration_unreadable",
+        logBounded("configuration_unreadable",
                    {{"object", object.name}, {"revision", std::to_string(object.revision)}, {"cause", error.what()}});
     }
 }
@@ -192,7 +192,7 @@
 
 void EdgeKnowledge::logUnreadableBackend(const store::StoredObject &object)
 {
-    logWarning("backend_entry_unreadable", {{"backend", object.name}, {"revision", std::to_string(object.revision)}});
+    logBounded("backend_entry_unreadable", {{"backend", object.name}, {"revision", std::to_string(object.revision)}});
 }
 
 std::vector<directory::BackendRecord> EdgeKnowledge::readBackends(const std::vector<store::StoredObject> &objects)
@@ -253,8 +253,8 @@
     std::set<std::string> all = this->takenOut;
     all.insert(this->unconfirmedTakenOut.begin(), this->unconfirmedTakenOut.end());
     for (const std::string &dataCentre : all) {
-        logEvent("data_centre_taken_out",
-                 {{"data_centre", dataCentre}, {"in_store", this->takenOut.contains(dataCentre) ? "true" : "false"}});
+        logBounded("data_centre_taken_out",
+                   {{"data_centre", dataCentre}, {"in_store", this->takenOut.contains(dataCentre) ? "true" : "false"}});
     }
     this->proxy.backends().setTakenOut(all, coldAfterReturn, readClock());
 }
@@ -373,7 +373,7 @@
         if (auto daemon = this->dialect->readDaemon(object)) {
             daemons.insert_or_assign(object.name, std::move(*daemon));
         } else {
-            logWarning("daemon_entry_unreadable", {{"name", object.name}, {"revision", std::to_string(object.revision)}});
+            logBounded("daemon_entry_unreadable", {{"name", object.name}, {"revision", std::to_string(object.revision)}});
         }
     }
     return daemons;
--- a/src/process/event_log.cpp
+++ b/src/process/event_log.cpp
@@ -8,6 +8,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <map>
 #include <mutex>
 #include <string_view>
 
@@ -28,6 +29,9 @@
 constexpr std::size_t maxValueBytes = 512;
 /** A line after a pause of this length is not collected. */
 constexpr auto quietPeriod = std::chrono::milliseconds(50);
+/** Lines of one bounded event in one period. */
+constexpr std::size_t boundedLines = 20;
+constexpr auto boundedPeriod = std::chrono::seconds(10);
 constexpr const char *linePattern = "time=%Y-%m-%dT%H:%M:%S.%e level=%L %v";
 
 /** Lines that were formatted and wait to be handed to the writer together. */
@@ -41,6 +45,23 @@
     bool isCollecting = false;
 };
 
+/** Lines of a bounded event in the present period. */
+struct BoundedEvent {
+    std::chrono::steady_clock::time_point begunAt;
+    std::size_t lines = 0;
+};
+
+struct BoundedEvents {
+    std::mutex mutex;
+    std::map<std::string, BoundedEvent> byName;
+};
+
+BoundedEvents &boundedEvents()
+{
+    static BoundedEvents instance;
+    return instance;
+}
+
 Batch &batch()
 {
     static Batch instance;
@@ -113,6 +134,28 @@
     }
 }
 
+/** Ends the periods that are over, and tells what was skipped in them. */
+void endBoundedPeriods(bool isStopping)
+{
+    std::vector<std::pair<std::string, std::size_t>> skipped;
+    {
+        BoundedEvents &bounded = boundedEvents();
+        const std::lock_guard lock(bounded.mutex);
+        const auto now = std::chrono::steady_clock::now();
+        std::erase_if(bounded.byName, [&](const auto &entry) {
+            const auto &[name, event] = entry;
+            const bool isOver = isStopping || now - event.begunAt >= boundedPeriod;
+            if (isOver && event.lines > boundedLines) {
+                skipped.emplace_back(name, event.lines - boundedLines);
+            }
+            return isOver;
+        });
+    }
+    for (const auto &[name, lines] : skipped) {
+        logWarning("lines_skipped", {{"of", name}, {"lines", std::to_string(lines)}});
+    }
+}
+
 }
 
 void startLog(const std::string &daemon, const std::string &file)
@@ -147,6 +190,7 @@
 
 void flushLog()
 {
+    endBoundedPeriods(false);
     Batch &collected = batch();
     const std::lock_guard lock(collected.mutex);
     if (collected.isCollecting) {
@@ -156,6 +200,7 @@
 
 void stopLog()
 {
+    endBoundedPeriods(true);
     flushLog();
     {
         Batch &collected = batch();
@@ -173,6 +218,20 @@
     return collected.droppedLines + (pool ? pool->overrun_counter() : 0);
 }
 
+void logBounded(const std::string &event, const LogFields &fields)
+{
+    endBoundedPeriods(false);
+    {
+        BoundedEvents &bounded = boundedEvents();
+        const std::lock_guard lock(bounded.mutex);
+        BoundedEvent &known = bounded.byName.try_emplace(event, BoundedEvent {std::chrono::steady_clock::now(), 0}).first->second;
+        if (++known.lines > boundedLines) {
+            return;
+        }
+    }
+    logWarning(event, fields);
+}
+
 std::string formatEvent(const std::string &event, const LogFields &fields)
 {
     std::string line = "event=" + quote(event);
--- a/src/process/event_log.h
+++ b/src/process/event_log.h
@@ -35,6 +35,11 @@
 void logEvent(const std::string &event, const LogFields &fields);
 /** @brief Writes one event that needs an operator's look. */
 void logWarning(const std::string &event, const LogFields &fields);
+/**
+ * @brief Writes one of the events that others can cause without bound, such as entries of the store that can't be read.
+ * @remarks Of each event, 20 lines are written in 10 s; `lines_skipped` tells how many more there were.
+ */
+void logBounded(const std::string &event, const LogFields &fields);
 /** @returns the line of an event without its time. */
 std::string formatEvent(const std::string &event, const LogFields &fields);
 /** @returns the fields of a line as formatEvent() and the log write them; words without "=" are passed over. */
--- a/src/process/proxy/proxied_request.cpp
+++ b/src/process/proxy/proxied_request.cpp
@@ -854,13 +854,15 @@
         this->verdict = std::max(this->verdict, Verdict::MayHaveRun);
     }
     this->currentAttempt->backend->recordFailure(this->currentAttempt->startedAt, now);
-    logEvent("send_failed",
-             {{"request", this->attributes.id},
-              {"backend", this->currentAttempt->backend->record.id},
-              {"cause", end.detail},
-              {"verdict", std::string(nameOf(isUnsent ? Verdict::NotRun : Verdict::MayHaveRun))},
-              {"after_ms", milliseconds(now - this->currentAttempt->startedAt)},
-              {"kept_connection", this->currentAttempt->connection->wasUsed() ? "true" : "false"}});
+    // Entries may name any number of backend servers that aren't there.
+    const auto log = end.isRefused ? logBounded : logEvent;
+    log("send_failed",
+        {{"request", this->attributes.id},
+         {"backend", this->currentAttempt->backend->record.id},
+         {"cause", end.detail},
+         {"verdict", std::string(nameOf(isUnsent ? Verdict::NotRun : Verdict::MayHaveRun))},
+         {"after_ms", milliseconds(now - this->currentAttempt->startedAt)},
+         {"kept_connection", this->currentAttempt->connection->wasUsed() ? "true" : "false"}});
     const bool isLostUnanswered = (end.kind == EndKind::Lost || end.kind == EndKind::BrokenOff) && !this->isBeingWritten(now);
     this->hasFailedToConnect = this->hasFailedToConnect || isUnsent;
     if (end.isRefused) {
@@ -937,16 +939,17 @@
         return false;
     }
     this->proxy.metrics().countRetry(reason);
-    logEvent("retry",
-             {{"request", this->attributes.id},
-              {"reason", std::string(nameOf(reason))},
-              {"verdict", std::string(nameOf(attemptVerdict))},
-              {"from", this->currentAttempt->backend->record.id},
-              {"to", choice.backend->record.id},
-              {"send", std::to_string(this->attempts + 1)},
-              {"budget_left", std::to_string(budget.left)},
-              {"budget_capacity", std::to_string(budget.capacity)},
-              {"daemons", std::to_string(budget.daemons)}});
+    const auto log = reason == RetryReason::ConnectFailed ? logBounded : logEvent;
+    log("retry",
+        {{"request", this->attributes.id},
+         {"reason", std::string(nameOf(reason))},
+         {"verdict", std::string(nameOf(attemptVerdict))},
+         {"from", this->currentAttempt->backend->record.id},
+         {"to", choice.backend->record.id},
+         {"send", std::to_string(this->attempts + 1)},
+         {"budget_left", std::to_string(budget.left)},
+         {"budget_capacity", std::to_string(budget.capacity)},
+         {"daemons", std::to_string(budget.daemons)}});
     this->endAttempt(now, attemptVerdict != Verdict::NotRun);
     this->splitter.discardPartialEvent();
     this->startAttempt(choice, now);
--- a/src/process/rollout_knowledge.cpp
+++ b/src/process/rollout_knowledge.cpp
@@ -71,7 +71,7 @@
             if (auto order = this->dialect->readRollout(object)) {
                 orders.push_back(std::move(*order));
             } else {
-                logWarning("rollout_unreadable", {{"object", object.name}, {"revision", std::to_string(object.revision)}});
+                logBounded("rollout_unreadable", {{"object", object.name}, {"revision", std::to_string(object.revision)}});
             }
         }
         this->rollouts.replaceAll(orders, readClock());
@@ -102,7 +102,7 @@
     if (const auto order = this->dialect->readRollout(object)) {
         this->rollouts.apply(*order, readClock());
     } else {
-        logWarning("rollout_unreadable", {{"object", object.name}, {"revision", std::to_string(object.revision)}});
+        logBounded("rollout_unreadable", {{"object", object.name}, {"revision", std::to_string(object.revision)}});
         this->rollouts.remove(object.name);
     }
 }
--- a/tests/fleet/service_fleet.h
+++ b/tests/fleet/service_fleet.h
@@ -119,6 +119,16 @@
         CHECK(this->peakBytes() <= limits.memoryMegabytes * megabyte);
     }
 
+    /** @returns the bytes of the longest log of a daemon since all were started. */
+    std::size_t longestLog() const
+    {
+        std::size_t longest = 0;
+        for (const auto &daemon : this->daemons) {
+            longest = std::max(longest, daemon->logBytes());
+        }
+        return longest;
+    }
+
     std::size_t peakBytes() const
     {
         std::size_t peak = 0;
--- a/tests/fleet/test_absent_backends.cpp
+++ b/tests/fleet/test_absent_backends.cpp
@@ -35,6 +35,7 @@
 {
     constexpr std::size_t absent = 600;
     constexpr std::size_t rounds = 12;
+    constexpr std::size_t maxLineBytes = 300; ///< In the mean.
     // All of one service, whose requests may be repeated or not, or spread over all services.
     for (const std::size_t services : {std::size_t {1}, std::size_t {2}, serviceCount}) {
         CAPTURE(services);
@@ -52,6 +53,8 @@
             }
             CHECK(served == rounds * fleet.asked());
         }
+        // A line for each backend server, one for each request, and twenty for refused connections and for repeats.
+        CHECK(fleet.longestLog() <= (absent + rounds * serviceCount + 100) * maxLineBytes);
         CHECK(fleet.peakBytes() <= limits.memoryMegabytes * megabyte);
     }
 }
--- a/tests/fleet/test_odd_fields.cpp
+++ b/tests/fleet/test_odd_fields.cpp
@@ -10,6 +10,10 @@
 namespace
 {
 
+/** Of one daemon, from its start to its first request to each service: twenty lines for each kind of trouble, and a line for what it does.
+ */
+constexpr std::size_t mostLogBytes = 32u << 10;
+
 /** Puts entries of each service that lead to one address and have one field each that is missing, of another type or out of range. */
 void putOddFields(standin::ObjectStore &store, const standin::RawServer &target)
 {
@@ -60,6 +64,7 @@
             }
             fleet.checkStarts();
             CHECK(trap.connections() == 0);
+            CHECK(fleet.longestLog() <= mostLogBytes);
         }
     }
 }
--- a/tests/hostile/edge_process.cpp
+++ b/tests/hostile/edge_process.cpp
@@ -163,6 +163,11 @@
     return this->process > 0;
 }
 
+std::size_t EdgeProcess::logBytes() const
+{
+    return std::filesystem::file_size(this->folder + "/log");
+}
+
 std::size_t EdgeProcess::residentBytes() const
 {
     std::ifstream statm("/proc/" + std::to_string(this->process) + "/statm");
--- a/tests/hostile/edge_process.h
+++ b/tests/hostile/edge_process.h
@@ -60,6 +60,8 @@
     {
         return this->peakOpen;
     }
+    /** @returns the bytes that the daemon has logged. */
+    std::size_t logBytes() const;
     /** @returns resident bytes now. */
     std::size_t residentBytes() const;
     /** @brief Begins to sample once the daemon is ready. @returns whether the readiness probe is answered with 200 within 20 s. */
--- a/tests/proxy/test_platform.cpp
+++ b/tests/proxy/test_platform.cpp
@@ -7,6 +7,11 @@
 
 #include <doctest/doctest.h>
 
+#include <unistd.h>
+
+#include <filesystem>
+#include <fstream>
+#include <map>
 #include <random>
 #include <string>
 #include <vector>
@@ -326,3 +331,28 @@
     CHECK(target.listTarget(Collection::Daemons, "a&b+c#d%e f", true)
           == "/-/objects/eelgrassnotch-daemons?after_rev=a%26b%2Bc%23d%25e%20f&serializable=1");
 }
+
+// Guards against a log that grows with each entry of another writer, each time it is read.
+TEST_CASE("events that others can cause without bound are logged in bounded volume, and the rest is counted")
+{
+    const std::string file = (std::filesystem::temp_directory_path() / ("eelgrassnotch-log-" + std::to_string(::getpid()))).string();
+    process::startLog("d-1", file);
+    for (int index = 0; index < 5000; ++index) {
+        process::logBounded("backend_entry_unreadable", {{"backend", "i-" + std::to_string(index)}});
+    }
+    process::logBounded("object_unreadable", {{"bytes", "7"}});
+    process::stopLog();
+    process::startLog("", "");
+    std::ifstream log(file);
+    std::map<std::string, std::size_t> counts;
+    std::map<std::string, std::string> skipped;
+    for (std::string line; std::getline(log, line);) {
+        const auto fields = process::parseEvent(line);
+        ++counts[fields.at("event")];
+        skipped = fields.at("event") == "lines_skipped" ? fields : skipped;
+    }
+    std::filesystem::remove(file);
+    CHECK(counts == std::map<std::string, std::size_t> {{"backend_entry_unreadable", 20}, {"object_unreadable", 1}, {"lines_skipped", 1}});
+    CHECK(skipped["of"] == "backend_entry_unreadable");
+    CHECK(skipped["lines"] == "4980");
+}
