Run one build of the daemon in a test, while another one is linked

KNOWN-RED.txt had a start of daemons that was late once, while the program was being linked anew by a build beside it.

The program is opened once and started by its descriptor, so that a run has one build from its first process to its last.

--- a/tests/hostile/edge_process.cpp
+++ b/tests/hostile/edge_process.cpp
@@ -49,6 +49,13 @@
     return path == nullptr ? builtProgram : path;
 }
 
+/** @returns the descriptor of the program, opened once, so that all processes of a run are the same build while another one is linked. */
+int programDescriptor()
+{
+    static const int descriptor = ::open(programPath(), O_RDONLY | O_CLOEXEC);
+    return descriptor;
+}
+
 std::string makeFolder()
 {
     std::string path = (std::filesystem::temp_directory_path() / "eelgrassnotch-hostile-XXXXXX").string();
@@ -100,6 +107,7 @@
 void EdgeProcess::start()
 {
     const std::string log = this->folder + "/log";
+    const int programFile = programDescriptor();
     const std::string variable = "EELGRASSNOTCH_SETTINGS=" + this->folder + "/settings.json";
     this->process = ::fork();
     if (this->process == 0) {
@@ -107,11 +115,11 @@
         const int output = ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
         ::dup2(output, STDOUT_FILENO);
         ::dup2(output, STDERR_FILENO);
-        ::close_range(3, ~0U, 0);
-        const char *program = programPath();
-        std::array<char *, 2> arguments {const_cast<char *>(program), nullptr};
+        // What other threads of the test have opened stays with the test.
+        ::close_range(3, ~0U, CLOSE_RANGE_CLOEXEC);
+        std::array<char *, 2> arguments {const_cast<char *>(programPath()), nullptr};
         std::array<char *, 2> environment {const_cast<char *>(variable.c_str()), nullptr};
-        ::execve(program, arguments.data(), environment.data());
+        ::fexecve(programFile, arguments.data(), environment.data());
         ::_exit(EXIT_FAILURE);
     }
 }
